--- /dev/null
+++ b/crates/control/src/lib.rs
@@ -0,0 +1,1 @@
+//! control.
--- /dev/null
+++ b/crates/daemon/src/main.rs
@@ -0,0 +1,2 @@
+//! daemon.
+fn main() {}
--- /dev/null
+++ b/crates/declare/src/lib.rs
@@ -0,0 +1,1 @@
+//! declare.
--- /dev/null
+++ b/crates/model/src/lib.rs
@@ -0,0 +1,31 @@
+//! Typed ids, units and messages that every other crate shares.
+//!
+//! This crate does no input or output and holds no state. It has four parts:
+//!
+//! * [`ids`]: `Copy` ids of everything that the configuration names or a process creates,
+//! * [`units`]: time and sizes with their units,
+//! * [`msg`]: the messages that instances send each other,
+//! * [`outcome`]: how requests and attempts end.
+//!
+//! Import [`prelude`] to get the types that nearly every module needs.
+
+pub mod ids;
+pub mod msg;
+pub mod outcome;
+pub mod units;
+
+/// The types that nearly every module needs.
+pub mod prelude {
+    pub use std::time::Duration;
+
+    pub use crate::{
+        ids::{
+            AccountId, AskId, CellId, ClassId, GrantId, IdempotencyId, Incarnation, InstanceId,
+            KeyHash, LeaseId, Nonce, PoolId, PrefixHash, RequestId, RouteId, ServerId, ShareId,
+            TicketId, ZoneId,
+        },
+        msg::Msg,
+        outcome::{AttemptEnd, Execution, Reason, Refusal},
+        units::{Tier, Time, Version},
+    };
+}
--- /dev/null
+++ b/crates/model/tests/ids.rs
@@ -0,0 +1,39 @@
+//! Ids keep their promises for any input.
+
+use model::prelude::*;
+
+#[test]
+fn key_hash_shows_only_a_part_of_itself() {
+    let hash = KeyHash::of(b"secret");
+
+    let text = format!("{hash:?}");
+
+    assert_eq!(text.len(), "KeyHash(2bb8..)".len());
+}
+
+#[test]
+fn idempotency_ids_differ_by_account_and_route() {
+    let [a, b] = [AccountId::of("a"), AccountId::of("b")];
+    let route = RouteId::of("r");
+
+    let ids = [
+        IdempotencyId::of(a, route, "k"),
+        IdempotencyId::of(b, route, "k"),
+        IdempotencyId::of(a, RouteId::of("s"), "k"),
+    ];
+
+    assert_ne!(ids[0], ids[1]);
+    assert_ne!(ids[0], ids[2]);
+}
+
+#[test]
+fn time_never_wraps() {
+    bolero::check!().with_type::<(u64, u64)>().with_iterations(2_000).for_each(|(at, span)| {
+        let time = Time { nanos: *at };
+        let span = Duration::from_nanos(*span);
+
+        assert!(time + span >= time);
+        assert!(time - span <= time);
+        assert_eq!((time + span).until(time), Duration::ZERO);
+    });
+}
