--- a/crates/daemon/src/link.rs
+++ b/crates/daemon/src/link.rs
@@ -1,8 +1,11 @@
 //! The channel between the threads that carry traffic and the control thread.
 
-use std::sync::{
-    Arc, RwLock,
-    atomic::{AtomicBool, Ordering},
+use std::{
+    convert::Infallible,
+    sync::{
+        Arc, RwLock,
+        atomic::{AtomicBool, Ordering},
+    },
 };
 
 use async_channel::{Receiver, Sender};
@@ -59,6 +62,7 @@
     catalog: RwLock<Arc<Catalog>>,
     ready: AtomicBool,
     draining: AtomicBool,
+    listening: Signal,
 }
 
 impl Shared {
@@ -97,4 +101,49 @@
     pub fn drain(&self) {
         self.draining.store(true, Ordering::Relaxed);
     }
+
+    /// Stops to accept connections, and closes those on which no request runs.
+    pub fn stop_listening(&self) {
+        self.drain();
+        self.listening.raise();
+    }
+
+    /// Returns whether [`Shared::stop_listening`] was called.
+    pub fn is_listening(&self) -> bool {
+        !self.listening.is_raised()
+    }
+
+    /// Waits until [`Shared::stop_listening`] is called.
+    pub async fn stopped_listening(&self) {
+        self.listening.raised().await;
+    }
+}
+
+/// Wakes all who wait for something that happens once.
+#[derive(Debug)]
+struct Signal {
+    tx: Sender<Infallible>,
+    rx: Receiver<Infallible>,
+}
+
+impl Default for Signal {
+    fn default() -> Self {
+        let (tx, rx) = async_channel::bounded(1);
+        Self { tx, rx }
+    }
+}
+
+impl Signal {
+    fn raise(&self) {
+        self.tx.close();
+    }
+
+    fn is_raised(&self) -> bool {
+        self.tx.is_closed()
+    }
+
+    async fn raised(&self) {
+        // Nothing is ever sent, so this ends when the channel is closed.
+        let _ = self.rx.recv().await;
+    }
 }
