Move load reports to the model and mark cold servers in releases

The scheduler takes load reports, and control depends on the scheduler: the types move down to break the cycle, and control re-exports them.

--- a/crates/model/src/lib.rs
+++ b/crates/model/src/lib.rs
@@ -1,15 +1,17 @@
 //! Typed ids, units and messages that every other crate shares.
 //!
-//! This crate does no input or output and holds no state. It has four parts:
+//! This crate does no input or output and holds no state. It has five parts:
 //!
 //! * [`ids`]: `Copy` ids of everything that the configuration names or a process creates,
 //! * [`units`]: time and sizes with their units,
+//! * [`load`]: what backend servers report of their load,
 //! * [`msg`]: the messages that instances send each other,
 //! * [`outcome`]: how requests and attempts end.
 //!
 //! Import [`prelude`] to get the types that nearly every module needs.
 
 pub mod ids;
+pub mod load;
 pub mod msg;
 pub mod outcome;
 pub mod units;
@@ -24,6 +26,7 @@
             KeyHash, LeaseId, Nonce, Peer, PoolId, PrefixHash, RequestId, RequestNo, RouteId,
             ServerId, ShareId, TicketId, ZoneId,
         },
+        load::{LoadError, LoadReport},
         msg::{Msg, Reply},
         outcome::{AttemptEnd, Execution, Reason, Refusal},
         units::{Tier, Time, Version},
--- a/crates/model/src/msg.rs
+++ b/crates/model/src/msg.rs
@@ -203,6 +203,8 @@
         server: ServerId,
         /// How the attempt ended.
         end: AttemptEnd,
+        /// Whether the backend server said that it is in its cold start.
+        cold: bool,
     },
     /// Asks the holder of a grant to cancel its attempt for a request of a higher tier.
     Preempt {
