--- /dev/null
+++ b/crates/sched/src/start.rs
@@ -0,0 +1,25 @@
+//! What a cell starts from.
+
+use model::{msg::CellState, prelude::*};
+
+/// What a new owner of a cell knows.
+#[derive(Clone, Debug)]
+pub enum Start {
+    /// Nothing: all servers are cold, and grants of former owners are to be reclaimed first.
+    Fresh,
+    /// What the former owner handed over: work goes on at once.
+    From(CellState),
+}
+
+/// What the configuration says of a backend server.
+#[derive(Clone, Copy, PartialEq, Eq, Debug)]
+pub struct ServerPlan {
+    /// The backend server.
+    pub id: ServerId,
+    /// Attempts at a time.
+    pub limit: u32,
+    /// Attempts at a time in its cold start.
+    pub cold_limit: u32,
+    /// Whether it receives new work: it is not leaving, and its zone is in.
+    pub open: bool,
+}
