Encode the messages between instances with Cap'n Proto

Cause: instances must talk. Ruled out: one RPC method a message kind, since the reducer wants lossy one-way messages and batches. Change: schema, generated code (committed), conversions.

--- /dev/null
+++ b/crates/wire/src/write.rs
@@ -0,0 +1,301 @@
+//! Messages into envelopes.
+
+use std::time::Duration;
+
+use model::{
+    msg::{
+        Acquire, CellMsg, CellState, Handover, Heartbeat, HeldGrant, Msg, OnceMsg, OnceVerdict,
+        ShareState, TokenMsg,
+    },
+    prelude::*,
+};
+
+use crate::{PROTOCOL, peer_capnp as schema};
+
+/// Writes messages into an envelope from one instance to another.
+pub fn write(mut out: schema::envelope::Builder<'_>, from: Peer, to: InstanceId, msgs: &[Msg]) {
+    out.set_protocol(PROTOCOL);
+    out.set_from(from.instance.0);
+    out.set_incarnation(from.incarnation.0);
+    out.set_to(to.0);
+    let mut list = out.init_messages(count(msgs.len()));
+    for (i, msg) in msgs.iter().enumerate() {
+        write_msg(list.reborrow().get(count(i)), msg);
+    }
+}
+
+fn write_msg(mut out: schema::message::Builder<'_>, msg: &Msg) {
+    match msg {
+        Msg::Heartbeat(it) => heartbeat(out.init_heartbeat(), it),
+        Msg::ConfigPull => out.set_config_pull(()),
+        Msg::ConfigDoc(it) => {
+            let mut out = out.init_config_doc();
+            out.set_version(it.version.0);
+            out.set_text(&it.text[..]);
+        }
+        Msg::Token(it) => token(out, it),
+        Msg::Cell(it) => cell(out, it),
+        Msg::Once(it) => once(out, it),
+        Msg::Handover(Handover::Share(it)) => share_state(out.init_share_state(), it),
+        Msg::Handover(Handover::Cell(it)) => cell_state(out.init_cell_state(), it),
+    }
+}
+
+fn heartbeat(mut out: schema::heartbeat::Builder<'_>, it: &Heartbeat) {
+    out.set_nonce(it.nonce.0);
+    out.set_ack(it.ack);
+    out.set_leaving(it.leaving);
+    out.set_config(it.config.0);
+    out.set_list(it.list.0);
+    let mut list = out.init_cells(count(it.cells.len()));
+    for (i, load) in it.cells.iter().enumerate() {
+        let mut out = list.reborrow().get(count(i));
+        out.set_free(load.free);
+        out.set_waiting(load.waiting);
+        cell_id(out.init_cell(), load.cell);
+    }
+}
+
+fn token(out: schema::message::Builder<'_>, msg: &TokenMsg) {
+    match *msg {
+        TokenMsg::Ask { ask, share, wait } => {
+            let mut out = out.init_token_ask();
+            out.set_ask(ask.0);
+            out.set_wait(micros(wait));
+            share_id(out.init_share(), share);
+        }
+        TokenMsg::Give { ask, share, lease, ttl } => {
+            let mut out = out.init_token_give();
+            out.set_ask(ask.0);
+            out.set_lease(lease.0);
+            out.set_ttl(micros(ttl));
+            share_id(out.init_share(), share);
+        }
+        TokenMsg::Queued { ask, share, eta } => {
+            let mut out = out.init_token_queued();
+            out.set_ask(ask.0);
+            out.set_eta(micros(eta));
+            share_id(out.init_share(), share);
+        }
+        TokenMsg::Deny { ask, share, reason: why, retry_after } => {
+            let mut out = out.init_token_deny();
+            out.set_ask(ask.0);
+            out.set_reason(reason(why));
+            out.set_retry_after(micros(retry_after));
+            share_id(out.init_share(), share);
+        }
+        TokenMsg::Cancel { ask, share } => {
+            let mut out = out.init_token_cancel();
+            out.set_ask(ask.0);
+            share_id(out.init_share(), share);
+        }
+        TokenMsg::Spent { share, lease } => token_lease(out.init_token_spent(), share, lease),
+        TokenMsg::Return { share, lease } => token_lease(out.init_token_return(), share, lease),
+    }
+}
+
+fn token_lease(mut out: schema::token_lease::Builder<'_>, share: ShareId, lease: LeaseId) {
+    out.set_lease(lease.0);
+    share_id(out.init_share(), share);
+}
+
+fn cell(out: schema::message::Builder<'_>, msg: &CellMsg) {
+    match msg {
+        CellMsg::Acquire(it) => acquire(out.init_cell_acquire(), it),
+        CellMsg::Queued { ticket, cell, eta } => {
+            let mut out = out.init_cell_queued();
+            out.set_ticket(ticket.0);
+            out.set_eta(micros(*eta));
+            cell_id(out.init_cell(), *cell);
+        }
+        CellMsg::Grant { ticket, cell, grant, server, start_within } => {
+            let mut out = out.init_cell_grant();
+            out.set_ticket(ticket.0);
+            out.set_grant(grant.0);
+            out.set_server(server.0);
+            out.set_start_within(micros(*start_within));
+            cell_id(out.init_cell(), *cell);
+        }
+        CellMsg::Refuse { ticket, cell, reason: why, retry_after } => {
+            let mut out = out.init_cell_refuse();
+            out.set_ticket(ticket.0);
+            out.set_reason(reason(*why));
+            out.set_retry_after(micros(*retry_after));
+            cell_id(out.init_cell(), *cell);
+        }
+        CellMsg::Cancel { ticket, cell } => {
+            let mut out = out.init_cell_cancel();
+            out.set_ticket(ticket.0);
+            cell_id(out.init_cell(), *cell);
+        }
+        CellMsg::Release { cell, grant, server, end, cold } => {
+            let mut out = out.init_cell_release();
+            out.set_grant(grant.0);
+            out.set_server(server.0);
+            out.set_cold(*cold);
+            cell_id(out.reborrow().init_cell(), *cell);
+            attempt_end(out.init_end(), *end);
+        }
+        CellMsg::Preempt { cell, grant } => {
+            let mut out = out.init_cell_preempt();
+            out.set_grant(grant.0);
+            cell_id(out.init_cell(), *cell);
+        }
+        CellMsg::Held { cell, grants } => {
+            let mut out = out.init_cell_held();
+            cell_id(out.reborrow().init_cell(), *cell);
+            let mut list = out.init_grants(count(grants.len()));
+            for (i, grant) in grants.iter().enumerate() {
+                held_grant(list.reborrow().get(count(i)), grant);
+            }
+        }
+        CellMsg::Reclaim { cell } => cell_id(out.init_cell_reclaim(), *cell),
+    }
+}
+
+fn acquire(mut out: schema::cell_acquire::Builder<'_>, it: &Acquire) {
+    out.set_ticket(it.ticket.0);
+    out.set_account(it.account.0);
+    out.set_class(it.class.0);
+    out.set_tier(it.tier.0);
+    out.set_wait(micros(it.wait));
+    out.set_prefix(it.prefix.0);
+    out.set_idempotent(it.idempotent);
+    cell_id(out.reborrow().init_cell(), it.cell);
+    let mut list = out.init_avoid(count(it.avoid.len()));
+    for (i, server) in it.avoid.iter().enumerate() {
+        list.set(count(i), server.0);
+    }
+}
+
+fn attempt_end(mut out: schema::cell_release::end::Builder<'_>, end: AttemptEnd) {
+    match end {
+        AttemptEnd::Completed { first_byte, total, tokens } => {
+            let mut out = out.init_completed();
+            out.set_first_byte(micros(first_byte));
+            out.set_total(micros(total));
+            out.set_tokens(tokens);
+        }
+        AttemptEnd::ConnectFailed => out.set_connect_failed(()),
+        AttemptEnd::ServerBusy => out.set_server_busy(()),
+        AttemptEnd::Broken { answered } => out.set_broken(answered),
+        AttemptEnd::TimedOut { answered } => out.set_timed_out(answered),
+        AttemptEnd::CallerLeft => out.set_caller_left(()),
+        AttemptEnd::Preempted => out.set_preempted(()),
+        AttemptEnd::Unused => out.set_unused(()),
+    }
+}
+
+fn held_grant(mut out: schema::held_grant::Builder<'_>, it: &HeldGrant) {
+    out.set_grant(it.grant.0);
+    out.set_server(it.server.0);
+    out.set_account(it.account.0);
+    out.set_class(it.class.0);
+    out.set_tier(it.tier.0);
+    out.set_idempotent(it.idempotent);
+}
+
+fn once(out: schema::message::Builder<'_>, msg: &OnceMsg) {
+    match *msg {
+        OnceMsg::Claim { ask, key, resend } => {
+            let mut out = out.init_once_claim();
+            out.set_ask(ask.0);
+            out.set_resend(resend);
+            wide(out.init_key(), key.0);
+        }
+        OnceMsg::Answer { ask, key, verdict } => {
+            let mut out = out.init_once_answer();
+            out.set_ask(ask.0);
+            out.set_verdict(match verdict {
+                OnceVerdict::New => schema::Verdict::New,
+                OnceVerdict::Seen => schema::Verdict::Seen,
+                OnceVerdict::Unsure => schema::Verdict::Unsure,
+            });
+            wide(out.init_key(), key.0);
+        }
+        OnceMsg::Free { ask, key } => {
+            let mut out = out.init_once_free();
+            out.set_ask(ask.0);
+            wide(out.init_key(), key.0);
+        }
+    }
+}
+
+fn share_state(mut out: schema::share_state::Builder<'_>, it: &ShareState) {
+    out.set_level_milli(it.level_milli);
+    share_id(out.reborrow().init_share(), it.share);
+    let mut list = out.init_leases(count(it.leases.len()));
+    for (i, lease) in it.leases.iter().enumerate() {
+        let mut out = list.reborrow().get(count(i));
+        out.set_holder(lease.holder.0);
+        out.set_incarnation(lease.incarnation.0);
+        out.set_lease(lease.lease.0);
+        out.set_ttl(micros(lease.ttl));
+    }
+}
+
+fn cell_state(mut out: schema::cell_state::Builder<'_>, it: &CellState) {
+    cell_id(out.reborrow().init_cell(), it.cell);
+    let mut servers = out.reborrow().init_servers(count(it.servers.len()));
+    for (i, warmth) in it.servers.iter().enumerate() {
+        let mut out = servers.reborrow().get(count(i));
+        out.set_server(warmth.server.0);
+        out.set_limit(warmth.limit);
+    }
+    let mut grants = out.init_grants(count(it.grants.len()));
+    for (i, grant) in it.grants.iter().enumerate() {
+        let mut out = grants.reborrow().get(count(i));
+        out.set_holder(grant.holder.0);
+        out.set_incarnation(grant.incarnation.0);
+        held_grant(out.init_held(), &grant.held);
+    }
+}
+
+fn cell_id(mut out: schema::cell_id::Builder<'_>, it: CellId) {
+    out.set_pool(it.pool.0);
+    out.set_zone(it.zone.0);
+}
+
+fn share_id(mut out: schema::share_id::Builder<'_>, it: ShareId) {
+    out.set_account(it.account.0);
+    out.set_zone(it.zone.0);
+}
+
+fn wide(mut out: schema::wide::Builder<'_>, number: u128) {
+    let buf = number.to_be_bytes();
+    let [mut high, mut low] = [[0; 8]; 2];
+    high.copy_from_slice(&buf[..8]);
+    low.copy_from_slice(&buf[8..]);
+    out.set_high(u64::from_be_bytes(high));
+    out.set_low(u64::from_be_bytes(low));
+}
+
+fn reason(it: Reason) -> schema::Reason {
+    match it {
+        Reason::BadRequest => schema::Reason::BadRequest,
+        Reason::TooLarge => schema::Reason::TooLarge,
+        Reason::SlowCaller => schema::Reason::SlowCaller,
+        Reason::NoRoute => schema::Reason::NoRoute,
+        Reason::NoKey => schema::Reason::NoKey,
+        Reason::OverRate => schema::Reason::OverRate,
+        Reason::Capacity => schema::Reason::Capacity,
+        Reason::NoServer => schema::Reason::NoServer,
+        Reason::NotReady => schema::Reason::NotReady,
+        Reason::NoOwner => schema::Reason::NoOwner,
+        Reason::Duplicate => schema::Reason::Duplicate,
+        Reason::MaybeDuplicate => schema::Reason::MaybeDuplicate,
+        Reason::ServerFailed => schema::Reason::ServerFailed,
+        Reason::ServerTimeout => schema::Reason::ServerTimeout,
+        Reason::CallerLeft => schema::Reason::CallerLeft,
+    }
+}
+
+/// Durations travel in microseconds; no duration of the protocol comes near the limit.
+fn micros(span: Duration) -> u64 {
+    u64::try_from(span.as_micros()).unwrap_or(u64::MAX)
+}
+
+/// The length of a list; lists of the protocol are far shorter than the limit.
+fn count(len: usize) -> u32 {
+    u32::try_from(len).unwrap_or(u32::MAX)
+}
