Check configuration, settings and instance list

Operators need every fault of a document at once, each with its place. A typed parse alone stops at the first one. The documents are now validated against the JSON Schema made from their types, and then their parts against each other, on whatever of the document can be read; both report into one list of findings. The text is read once more at the end: only the typed reader refuses a field that stands twice.

Config::parse, check and schema, likewise for Settings and InstanceList, and diff() between two configurations.

--- a/crates/config/src/document.rs
+++ b/crates/config/src/document.rs
@@ -5,6 +5,15 @@
 use schemars::JsonSchema;
 use serde::{Deserialize, Serialize};
 
+use crate::schema::{self, DAY_MS};
+
+/// The lowest rate of a client account, attempts a second: one in about a day.
+const MIN_RATE: f64 = 0.000_01;
+/// The highest rate of a client account, attempts a second.
+const MAX_RATE: f64 = 1_000_000.0;
+/// The highest weight of a client account.
+const MAX_WEIGHT: u32 = 1_000;
+
 /// The configuration of a fleet, one JSON document.
 ///
 /// A document with a higher version replaces one with a lower version, never the other way round.
@@ -12,8 +21,10 @@
 #[serde(deny_unknown_fields)]
 pub struct Config {
     /// The version of the document, raised with each change.
+    #[schemars(range(min = 1))]
     pub version: u64,
     /// The availability zones.
+    #[schemars(length(min = 1))]
     pub zones: Vec<Zone>,
     /// The classes of requests.
     pub classes: Vec<Class>,
@@ -32,6 +43,7 @@
 #[serde(deny_unknown_fields)]
 pub struct Zone {
     /// The name that settings and servers refer to.
+    #[schemars(regex(pattern = schema::NAME))]
     pub name: String,
     /// Whether the zone's backend servers receive work.
     #[serde(default)]
@@ -57,14 +69,17 @@
 #[serde(deny_unknown_fields)]
 pub struct Class {
     /// The name that routes and callers refer to.
+    #[schemars(regex(pattern = schema::NAME))]
     pub name: String,
     /// The rank: 0 is served first.
     pub tier: u8,
     /// The target: milliseconds from the request's arrival to the first byte of the answer.
+    #[schemars(range(min = 1, max = DAY_MS))]
     pub target_ms: u64,
     /// How long a request may wait for tokens and for a backend server, in milliseconds; the
     /// target if absent.
     #[serde(default, skip_serializing_if = "Option::is_none")]
+    #[schemars(range(max = DAY_MS))]
     pub max_wait_ms: Option<u64>,
 }
 
@@ -73,16 +88,21 @@
 #[serde(deny_unknown_fields)]
 pub struct Account {
     /// The account's name.
+    #[schemars(regex(pattern = schema::NAME))]
     pub name: String,
     /// SHA-256 hashes of the keys that are in force, 64 hexadecimal digits each.
+    #[schemars(inner(regex(pattern = schema::KEY_HASH)))]
     pub key_hashes: Vec<String>,
     /// Attempts a second given to backend servers, across the whole fleet.
+    #[schemars(range(min = MIN_RATE, max = MAX_RATE))]
     pub rate: f64,
     /// Attempts that may be given to backend servers at once after a pause, across the whole
     /// fleet.
+    #[schemars(range(min = 1))]
     pub burst: u32,
     /// The account's weight against the other accounts of a tier.
     #[serde(default = "one")]
+    #[schemars(range(min = 1, max = MAX_WEIGHT))]
     pub weight: u32,
 }
 
@@ -91,6 +111,7 @@
 #[serde(deny_unknown_fields)]
 pub struct Pool {
     /// The pool's name; for engines, the model name in the body of requests.
+    #[schemars(regex(pattern = schema::MODEL_NAME))]
     pub name: String,
     /// What the pool's servers are.
     pub kind: PoolKind,
@@ -111,16 +132,20 @@
 #[serde(deny_unknown_fields)]
 pub struct Server {
     /// The server's name.
+    #[schemars(regex(pattern = schema::NAME))]
     pub name: String,
     /// The name of its availability zone.
     pub zone: String,
     /// The name of its pool.
     pub pool: String,
     /// The address of its HTTP interface.
+    #[schemars(with = "schema::Address")]
     pub address: SocketAddr,
     /// Attempts that it runs at a time.
+    #[schemars(range(min = 1))]
     pub limit: u32,
     /// Attempts that it bears at a time in its cold start.
+    #[schemars(range(min = 1))]
     pub cold_limit: u32,
     /// Whether it receives new work.
     #[serde(default)]
@@ -157,12 +182,13 @@
 }
 
 /// An order to an engine.
-#[derive(Clone, PartialEq, Eq, Debug, Serialize, Deserialize, JsonSchema)]
+#[derive(Clone, PartialEq, Eq, Hash, Debug, Serialize, Deserialize, JsonSchema)]
 #[serde(deny_unknown_fields)]
 pub struct Order {
     /// What to load or change.
     pub kind: OrderKind,
     /// The name of the model, adapter, version or role.
+    #[schemars(regex(pattern = schema::MODEL_NAME))]
     pub name: String,
 }
 
@@ -185,16 +211,20 @@
 #[serde(deny_unknown_fields)]
 pub struct Route {
     /// The route's name.
+    #[schemars(regex(pattern = schema::NAME))]
     pub name: String,
     /// The HTTP method, `GET` or `POST` for example.
+    #[schemars(regex(pattern = schema::METHOD))]
     pub method: String,
     /// The path, matched whole.
+    #[schemars(regex(pattern = schema::PATH))]
     pub path: String,
     /// The name of the pool; absent where the field `model` of the request's body names it.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub pool: Option<String>,
     /// The classes that callers may choose by the header `x-class`; the first one is used where
     /// the header is absent.
+    #[schemars(length(min = 1))]
     pub classes: Vec<String>,
     /// Whether a request may run more than once.
     pub idempotent: bool,
@@ -203,6 +233,7 @@
     pub open: bool,
     /// The longest that an answer may take, in milliseconds.
     #[serde(default = "default_max_duration_ms")]
+    #[schemars(range(min = 1, max = DAY_MS))]
     pub max_duration_ms: u64,
 }
 
--- a/crates/config/src/lib.rs
+++ b/crates/config/src/lib.rs
@@ -4,16 +4,27 @@
 //! * [`Config`] is published for the whole fleet: classes, accounts, zones, backend servers, routes.
 //!   [`Catalog`] is its form for look-ups.
 //! * [`InstanceList`] is published by the platform.
+//!
+//! Each has the same three functions: `parse` and `check` read a JSON text and report everything
+//! that is wrong with it as [`Findings`], `schema` returns the JSON Schema. [`diff()`] compares two
+//! configurations.
 
 mod catalog;
+mod check;
+mod diff;
 mod document;
+mod finding;
 mod list;
+mod schema;
 mod settings;
 
 pub use catalog::{AccountSpec, Catalog, ClassSpec, RouteSpec, ServerSpec};
+pub use check::{Checked, MAX_DOCUMENT_BYTES};
+pub use diff::{Change, Edit, diff};
 pub use document::{
     Account, Class, Config, Engine, Order, OrderKind, Pool, PoolKind, Route, Server, ServerState,
     Zone, ZoneState,
 };
+pub use finding::{Finding, Findings, Place, Severity};
 pub use list::{Instance, InstanceList, InstanceState};
 pub use settings::{Limits, Ownership, Platform, Policy, Settings};
--- a/crates/config/src/list.rs
+++ b/crates/config/src/list.rs
@@ -5,6 +5,8 @@
 use schemars::JsonSchema;
 use serde::{Deserialize, Serialize};
 
+use crate::schema;
+
 /// The instance list; it may lag behind what is true.
 #[derive(Clone, PartialEq, Debug, Default, Serialize, Deserialize, JsonSchema)]
 pub struct InstanceList {
@@ -18,10 +20,13 @@
 #[derive(Clone, PartialEq, Debug, Serialize, Deserialize, JsonSchema)]
 pub struct Instance {
     /// The instance's name, unique in the fleet.
+    #[schemars(length(min = 1, max = 256))]
     pub name: String,
     /// The name of its availability zone.
+    #[schemars(length(min = 1, max = 256))]
     pub zone: String,
     /// The address at which other instances reach it.
+    #[schemars(with = "schema::Address")]
     pub peer: SocketAddr,
     /// Whether it is shutting down.
     #[serde(default)]
