--- a/crates/sched/src/server.rs
+++ b/crates/sched/src/server.rs
@@ -149,9 +149,10 @@
         self.limit(now).saturating_sub(self.running)
     }
 
-    /// Returns the load with one more attempt, as a part of the limit.
-    pub(crate) fn load_with_one(&self, now: Time) -> f64 {
-        f64::from(self.running + 1) / f64::from(self.limit(now).max(1))
+    /// Returns the running attempts as a part of the limit. An idle server is the least loaded one
+    /// also where its cold limit is small, so that it gets the work that warms it.
+    pub(crate) fn load(&self, now: Time) -> f64 {
+        f64::from(self.running) / f64::from(self.limit(now).max(1))
     }
 
     /// Returns whether the server is ejected.
--- a/crates/sched/src/servers.rs
+++ b/crates/sched/src/servers.rs
@@ -106,7 +106,7 @@
         let least = least_loaded(now, wanted()).or_else(|| least_loaded(now, free()))?;
         let near = wish.near.and_then(|near| wanted().find(|it| it.plan.id == near));
         if let Some(near) = near
-            && near.load_with_one(now) <= least.load_with_one(now) + AFFINITY_SLACK
+            && near.load(now) <= least.load(now) + AFFINITY_SLACK
         {
             return Some(near.plan.id);
         }
@@ -153,7 +153,7 @@
 
 fn least_loaded<'a>(now: Time, servers: impl Iterator<Item = &'a Server>) -> Option<&'a Server> {
     servers.min_by(|a, b| {
-        let loads = a.load_with_one(now).total_cmp(&b.load_with_one(now));
+        let loads = a.load(now).total_cmp(&b.load(now));
         loads.then(a.granted_at.cmp(&b.granted_at))
     })
 }
