Hand out rate tokens per zone: owner's shares and entry's wallet

Cause: an account's rate counts once in the fleet, and no instance may be set aside to count it.

Change: crate limit with Shares (owner), Wallet (entry), split and a static baseline. A token is outstanding until its attempt has been at the server for 100 ms; level + outstanding never exceeds the part of the burst. Tokens are valid for 1 s and renewed by asking again under the same name, so that an owner that starts with nothing waits 1.3 s and not the longest wait of any class. ShareLease names the question it answered, so renewals survive a handover. model gets Wakes, a timer index.

Ruled out: denying by the queue of one share alone. Requests wait in all zones' queues at once, so most of the queue ahead is served elsewhere; the forecast uses the account's whole rate.

--- /dev/null
+++ b/crates/limit/src/leases.rs
@@ -0,0 +1,81 @@
+//! Tokens of a share that are outstanding.
+
+use std::collections::HashMap;
+
+use model::{prelude::*, wakes::Wakes};
+
+/// A request for tokens, as its owner names it.
+#[derive(Clone, Copy, PartialEq, Eq, Hash, Debug)]
+pub(crate) struct AskKey {
+    pub(crate) from: Peer,
+    pub(crate) ask: AskId,
+}
+
+/// Tokens that were handed out and neither reported nor expired.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct Leases {
+    by_id: HashMap<LeaseId, Lease>,
+    by_ask: HashMap<AskKey, LeaseId>,
+    expiry: Wakes<LeaseId>,
+}
+
+/// A token that is outstanding.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Lease {
+    pub(crate) key: AskKey,
+    pub(crate) expires: Time,
+}
+
+impl Leases {
+    pub(crate) fn insert(&mut self, id: LeaseId, lease: Lease) {
+        self.by_id.insert(id, lease);
+        self.by_ask.insert(lease.key, id);
+        self.expiry.set(id, Some(lease.expires));
+    }
+
+    /// Returns the token that was handed out for a request.
+    pub(crate) fn of(&self, key: AskKey) -> Option<LeaseId> {
+        self.by_ask.get(&key).copied()
+    }
+
+    /// Makes a token expire later.
+    pub(crate) fn renew(&mut self, id: LeaseId, expires: Time) {
+        let Some(lease) = self.by_id.get_mut(&id) else { return };
+        lease.expires = lease.expires.max(expires);
+        self.expiry.set(id, Some(lease.expires));
+    }
+
+    /// Removes a token, if this peer holds it.
+    pub(crate) fn remove(&mut self, holder: Peer, id: LeaseId) -> bool {
+        if self.by_id.get(&id).is_none_or(|it| it.key.from != holder) {
+            return false;
+        }
+        self.forget(id);
+        true
+    }
+
+    pub(crate) fn next_expiry(&self) -> Option<Time> {
+        self.expiry.next()
+    }
+
+    /// Removes the tokens that have expired.
+    pub(crate) fn expire(&mut self, now: Time) {
+        while let Some(id) = self.expiry.pop_due(now) {
+            self.forget(id);
+        }
+    }
+
+    pub(crate) fn len(&self) -> usize {
+        self.by_id.len()
+    }
+
+    pub(crate) fn iter(&self) -> impl Iterator<Item = (LeaseId, Lease)> {
+        self.by_id.iter().map(|(id, lease)| (*id, *lease))
+    }
+
+    fn forget(&mut self, id: LeaseId) {
+        let Some(lease) = self.by_id.remove(&id) else { return };
+        self.by_ask.remove(&lease.key);
+        self.expiry.clear(id);
+    }
+}
--- /dev/null
+++ b/crates/limit/src/split.rs
@@ -0,0 +1,66 @@
+//! How an account's rate and burst are cut into parts.
+
+use model::prelude::*;
+use serde::Serialize;
+use xxhash_rust::xxh3::xxh3_64_with_seed;
+
+/// The limits of a share.
+#[derive(Clone, Copy, PartialEq, Debug, Default, Serialize)]
+pub struct ShareSpec {
+    /// Tokens a second.
+    pub rate: f64,
+    /// The most tokens at hand and outstanding.
+    pub burst: u32,
+    /// Tokens a second of all shares of the account together.
+    pub account_rate: f64,
+}
+
+impl ShareSpec {
+    /// Returns the lower one of each limit.
+    #[must_use]
+    pub fn min(self, other: Self) -> Self {
+        Self {
+            rate: self.rate.min(other.rate),
+            burst: self.burst.min(other.burst),
+            account_rate: self.account_rate.min(other.account_rate),
+        }
+    }
+}
+
+/// A share with its limits.
+#[derive(Clone, Copy, PartialEq, Debug)]
+pub struct SharePart {
+    /// The share.
+    pub share: ShareId,
+    /// Its limits.
+    pub spec: ShareSpec,
+}
+
+/// Cuts an account's rate and burst into one part for each availability zone.
+///
+/// The parts of the burst are whole numbers. What remains goes to zones that depend on the
+/// account, so that it is spread evenly over many accounts. The rate goes in equal parts to the
+/// zones that have a part of the burst. The sums never exceed the whole, and the result does not
+/// depend on the order of `zones`.
+pub fn split(account: AccountId, rate: f64, burst: u32, zones: &[ZoneId]) -> Vec<SharePart> {
+    let Ok(count) = u32::try_from(zones.len()) else { return Vec::new() };
+    if count == 0 {
+        return Vec::new();
+    }
+
+    let mut ranked = zones.to_vec();
+    ranked.sort_unstable_by_key(|zone| (rank(account, *zone), *zone));
+    let rate_part = rate / f64::from(count.min(burst.max(1)));
+    let remainder = burst % count;
+    let parts = ranked.into_iter().zip(0u32..).map(|(zone, place)| {
+        let burst_part = burst / count + u32::from(place < remainder);
+        let rate_part = if burst_part == 0 { 0.0 } else { rate_part };
+        let spec = ShareSpec { rate: rate_part, burst: burst_part, account_rate: rate };
+        SharePart { share: ShareId { account, zone }, spec }
+    });
+    parts.collect()
+}
+
+fn rank(account: AccountId, zone: ZoneId) -> u64 {
+    xxh3_64_with_seed(&account.0.to_be_bytes(), zone.0)
+}
--- /dev/null
+++ b/crates/limit/tests/shares.rs
@@ -0,0 +1,177 @@
+//! One owner's shares answer as the messages demand.
+
+use limit::{ShareSpec, Shares, Start, Timing, split};
+use model::{msg::TokenMsg, prelude::*};
+
+const WAIT: Duration = Duration::from_millis(500);
+
+#[test]
+fn parts_of_a_split_never_exceed_the_whole() {
+    let zones = ["a", "b", "c"].map(ZoneId::of);
+
+    for burst in 0..10 {
+        let parts = split(AccountId::of("x"), 9.0, burst, &zones);
+
+        assert_eq!(parts.iter().map(|it| it.spec.burst).sum::<u32>(), burst);
+        assert!(parts.iter().map(|it| it.spec.rate).sum::<f64>() <= 9.0 + 1e-9);
+        assert!(parts.iter().all(|it| (it.spec.burst == 0) == (it.spec.rate == 0.0)));
+    }
+}
+
+#[test]
+fn remainder_of_a_split_is_even_over_accounts() {
+    let zones = ["a", "b", "c"].map(ZoneId::of);
+    let mut ones = [0; 3];
+
+    for i in 0..3_000 {
+        for part in split(AccountId(i), 1.0, 1, &zones) {
+            let zone = zones.iter().position(|it| *it == part.share.zone).unwrap();
+            ones[zone] += part.spec.burst;
+        }
+    }
+
+    assert!(ones.iter().all(|it| (900..1_100).contains(it)), "{ones:?}");
+}
+
+#[test]
+fn duplicate_ask_gets_the_same_token() {
+    let mut owner = owner_with_level(2);
+
+    let first = owner.handle(at(0), peer(1), &ask(1));
+    let second = owner.handle(at(1), peer(1), &ask(1));
+
+    assert_eq!(lease_of(&first[0].msg), lease_of(&second[0].msg));
+    assert_eq!(owner.summary()[0].outstanding, 1);
+}
+
+#[test]
+fn unknown_and_doubled_reports_change_nothing() {
+    let mut owner = owner_with_level(2);
+    let given = owner.handle(at(0), peer(1), &ask(1));
+    let lease = lease_of(&given[0].msg);
+    let back = TokenMsg::Return { share: share(), lease };
+
+    owner.handle(at(1), peer(2), &back);
+    let after_foreign = owner.summary()[0].outstanding;
+    owner.handle(at(2), peer(1), &back);
+    owner.handle(at(3), peer(1), &back);
+
+    assert_eq!(after_foreign, 1);
+    assert_eq!(owner.summary()[0].outstanding, 0);
+    assert!(owner.summary()[0].level <= 2.0);
+}
+
+#[test]
+fn expired_token_counts_as_spent() {
+    let mut owner = owner_with_level(2);
+    owner.handle(at(0), peer(1), &ask(1));
+    owner.handle(at(0), peer(1), &ask(2));
+
+    let denied = owner.handle(at(10), peer(1), &ask(3));
+    let after_expiry = owner.handle(at(801), peer(1), &ask(4));
+    let after_refill = owner.handle(at(1_802), peer(1), &ask(5));
+
+    assert!(matches!(denied[0].msg, TokenMsg::Deny { .. }), "{denied:?}");
+    assert!(matches!(after_expiry[0].msg, TokenMsg::Deny { .. }), "{after_expiry:?}");
+    assert!(matches!(after_refill[0].msg, TokenMsg::Give { .. }), "{after_refill:?}");
+}
+
+#[test]
+fn request_that_cannot_be_served_in_time_is_denied_at_once() {
+    let mut owner = owner_with_level(1);
+    owner.handle(at(0), peer(1), &ask(1));
+
+    let replies = owner.handle(at(0), peer(1), &ask(2));
+
+    let TokenMsg::Deny { reason, retry_after, .. } = replies[0].msg else { panic!("{replies:?}") };
+    assert_eq!(reason, Reason::OverRate);
+    assert!(retry_after >= Duration::from_millis(990), "{retry_after:?}");
+}
+
+#[test]
+fn raised_limits_wait_and_lowered_ones_do_not() {
+    let mut owner = owner_with_level(4);
+
+    owner.resize(at(0), share(), spec(1.0, 2));
+    let lowered = owner.summary()[0];
+    owner.resize(at(10), share(), spec(1.0, 4));
+    let raised = owner.summary()[0];
+    owner.handle(at(3_011), peer(1), &ask(1));
+    let later = owner.summary()[0];
+
+    assert_eq!(lowered.spec.burst, 2);
+    assert!(lowered.level <= 2.0);
+    assert_eq!(raised.spec.burst, 2);
+    assert_eq!(later.spec.burst, 4);
+}
+
+#[test]
+fn share_passes_on_its_level_and_tokens() {
+    let mut owner = owner_with_level(3);
+    let given = owner.handle(at(0), peer(1), &ask(1));
+
+    let state = owner.close(at(0), share()).unwrap();
+    let mut next = new_owner(8);
+    next.open(at(0), share(), spec(1.0, 3), Start::From(state));
+    let again = next.handle(at(1), peer(1), &ask(1));
+
+    assert!(!owner.owns(share()));
+    assert_eq!(lease_of(&given[0].msg), lease_of(&again[0].msg));
+    assert_eq!(next.summary()[0].outstanding, 1);
+    assert!((next.summary()[0].level - 2.0).abs() < 0.01);
+}
+
+#[test]
+fn share_of_which_nothing_is_known_gives_nothing_until_old_tokens_have_expired() {
+    let mut owner = new_owner(9);
+    owner.open(at(0), share(), spec(1_000.0, 3), Start::Empty);
+
+    let early = owner.handle(at(1_200), peer(1), &ask(1));
+    let late = owner.handle(at(1_310), peer(1), &ask(2));
+    owner.tick(at(1_310));
+
+    assert!(matches!(early[0].msg, TokenMsg::Queued { .. }), "{early:?}");
+    assert!(matches!(late[0].msg, TokenMsg::Queued { .. }), "{late:?}");
+    assert_eq!(owner.summary()[0].outstanding, 2);
+}
+
+fn owner_with_level(level: u32) -> Shares {
+    let mut owner = new_owner(9);
+    let state = model::msg::ShareState {
+        share: share(),
+        level_milli: u64::from(level) * 1_000,
+        leases: Vec::new(),
+    };
+    owner.open(at(0), share(), spec(1.0, level), Start::From(state));
+    owner
+}
+
+fn new_owner(instance: u64) -> Shares {
+    let margin = Duration::from_millis(200);
+    Shares::new(peer(instance), Timing { margin, grow_after: Duration::from_secs(3) })
+}
+
+fn spec(rate: f64, burst: u32) -> ShareSpec {
+    ShareSpec { rate, burst, account_rate: rate }
+}
+
+fn share() -> ShareId {
+    ShareId { account: AccountId::of("x"), zone: ZoneId::of("a") }
+}
+
+fn peer(instance: u64) -> Peer {
+    Peer { instance: InstanceId(instance), incarnation: Incarnation(1) }
+}
+
+fn ask(ask: u64) -> TokenMsg {
+    TokenMsg::Ask { ask: AskId(ask), share: share(), wait: WAIT }
+}
+
+fn lease_of(msg: &TokenMsg) -> LeaseId {
+    let TokenMsg::Give { lease, .. } = msg else { panic!("not a token: {msg:?}") };
+    *lease
+}
+
+fn at(millis: u64) -> Time {
+    Time::from_millis(60_000 + millis)
+}
--- a/crates/model/src/lib.rs
+++ b/crates/model/src/lib.rs
@@ -1,12 +1,13 @@
 //! Typed ids, units and messages that every other crate shares.
 //!
-//! This crate does no input or output and holds no state. It has five parts:
+//! This crate does no input or output and holds no state. Its parts are:
 //!
 //! * [`ids`]: `Copy` ids of everything that the configuration names or a process creates,
 //! * [`units`]: time and sizes with their units,
 //! * [`load`]: what backend servers report of their load,
 //! * [`msg`]: the messages that instances send each other,
-//! * [`outcome`]: how requests and attempts end.
+//! * [`outcome`]: how requests and attempts end,
+//! * [`wakes`]: an index of when things need attention.
 //!
 //! Import [`prelude`] to get the types that nearly every module needs.
 
@@ -15,6 +16,7 @@
 pub mod msg;
 pub mod outcome;
 pub mod units;
+pub mod wakes;
 
 /// The types that nearly every module needs.
 pub mod prelude {
--- a/crates/model/src/msg.rs
+++ b/crates/model/src/msg.rs
@@ -335,6 +335,8 @@
     pub holder: InstanceId,
     /// The run of the holder.
     pub incarnation: Incarnation,
+    /// The request for tokens that it answered.
+    pub ask: AskId,
     /// The token.
     pub lease: LeaseId,
     /// How long it is still valid.
--- a/crates/wire/schema/peer.capnp
+++ b/crates/wire/schema/peer.capnp
@@ -147,7 +147,7 @@
 enum Verdict { new @0; seen @1; unsure @2; }
 
 struct ShareState { share @0 :ShareId; levelMilli @1 :UInt64; leases @2 :List(ShareLease); }
-struct ShareLease { holder @0 :UInt64; incarnation @1 :UInt64; lease @2 :UInt64; ttl @3 :UInt64; }
+struct ShareLease { holder @0 :UInt64; incarnation @1 :UInt64; lease @2 :UInt64; ttl @3 :UInt64; ask @4 :UInt64; }
 struct CellState {
   cell @0 :CellId;
   servers @1 :List(ServerWarmth);
--- a/crates/wire/src/peer_capnp.rs
+++ b/crates/wire/src/peer_capnp.rs
@@ -10028,11 +10028,15 @@
         pub fn get_ttl(self) -> u64 {
             self.reader.get_data_field::<u64>(3)
         }
+        #[inline]
+        pub fn get_ask(self) -> u64 {
+            self.reader.get_data_field::<u64>(4)
+        }
     }
 
     pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
     impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
-        const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 4, pointers: 0 };
+        const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 5, pointers: 0 };
     }
     impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
         const TYPE_ID: u64 = _private::TYPE_ID;
@@ -10114,6 +10118,14 @@
         pub fn set_ttl(&mut self, value: u64)  {
             self.builder.set_data_field::<u64>(3, value);
         }
+        #[inline]
+        pub fn get_ask(self) -> u64 {
+            self.builder.get_data_field::<u64>(4)
+        }
+        #[inline]
+        pub fn set_ask(&mut self, value: u64)  {
+            self.builder.set_data_field::<u64>(4, value);
+        }
     }
 
     pub struct Pipeline { _typeless: ::capnp::any_pointer::Pipeline }
@@ -10125,52 +10137,59 @@
     impl Pipeline  {
     }
     mod _private {
-        pub(crate) static ENCODED_NODE: [::capnp::Word; 78] = [
+        pub(crate) static ENCODED_NODE: [::capnp::Word; 93] = [
             ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
             ::capnp::word(124, 8, 59, 59, 164, 6, 162, 233),
-            ::capnp::word(11, 0, 0, 0, 1, 0, 4, 0),
+            ::capnp::word(11, 0, 0, 0, 1, 0, 5, 0),
             ::capnp::word(134, 112, 158, 181, 194, 243, 161, 212),
             ::capnp::word(0, 0, 7, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(21, 0, 0, 0, 178, 0, 0, 0),
             ::capnp::word(29, 0, 0, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(25, 0, 0, 0, 231, 0, 0, 0),
+            ::capnp::word(25, 0, 0, 0, 31, 1, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(112, 101, 101, 114, 46, 99, 97, 112),
             ::capnp::word(110, 112, 58, 83, 104, 97, 114, 101),
             ::capnp::word(76, 101, 97, 115, 101, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
-            ::capnp::word(16, 0, 0, 0, 3, 0, 4, 0),
+            ::capnp::word(20, 0, 0, 0, 3, 0, 4, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(97, 0, 0, 0, 58, 0, 0, 0),
+            ::capnp::word(125, 0, 0, 0, 58, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(92, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(104, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(120, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(132, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(1, 0, 0, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(101, 0, 0, 0, 98, 0, 0, 0),
+            ::capnp::word(129, 0, 0, 0, 98, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(100, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(112, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(128, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(140, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(2, 0, 0, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(109, 0, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(137, 0, 0, 0, 50, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(104, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(116, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(132, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(144, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(3, 0, 0, 0, 3, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 3, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(113, 0, 0, 0, 34, 0, 0, 0),
+            ::capnp::word(141, 0, 0, 0, 34, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(108, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(120, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(136, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(148, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(4, 0, 0, 0, 4, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 4, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(145, 0, 0, 0, 34, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(140, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(152, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(104, 111, 108, 100, 101, 114, 0, 0),
             ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
@@ -10204,6 +10223,14 @@
             ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(97, 115, 107, 0, 0, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
         ];
         pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
             match index {
@@ -10211,6 +10238,7 @@
                 1 => <u64 as ::capnp::introspect::Introspect>::introspect(),
                 2 => <u64 as ::capnp::introspect::Introspect>::introspect(),
                 3 => <u64 as ::capnp::introspect::Introspect>::introspect(),
+                4 => <u64 as ::capnp::introspect::Introspect>::introspect(),
                 _ => ::capnp::introspect::panic_invalid_field_index(index),
             }
         }
@@ -10224,9 +10252,9 @@
             MEMBERS_BY_DISCRIMINANT,
             MEMBERS_BY_NAME
         );
-        pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2,3];
+        pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2,3,4];
         pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
-        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[0,1,2,3];
+        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[4,0,1,2,3];
         pub(crate) const TYPE_ID: u64 = 0xe9a2_06a4_3b3b_087c;
     }
 }
--- a/crates/wire/src/read.rs
+++ b/crates/wire/src/read.rs
@@ -275,6 +275,7 @@
     let leases = it.get_leases()?.iter().map(|it| ShareLease {
         holder: InstanceId(it.get_holder()),
         incarnation: Incarnation(it.get_incarnation()),
+        ask: AskId(it.get_ask()),
         lease: LeaseId(it.get_lease()),
         ttl: span(it.get_ttl()),
     });
--- a/crates/wire/src/write.rs
+++ b/crates/wire/src/write.rs
@@ -229,6 +229,7 @@
         let mut out = list.reborrow().get(count(i));
         out.set_holder(lease.holder.0);
         out.set_incarnation(lease.incarnation.0);
+        out.set_ask(lease.ask.0);
         out.set_lease(lease.lease.0);
         out.set_ttl(micros(lease.ttl));
     }
--- a/crates/wire/tests/round_trip.rs
+++ b/crates/wire/tests/round_trip.rs
@@ -65,8 +65,13 @@
         idempotent: true,
         avoid: vec![ServerId(1), ServerId(2)],
     };
-    let lease_state =
-        ShareLease { holder: peer().instance, incarnation: Incarnation(1), lease, ttl: SPAN };
+    let lease_state = ShareLease {
+        holder: peer().instance,
+        incarnation: Incarnation(1),
+        ask: AskId(2),
+        lease,
+        ttl: SPAN,
+    };
     let cell_state = CellState {
         cell: cell(),
         servers: vec![ServerWarmth { server: ServerId(1), limit: 3 }],
