Own shards by rendezvous hashing, permits and confirmed takeovers

Cause: rates and cells must be decided once in the fleet without a coordination service. Ruled out: takeover on suspicion alone (two owners under a cut), a permit by the list alone (nobody owns anything in a platform outage).

--- /dev/null
+++ b/crates/own/src/holdings.rs
@@ -0,0 +1,168 @@
+//! The shards that this instance owns.
+
+use std::collections::BTreeMap;
+
+use model::prelude::*;
+use serde::Serialize;
+
+use crate::{Members, Shard};
+
+/// The shards that this instance owns or waits to take over.
+#[derive(Clone, Debug, Default)]
+pub struct Holdings {
+    holds: BTreeMap<Shard, Hold>,
+    /// The list's version when the permit was lost; none while it is held.
+    lapsed: Option<Version>,
+}
+
+/// How far an ownership has come.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize)]
+#[serde(rename_all = "kebab-case")]
+enum Hold {
+    /// The former owner may still use the shard.
+    Waiting {
+        /// When every former permit has ended.
+        until: Time,
+        /// The list that made this instance the owner.
+        list: Version,
+    },
+    /// This instance uses the shard.
+    Active,
+    /// Another instance owns the shard now; this one uses it until that one is heard.
+    Ceding {
+        /// The new owner.
+        to: InstanceId,
+    },
+}
+
+/// A change of what this instance uses.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Shift {
+    /// The shard is used from now on; nothing is known of its past.
+    Take(Shard),
+    /// The shard is not used any more, and its state goes to another instance.
+    Cede {
+        /// The shard.
+        shard: Shard,
+        /// The new owner.
+        to: InstanceId,
+    },
+    /// The shard is not used any more, and its state is worthless.
+    Drop(Shard),
+}
+
+impl Holdings {
+    /// Returns whether a shard is in use here. The caller must hold [`Members::permit`] as well.
+    pub fn is_active(&self, shard: Shard) -> bool {
+        matches!(self.holds.get(&shard), Some(Hold::Active | Hold::Ceding { .. }))
+    }
+
+    /// Returns the shards in use.
+    pub fn active(&self) -> impl Iterator<Item = Shard> {
+        let active = self.holds.iter().filter(|(_, it)| !matches!(it, Hold::Waiting { .. }));
+        active.map(|(shard, _)| *shard)
+    }
+
+    /// Returns the number of shards that wait to be taken over.
+    pub fn waiting(&self) -> usize {
+        self.holds.values().filter(|it| matches!(it, Hold::Waiting { .. })).count()
+    }
+
+    /// Compares with what the list says, after the list or the set of shards changed.
+    pub fn refresh(
+        &mut self,
+        now: Time,
+        members: &Members,
+        shards: impl IntoIterator<Item = Shard>,
+    ) -> Vec<Shift> {
+        let me = members.me().instance;
+        let mut former = std::mem::take(&mut self.holds);
+        let mut shifts = Vec::new();
+        for shard in shards {
+            let owner = members.owner(shard);
+            match (former.remove(&shard), owner) {
+                (None, Some(owner)) if owner == me => {
+                    self.holds.insert(shard, waiting(now, members));
+                }
+                (Some(Hold::Ceding { .. }), Some(owner)) if owner == me => {
+                    self.holds.insert(shard, Hold::Active);
+                }
+                (Some(hold), Some(owner)) if owner == me => {
+                    self.holds.insert(shard, hold);
+                }
+                (Some(Hold::Active | Hold::Ceding { .. }), Some(to)) => {
+                    self.holds.insert(shard, Hold::Ceding { to });
+                }
+                (Some(Hold::Active | Hold::Ceding { .. }), None) => shifts.push(Shift::Drop(shard)),
+                (Some(Hold::Waiting { .. }), _) | (None, _) => {}
+            }
+        }
+        let gone = former.into_iter().filter(|(_, hold)| !matches!(hold, Hold::Waiting { .. }));
+        shifts.extend(gone.map(|(shard, _)| Shift::Drop(shard)));
+        shifts
+    }
+
+    /// Advances takeovers and cessions, and follows the permit.
+    pub fn tick(&mut self, now: Time, members: &Members) -> Vec<Shift> {
+        let mut shifts = self.follow_permit(now, members);
+        if self.lapsed.is_some() {
+            return shifts;
+        }
+        let mut ceded = Vec::new();
+        for (shard, hold) in &mut self.holds {
+            match *hold {
+                Hold::Waiting { until, list } if now >= until && members.confirmed(list) => {
+                    *hold = Hold::Active;
+                    shifts.push(Shift::Take(*shard));
+                }
+                Hold::Ceding { to } if members.is_leaving() || members.is_heard(now, to) => {
+                    ceded.push(*shard);
+                    shifts.push(Shift::Cede { shard: *shard, to });
+                }
+                Hold::Waiting { .. } | Hold::Active | Hold::Ceding { .. } => {}
+            }
+        }
+        for shard in ceded {
+            self.holds.remove(&shard);
+        }
+        shifts
+    }
+
+    /// Takes a shard that its former owner handed over. Returns whether it is in use now; if not,
+    /// this instance does not own it, or used it already.
+    pub fn handed_over(&mut self, shard: Shard) -> bool {
+        match self.holds.get_mut(&shard) {
+            Some(hold @ Hold::Waiting { .. }) => {
+                *hold = Hold::Active;
+                true
+            }
+            _ => false,
+        }
+    }
+
+    /// While the permit is lost the shards rest. If the list did not change meanwhile, no other
+    /// instance can have taken them over, and they go on; else they start anew.
+    fn follow_permit(&mut self, now: Time, members: &Members) -> Vec<Shift> {
+        let permit = members.permit(now);
+        let Some(list) = self.lapsed else {
+            if !permit {
+                self.lapsed = Some(members.list_version());
+            }
+            return Vec::new();
+        };
+        if !permit {
+            return Vec::new();
+        }
+        self.lapsed = None;
+        if list == members.list_version() {
+            return Vec::new();
+        }
+        let active: Vec<_> = self.active().collect();
+        self.holds.values_mut().for_each(|hold| *hold = waiting(now, members));
+        active.into_iter().map(Shift::Drop).collect()
+    }
+}
+
+fn waiting(now: Time, members: &Members) -> Hold {
+    Hold::Waiting { until: now + members.times().takeover(), list: members.list_version() }
+}
