--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -5,6 +5,10 @@
 
 mod effect;
 mod event;
+mod setup;
+mod state;
 
 pub use effect::{Effect, Metric, Note, RequestOrder, RunOrder};
 pub use event::{Event, Idempotency, LoadError, LoadReport, RequestHead};
+pub use setup::Setup;
+pub use state::State;
