Declare fleets in Rust, with both deployments and the example documents

Operators drive the fleet from their own programs: the builder types print the configuration to publish and refuse what the daemons' check refuses, with the same findings, because publish() runs that check on the printed text. A route runs a request at most once unless it says otherwise, so that a forgotten call errs on the safe side. The two deployments are functions of a site (addresses and keys), for use by tests. KeyHash gets its hexadecimal form.

--- /dev/null
+++ b/crates/declare/src/deployment/alfombras.rs
@@ -0,0 +1,49 @@
+//! A collections desk: live replies to debtors, drafts, summaries and a ledger.
+
+use std::time::Duration;
+
+use super::{Site, Tenant};
+use crate::{Class, Fleet, Pool, Route, Zone};
+
+const ZONES: [&str; 3] = ["cali", "palmira", "buga"];
+const MODEL: &str = "asistente";
+const LEDGER: &str = "ledger";
+const TENANTS: [Tenant; 10] = [
+    Tenant::new("hoteles-norte", 60.0, 60),
+    Tenant::new("hoteles-sur", 60.0, 60),
+    Tenant::new("oficinas", 45.0, 45),
+    Tenant::new("hogares-cali", 15.0, 20),
+    Tenant::new("hogares-palmira", 15.0, 20),
+    Tenant::new("hogares-buga", 15.0, 20),
+    Tenant::new("disputas", 15.0, 20),
+    Tenant::new("convenios", 10.0, 15),
+    Tenant::new("auditoria", 6.0, 9),
+    Tenant::new("pruebas", 3.0, 6),
+];
+
+/// Declares the collections desk: made for twelve model runners, three ledger runners and ten
+/// client accounts in three availability zones.
+pub fn alfombras(site: &Site) -> Fleet {
+    let fleet = ZONES.iter().fold(Fleet::new(site.version), |it, zone| it.zone(Zone::new(*zone)));
+    fleet
+        .class(Class::new("live-replies").tier(0).target(Duration::from_millis(1_000)))
+        .class(Class::new("ledger").tier(0).target(Duration::from_millis(500)))
+        .class(Class::new("summaries").tier(1).target(Duration::from_secs(3)))
+        .class(Class::new("drafts").tier(2).target(Duration::from_secs(15)))
+        .accounts(site.accounts(&TENANTS))
+        .pool(Pool::engine(MODEL))
+        .pool(Pool::service(LEDGER))
+        .servers(site.runners(MODEL, &ZONES))
+        .servers(site.services(LEDGER, &ZONES))
+        .route(
+            Route::post("/v1/chat/completions")
+                .class("live-replies")
+                .class("summaries")
+                .class("drafts")
+                .idempotent(),
+        )
+        .route(Route::get("/ledger/balance").pool(LEDGER).class("ledger").idempotent())
+        .route(Route::post("/ledger/promise").pool(LEDGER).class("ledger"))
+        .route(Route::post("/ledger/reversal").pool(LEDGER).class("ledger"))
+        .route(Route::get("/ledger/hours").pool(LEDGER).class("ledger").idempotent().open())
+}
--- /dev/null
+++ b/crates/declare/src/zone.rs
@@ -0,0 +1,25 @@
+//! Availability zones.
+
+use config::ZoneState;
+
+/// An availability zone.
+#[derive(Clone, Debug)]
+#[must_use]
+pub struct Zone(config::Zone);
+
+impl Zone {
+    /// A zone that is in.
+    pub fn new(name: impl Into<String>) -> Self {
+        Self(config::Zone { name: name.into(), state: ZoneState::In })
+    }
+
+    /// Sets the state.
+    pub fn state(mut self, state: ZoneState) -> Self {
+        self.0.state = state;
+        self
+    }
+
+    pub(crate) fn into_config(self) -> config::Zone {
+        self.0
+    }
+}
--- a/crates/model/src/ids.rs
+++ b/crates/model/src/ids.rs
@@ -171,6 +171,11 @@
         Self(Sha256::digest(key).into())
     }
 
+    /// Returns the whole hash as 64 hexadecimal digits, the form in which operators publish it.
+    pub fn to_hex(&self) -> String {
+        self.0.iter().map(|byte| format!("{byte:02x}")).collect()
+    }
+
     /// Returns the first eight bytes, to look a hash up before [`PartialEq`] compares it whole.
     pub fn bucket(&self) -> u64 {
         let mut buf = [0; 8];
