Add the load tool

Change: a seeded plan of arrivals with heavy-tailed lengths, bursts and a flood by one account, offered open-loop, summed up by class and account.

--- a/crates/fakes/src/client.rs
+++ b/crates/fakes/src/client.rs
@@ -11,7 +11,7 @@
 use http_types::{Method, Request, Response, Url};
 use serde_json::{Value, json};
 
-use crate::rt::timeout;
+use crate::{Header, rt::timeout};
 
 const TIMEOUT: Duration = Duration::from_secs(30);
 const BUF_BYTES: usize = 16 * 1024;
@@ -22,8 +22,9 @@
 pub struct Call {
     method: Method,
     path: String,
-    headers: Vec<(String, String)>,
+    headers: Vec<Header>,
     body: Value,
+    nonce: Option<String>,
     timeout: Duration,
 }
 
@@ -35,6 +36,7 @@
             path: path.to_owned(),
             headers: Vec::new(),
             body: Value::Null,
+            nonce: None,
             timeout: TIMEOUT,
         }
     }
@@ -64,7 +66,7 @@
     /// Adds a header.
     #[must_use]
     pub fn header(mut self, name: &str, value: &str) -> Self {
-        self.headers.push((name.to_owned(), value.to_owned()));
+        self.headers.push(Header::new(name, value));
         self
     }
 
@@ -89,8 +91,20 @@
 
     /// Marks the request; an answer with another mark is found to be foreign.
     #[must_use]
-    pub fn nonce(self, nonce: &str) -> Self {
-        self.field("nonce", nonce)
+    pub fn nonce(mut self, nonce: &str) -> Self {
+        self.nonce = Some(nonce.to_owned());
+        self.mark("nonce", nonce)
+    }
+
+    /// Sets a field of the body or, without a body, a parameter of the query.
+    #[must_use]
+    pub fn mark(mut self, name: &str, value: &str) -> Self {
+        if !self.body.is_null() {
+            return self.field(name, value);
+        }
+        let separator = if self.path.contains('?') { '&' } else { '?' };
+        self.path.push_str(&format!("{separator}{name}={value}"));
+        self
     }
 
     /// Asks for a stream.
@@ -109,8 +123,8 @@
     fn request(&self, address: SocketAddr) -> http_types::Result<Request> {
         let url = Url::parse(&format!("http://{address}{}", self.path))?;
         let mut req = Request::new(self.method, url);
-        for (name, value) in &self.headers {
-            req.append_header(name.as_str(), value.as_str());
+        for header in &self.headers {
+            req.append_header(header.name.as_str(), header.value.as_str());
         }
         if !self.body.is_null() {
             req.set_body(self.body.to_string());
@@ -282,7 +296,7 @@
         reply.reason = reason.unwrap_or_default().to_owned();
         return End::Refused;
     }
-    let nonce = call.body["nonce"].as_str();
+    let nonce = call.nonce.as_deref();
     if call.body["stream"] == true {
         return judge_stream(nonce, reply);
     }
--- a/crates/fakes/src/engine.rs
+++ b/crates/fakes/src/engine.rs
@@ -352,7 +352,7 @@
         let own = |text: &str| if foreign { "foreign".to_owned() } else { text.to_owned() };
         Self {
             request_id: own(request.header("x-request-id").unwrap_or_default()),
-            nonce: own(body["nonce"].as_str().unwrap_or_default()),
+            nonce: own(&request.mark("nonce")),
             wanted: u32::try_from(asked).unwrap_or(u32::MAX),
             skip: resume.filter(|_| knobs.resumes).unwrap_or(0),
             stream: body["stream"].as_bool().unwrap_or(false),
@@ -463,7 +463,7 @@
     shape: &Shape,
     mut headers: Vec<Header>,
 ) -> io::Result<()> {
-    let mut pace = Pace::new();
+    let mut pace = Pace::new(0);
     while pace.made < shape.wanted {
         pace.step(run, shape.wanted).await;
     }
@@ -494,7 +494,7 @@
     headers.push(Header::new("content-type", "text/event-stream"));
     headers.push(Header::new("transfer-encoding", "chunked"));
     stream.write_all(http::head(200, &headers).as_bytes()).await?;
-    let mut pace = Pace { made: shape.skip.min(shape.wanted), ..Pace::new() };
+    let mut pace = Pace::new(shape.skip.min(shape.wanted));
     while pace.made < shape.wanted {
         let first = pace.made;
         pace.step(run, shape.wanted).await;
@@ -534,6 +534,7 @@
 
 /// Generates tokens at the engine's present speed.
 struct Pace {
+    skipped: u32,
     made: u32,
     /// The part of the next token that is done.
     part: f64,
@@ -541,8 +542,8 @@
 }
 
 impl Pace {
-    fn new() -> Self {
-        Self { made: 0, part: 0.0, last: Instant::now() }
+    fn new(skipped: u32) -> Self {
+        Self { skipped, made: skipped, part: 0.0, last: Instant::now() }
     }
 
     async fn step(&mut self, run: &Run, wanted: u32) {
@@ -557,7 +558,7 @@
         self.part = (done - f64::from(whole)).clamp(0.0, 1.0);
         self.made += whole;
         if let Some(entry) = lock(&run.state).entry(run.no) {
-            entry.tokens = self.made;
+            entry.tokens = self.made - self.skipped;
         }
     }
 }
--- a/crates/fakes/src/http.rs
+++ b/crates/fakes/src/http.rs
@@ -58,6 +58,13 @@
         serde_json::from_slice(&self.body).unwrap_or(Value::Null)
     }
 
+    /// Returns a field of the body or, if there is none, a parameter of the query.
+    pub fn mark(&self, name: &str) -> String {
+        let body = self.json();
+        let mark = body[name].as_str().or(self.param(name));
+        mark.unwrap_or_default().to_owned()
+    }
+
     /// Returns whether `text` occurs anywhere in the request.
     pub fn contains(&self, text: &str) -> bool {
         let in_head = self.path.contains(text) || self.query.contains(text);
--- a/crates/fakes/src/lib.rs
+++ b/crates/fakes/src/lib.rs
@@ -5,7 +5,7 @@
 //!   service and the instance list,
 //! * [`Proxy`] injects faults into one link, [`Net`] into all links between daemons,
 //! * [`Fleet`] starts, stops and inspects daemons together with everything around them,
-//! * [`Client`] and [`Balancer`] call the fleet as callers do.
+//! * [`Client`] and [`Balancer`] call the fleet as callers do, [`load`] does so many times.
 //!
 //! Everything in this process runs on a few shared threads, see [`rt`].
 
@@ -18,6 +18,7 @@
 mod host;
 mod http;
 mod knobs;
+pub mod load;
 mod net;
 mod platform;
 mod ports;
--- /dev/null
+++ b/crates/fakes/src/load/mix.rs
@@ -0,0 +1,151 @@
+//! What callers ask for.
+
+use std::time::Duration;
+
+use config::Config;
+
+/// What callers of a deployment ask for.
+#[derive(Clone, Debug)]
+pub struct Mix {
+    /// The client accounts.
+    pub accounts: Vec<AccountMix>,
+    /// The kinds of requests.
+    pub kinds: Vec<Kind>,
+    /// Output tokens a second that all engines generate together at their limits.
+    pub tokens_per_s: f64,
+}
+
+/// A client account's part of the load, in proportion to its rate.
+#[derive(Clone, Debug)]
+pub struct AccountMix {
+    /// The account's name.
+    pub name: String,
+    /// Its rate.
+    pub rate: f64,
+    /// Its burst.
+    pub burst: u32,
+}
+
+/// A kind of request.
+#[derive(Clone, Debug)]
+pub struct Kind {
+    /// The class.
+    pub class: String,
+    /// The class's target.
+    pub target: Duration,
+    /// The method.
+    pub method: String,
+    /// The path.
+    pub path: String,
+    /// The model; none for a plain service.
+    pub model: Option<String>,
+    /// The kind's part of the load.
+    pub weight: f64,
+    /// The output's length in tokens.
+    pub length: Length,
+    /// Whether the answer is a stream.
+    pub stream: bool,
+}
+
+/// A log-normal distribution of output lengths.
+#[derive(Clone, Copy, Debug)]
+pub struct Length {
+    /// The median, in tokens.
+    pub median: f64,
+    /// The standard deviation of the logarithm.
+    pub sigma: f64,
+    /// The longest output, in tokens.
+    pub max: u32,
+}
+
+impl Length {
+    /// One token always.
+    pub const ONE: Self = Self { median: 1.0, sigma: 0.0, max: 1 };
+
+    /// Returns the mean of the distribution without its longest output.
+    fn mean(self) -> f64 {
+        self.median * (self.sigma * self.sigma / 2.0).exp()
+    }
+}
+
+impl Mix {
+    /// The load of [`crate::FleetBuilder::alfombras`].
+    pub fn alfombras(config: &Config, tokens_per_s: f64) -> Self {
+        let mix = Self::new(config, tokens_per_s);
+        let model = "asistente";
+        mix.model("dialogue", model, 0.35, 30.0, true)
+            .model("summary", model, 0.15, 50.0, true)
+            .model("reminder", model, 0.20, 60.0, false)
+            .plain("ledger", "GET", "/ledger/balance", 0.2)
+            .plain("ledger", "POST", "/ledger/promise", 0.07)
+            .plain("ledger", "POST", "/ledger/reversal", 0.03)
+    }
+
+    /// The load of [`crate::FleetBuilder::adwoa`].
+    pub fn adwoa(config: &Config, tokens_per_s: f64) -> Self {
+        let mix = Self::new(config, tokens_per_s);
+        let model = "recipes";
+        mix.model("cook-step", model, 0.4, 25.0, true)
+            .model("dish", model, 0.2, 40.0, true)
+            .model("menu", model, 0.1, 100.0, false)
+            .plain("stock", "GET", "/stock/level", 0.2)
+            .plain("stock", "POST", "/stock/order", 0.1)
+    }
+
+    /// Returns the requests a second that keep all engines at their limits.
+    pub fn capacity(&self) -> f64 {
+        let models = self.kinds.iter().filter(|it| it.model.is_some());
+        let tokens: f64 = models.map(|it| it.weight * it.length.mean()).sum();
+        let weights: f64 = self.kinds.iter().map(|it| it.weight).sum();
+        self.tokens_per_s * weights / tokens
+    }
+
+    fn new(config: &Config, tokens_per_s: f64) -> Self {
+        let account = |it: &config::Account| AccountMix {
+            name: it.name.clone(),
+            rate: it.rate,
+            burst: it.burst,
+        };
+        let accounts = config.accounts.iter().map(account).collect();
+        let targets = config.classes.iter().map(|it| Kind {
+            class: it.name.clone(),
+            target: Duration::from_millis(it.target_ms),
+            method: String::new(),
+            path: String::new(),
+            model: None,
+            weight: 0.0,
+            length: Length::ONE,
+            stream: false,
+        });
+        Self { accounts, kinds: targets.collect(), tokens_per_s }
+    }
+
+    fn model(self, class: &str, model: &str, weight: f64, median: f64, stream: bool) -> Self {
+        self.kind(class, |kind| {
+            kind.method = "POST".to_owned();
+            kind.path = "/v1/chat/completions".to_owned();
+            kind.model = Some(model.to_owned());
+            kind.weight = weight;
+            kind.length = Length { median, sigma: 0.8, max: 400 };
+            kind.stream = stream;
+        })
+    }
+
+    fn plain(self, class: &str, method: &str, path: &str, weight: f64) -> Self {
+        self.kind(class, |kind| {
+            kind.method = method.to_owned();
+            kind.path = path.to_owned();
+            kind.weight = weight;
+        })
+    }
+
+    /// Adds a kind with the class's target.
+    fn kind(mut self, class: &str, set: impl FnOnce(&mut Kind)) -> Self {
+        let class = self.kinds.iter().find(|it| it.class == class).cloned();
+        self.kinds.extend(class.map(|mut kind| {
+            set(&mut kind);
+            kind
+        }));
+        self
+    }
+}
--- a/crates/fakes/src/presets.rs
+++ b/crates/fakes/src/presets.rs
@@ -10,7 +10,7 @@
 const ENGINE_LIMIT: u32 = 8;
 const SERVICE_LIMIT: u32 = 32;
 const SERVICE_TIME: Duration = Duration::from_millis(5);
-const RUNNER_TOKENS_PER_S: f64 = 200.0;
+const RUNNER_TOKENS_PER_S: f64 = 50.0;
 const ACCOUNTS: usize = 10;
 const LARGE_ACCOUNTS: usize = 3;
 
--- a/crates/fakes/src/record.rs
+++ b/crates/fakes/src/record.rs
@@ -34,24 +34,20 @@
         self.request.header("x-request-id").unwrap_or_default()
     }
 
-    /// Returns the body's field `account`, with which tests mark whose request it is.
+    /// Returns the field or parameter `account`, with which tests mark whose request it is.
     pub fn account(&self) -> String {
-        self.field("account")
+        self.request.mark("account")
     }
 
-    /// Returns the body's field `nonce`, with which tests mark a request.
+    /// Returns the field or parameter `nonce`, with which tests mark a request.
     pub fn nonce(&self) -> String {
-        self.field("nonce")
+        self.request.mark("nonce")
     }
 
     /// Returns whether the engine ran the request, wholly or in part.
     pub fn ran(&self) -> bool {
         self.finish != Finish::NotRun
     }
-
-    fn field(&self, name: &str) -> String {
-        self.request.json()[name].as_str().unwrap_or_default().to_owned()
-    }
 }
 
 /// How a request ended at a fake engine.
