--- /dev/null
+++ b/crates/fakes/src/deployment.rs
@@ -0,0 +1,39 @@
+//! The two deployments as fleet and load.
+
+use clap::ValueEnum;
+use config::Config;
+
+use crate::{
+    FleetBuilder,
+    load::Mix,
+    presets::{ENGINE_LIMIT, RUNNER_TOKENS_PER_S},
+};
+
+/// One of the two deployments.
+#[derive(Clone, Copy, PartialEq, Eq, Debug, ValueEnum)]
+pub enum Deployment {
+    /// The debt collection desk, see [`FleetBuilder::alfombras`].
+    Alfombras,
+    /// The kitchen franchise, see [`FleetBuilder::adwoa`].
+    Adwoa,
+}
+
+impl Deployment {
+    /// Describes its fleet.
+    pub fn fleet(self) -> FleetBuilder {
+        match self {
+            Self::Alfombras => FleetBuilder::alfombras(),
+            Self::Adwoa => FleetBuilder::adwoa(),
+        }
+    }
+
+    /// Describes its load, for the configuration that its fleet runs with.
+    pub fn mix(self, config: &Config) -> Mix {
+        let engines = config.servers.iter().filter(|it| it.engine.is_some()).count();
+        let tokens_per_s = engines as f64 * f64::from(ENGINE_LIMIT) * RUNNER_TOKENS_PER_S;
+        match self {
+            Self::Alfombras => Mix::alfombras(config, tokens_per_s),
+            Self::Adwoa => Mix::adwoa(config, tokens_per_s),
+        }
+    }
+}
--- a/crates/fakes/src/lib.rs
+++ b/crates/fakes/src/lib.rs
@@ -7,11 +7,13 @@
 //! * [`Fleet`] starts, stops and inspects daemons together with everything around them,
 //! * [`Client`] and [`Balancer`] call the fleet as callers do, [`load`] does so many times.
 //!
-//! Everything in this process runs on a few shared threads, see [`rt`].
+//! [`Trial`] puts these together to one run under load and faults. Everything in this process runs
+//! on a few shared threads, see [`rt`].
 
 mod balancer;
 mod builder;
 mod client;
+mod deployment;
 mod engine;
 mod error;
 mod fleet;
@@ -27,10 +29,12 @@
 mod proxy;
 mod record;
 pub mod rt;
+mod trial;
 
 pub use balancer::{Balancer, Spread};
 pub use builder::{FleetBuilder, key_of};
 pub use client::{Call, Client, End, Reply, exchange_raw};
+pub use deployment::Deployment;
 pub use engine::Engine;
 pub use error::FleetError;
 pub use fleet::Fleet;
@@ -39,7 +43,7 @@
 pub use net::Net;
 pub use platform::{Platform, Reads};
 pub use ports::free_port;
-
 pub use process::Process;
 pub use proxy::{Direction, Proxy};
 pub use record::{Entry, Finish, peak, peak_running};
+pub use trial::{Outcome, Scenario, Trial};
--- a/crates/fakes/src/presets.rs
+++ b/crates/fakes/src/presets.rs
@@ -7,10 +7,10 @@
 /// The length of the two deployments' cold starts.
 const COLD_START: Duration = Duration::from_secs(2);
 const COLD_LIMIT: usize = 2;
-const ENGINE_LIMIT: u32 = 8;
+pub(crate) const ENGINE_LIMIT: u32 = 8;
 const SERVICE_LIMIT: u32 = 32;
 const SERVICE_TIME: Duration = Duration::from_millis(5);
-const RUNNER_TOKENS_PER_S: f64 = 50.0;
+pub(crate) const RUNNER_TOKENS_PER_S: f64 = 50.0;
 const ACCOUNTS: usize = 10;
 const LARGE_ACCOUNTS: usize = 3;
 
--- /dev/null
+++ b/crates/fakes/tests/load.rs
@@ -0,0 +1,65 @@
+//! The load tool without daemons.
+#![allow(clippy::unwrap_used)]
+
+use std::time::Duration;
+
+use config::{Account, Class, Config};
+use fakes::load::{Arrival, Mix, Plan};
+
+const LENGTH: Duration = Duration::from_secs(20);
+
+fn mix() -> Mix {
+    let class =
+        |name: &str| Class { name: name.to_owned(), tier: 0, target_ms: 1_000, max_wait_ms: None };
+    let account = |name: &str, rate| Account {
+        name: name.to_owned(),
+        key_hashes: vec![],
+        rate,
+        burst: 10,
+        weight: 1,
+    };
+    let config = Config {
+        classes: ["dialogue", "ledger", "summary", "reminder"].map(class).to_vec(),
+        accounts: vec![account("large", 60.0), account("small", 15.0)],
+        ..Config::default()
+    };
+    Mix::alfombras(&config, 4_800.0)
+}
+
+#[test]
+fn the_same_seed_offers_the_same_load() {
+    let show = |seed| format!("{:?}", Plan::new(&mix(), seed, LENGTH, 50.0).arrivals);
+
+    assert_eq!(show(1), show(1));
+    assert_ne!(show(1), show(2));
+}
+
+#[test]
+fn the_load_has_the_stated_rate_and_shares() {
+    // Also in bursts, this is less than the accounts' rates.
+    let plan = Plan::new(&mix(), 3, LENGTH, 20.0);
+
+    let large = plan.arrivals.iter().filter(|it| it.account == 0).count() as f64;
+    let all = plan.arrivals.len() as f64;
+
+    assert!((320.0..480.0).contains(&all), "{all}");
+    assert!((0.7..0.9).contains(&(large / all)), "{large} of {all}");
+    assert!(plan.arrivals.iter().all(|it| it.within_rate));
+}
+
+#[test]
+fn a_flood_is_over_the_rate_of_its_account_only() {
+    let plan = Plan::new(&mix(), 3, LENGTH, 20.0).flood(&mix(), 3, 1, 10.0);
+
+    let over = |account| {
+        let arrivals = plan.arrivals.iter().filter(move |it| it.account == account);
+        let (within, over): (Vec<&Arrival>, Vec<&Arrival>) =
+            arrivals.partition(|it| it.within_rate);
+        (within.len() as f64, over.len())
+    };
+
+    assert_eq!(over(0).1, 0);
+    // 20 s at 15 a second and the burst of 10.
+    assert!((290.0..=310.0).contains(&over(1).0), "{:?}", over(1));
+    assert!(over(1).1 > 2_000);
+}
