Claim idempotency keys at three holders

Cause: a caller's resend must not run a non-idempotent request twice, and nothing lasts in the fleet.

Change: crate once with Memory (holder) and Claims (entry). A first send needs two of three holders to call the key new, a resend all of them: after one holder was replaced by an instance that has run for long, two of the new three need not include one that knows. Memory::doubt covers the departure of more than one. The source of id numbers moves to model, since answers for an earlier run must not count for this one.

A caller that does not mark its resend is protected only while the holders stay.

--- a/crates/limit/src/lib.rs
+++ b/crates/limit/src/lib.rs
@@ -32,7 +32,6 @@
 mod bucket;
 mod growth;
 mod leases;
-mod names;
 mod queue;
 mod share;
 mod shares;
--- a/crates/limit/src/share.rs
+++ b/crates/limit/src/share.rs
@@ -2,6 +2,7 @@
 
 use model::{
     msg::{ShareLease, ShareState, TokenMsg},
+    names::Names,
     prelude::*,
 };
 use serde::Serialize;
@@ -11,7 +12,6 @@
     bucket::Bucket,
     growth::Growth,
     leases::{AskKey, Lease, Leases},
-    names::Names,
     queue::{Queue, Waiting},
 };
 
@@ -232,7 +232,7 @@
     }
 
     fn give_new(&mut self, cx: &mut Context<'_>, key: AskKey, ttl: Duration) {
-        let lease = LeaseId(cx.names.next());
+        let lease = LeaseId(cx.names.fresh());
         self.leases.insert(lease, Lease { key, expires: expiry(cx, ttl) });
         self.give(cx, key, lease, ttl);
     }
--- a/crates/limit/src/shares.rs
+++ b/crates/limit/src/shares.rs
@@ -4,6 +4,7 @@
 
 use model::{
     msg::{ShareState, TokenMsg},
+    names::Names,
     prelude::*,
     wakes::Wakes,
 };
@@ -11,7 +12,6 @@
 use crate::{
     REPORT_DELAY, ShareSpec, ShareSummary, TOKEN_TTL,
     leases::AskKey,
-    names::Names,
     share::{Context, Share},
 };
 
--- a/crates/limit/src/wallet.rs
+++ b/crates/limit/src/wallet.rs
@@ -2,12 +2,9 @@
 
 use std::collections::{BTreeSet, HashMap};
 
-use model::{msg::TokenMsg, prelude::*, wakes::Wakes};
+use model::{msg::TokenMsg, names::Names, prelude::*, wakes::Wakes};
 
-use crate::{
-    names::Names,
-    want::{Lapsed, Want, WantNames},
-};
+use crate::want::{Lapsed, Want, WantNames};
 
 /// What a [`Wallet`] wants done.
 #[derive(Clone, Copy, PartialEq, Debug)]
@@ -177,7 +174,7 @@
     }
 
     fn name(&mut self, no: RequestNo, account: AccountId) -> WantNames {
-        WantNames { no, account, ask: AskId(self.names.next()) }
+        WantNames { no, account, ask: AskId(self.names.fresh()) }
     }
 
     fn start(
--- a/crates/model/src/lib.rs
+++ b/crates/model/src/lib.rs
@@ -6,6 +6,7 @@
 //! * [`units`]: time and sizes with their units,
 //! * [`load`]: what backend servers report of their load,
 //! * [`msg`]: the messages that instances send each other,
+//! * [`names`]: numbers for ids that differ between instances and between runs of an instance,
 //! * [`outcome`]: how requests and attempts end,
 //! * [`wakes`]: an index of when things need attention.
 //!
@@ -14,6 +15,7 @@
 pub mod ids;
 pub mod load;
 pub mod msg;
+pub mod names;
 pub mod outcome;
 pub mod units;
 pub mod wakes;
--- /dev/null
+++ b/crates/once/src/memory.rs
@@ -0,0 +1,139 @@
+//! What a holder remembers.
+
+use std::collections::HashMap;
+
+use model::{
+    msg::{OnceMsg, OnceVerdict},
+    prelude::*,
+    wakes::Wakes,
+};
+
+use crate::RETENTION;
+
+/// The most keys that are remembered. When so many are, no key is called new.
+const MAX_KEYS: usize = 1 << 17;
+
+/// How long a freed key stays closed to the claim that was freed, whose copies may still come.
+const FREED_RETENTION: Duration = Duration::from_secs(10);
+
+/// The idempotency keys that a holder remembers.
+#[derive(Clone, Debug)]
+pub struct Memory {
+    /// From when on a key that is not remembered was certainly not claimed here before.
+    sure_from: Time,
+    entries: HashMap<IdempotencyId, Entry>,
+    expiry: Wakes<IdempotencyId>,
+}
+
+/// The last claim of a key.
+#[derive(Clone, Copy, Debug)]
+struct Entry {
+    claimer: Claimer,
+    state: EntryState,
+}
+
+#[derive(Clone, Copy, PartialEq, Eq, Debug)]
+enum EntryState {
+    /// The key is claimed.
+    Claimed,
+    /// The claim was freed, so that nobody has claimed the key since it was called new.
+    Freed,
+    /// The message that frees the claim came, and the claim did not: nothing is known of earlier
+    /// claims of the key.
+    FreedUnclaimed,
+}
+
+/// A claim, as its holder names it.
+#[derive(Clone, Copy, PartialEq, Eq, Debug)]
+struct Claimer {
+    from: Peer,
+    ask: AskId,
+}
+
+impl Memory {
+    /// Begins to remember at `now`.
+    pub fn new(now: Time) -> Self {
+        Self { sure_from: now + RETENTION, entries: HashMap::new(), expiry: Wakes::default() }
+    }
+
+    /// Doubts what is not remembered for another [`RETENTION`]: the instance may have become a
+    /// holder of keys that were claimed before. To be called when more than one instance has left
+    /// the instance list within [`RETENTION`].
+    pub fn doubt(&mut self, now: Time) {
+        self.sure_from = now + RETENTION;
+    }
+
+    /// Handles a message from an instance that claims or frees a key.
+    pub fn handle(&mut self, now: Time, from: Peer, msg: &OnceMsg) -> Option<Reply<OnceMsg>> {
+        self.expire(now);
+        match *msg {
+            OnceMsg::Claim { ask, key, resend } => {
+                let verdict = self.claim(now, Claimer { from, ask }, key, resend)?;
+                let msg = OnceMsg::Answer { ask, key, verdict };
+                Some(Reply { to: from.instance, msg })
+            }
+            OnceMsg::Free { ask, key } => {
+                self.free(now, Claimer { from, ask }, key);
+                None
+            }
+            OnceMsg::Answer { .. } => None,
+        }
+    }
+
+    /// Returns how many keys are remembered, for dumps.
+    pub fn len(&self) -> usize {
+        self.entries.len()
+    }
+
+    /// Returns whether no key is remembered.
+    pub fn is_empty(&self) -> bool {
+        self.entries.is_empty()
+    }
+
+    fn claim(
+        &mut self,
+        now: Time,
+        claimer: Claimer,
+        key: IdempotencyId,
+        resend: bool,
+    ) -> Option<OnceVerdict> {
+        let entry = self.entries.get(&key).copied();
+        if let Some(entry) = entry.filter(|it| it.claimer == claimer) {
+            return (entry.state == EntryState::Claimed).then_some(OnceVerdict::New);
+        }
+        let verdict = match entry.map(|it| it.state) {
+            Some(EntryState::Claimed) => OnceVerdict::Seen,
+            Some(EntryState::Freed) => OnceVerdict::New,
+            _ if resend && now < self.sure_from => OnceVerdict::Unsure,
+            None if self.entries.len() >= MAX_KEYS => OnceVerdict::Unsure,
+            Some(EntryState::FreedUnclaimed) | None => OnceVerdict::New,
+        };
+        if verdict == OnceVerdict::New {
+            let entry = Entry { claimer, state: EntryState::Claimed };
+            self.remember(key, entry, now + RETENTION);
+        }
+        Some(verdict)
+    }
+
+    fn free(&mut self, now: Time, claimer: Claimer, key: IdempotencyId) {
+        let state = match self.entries.get(&key) {
+            Some(entry) if entry.claimer != claimer => return,
+            Some(Entry { state: EntryState::Claimed, .. }) => EntryState::Freed,
+            Some(entry) => entry.state,
+            None if self.entries.len() >= MAX_KEYS => return,
+            None => EntryState::FreedUnclaimed,
+        };
+        self.remember(key, Entry { claimer, state }, now + FREED_RETENTION);
+    }
+
+    fn remember(&mut self, key: IdempotencyId, entry: Entry, until: Time) {
+        self.entries.insert(key, entry);
+        self.expiry.set(key, Some(until));
+    }
+
+    fn expire(&mut self, now: Time) {
+        while let Some(key) = self.expiry.pop_due(now) {
+            self.entries.remove(&key);
+        }
+    }
+}
