Test the traffic threads against scripted callers, backend servers and control

Cause: the traffic side had not run. Mended by it: - an answer whose request was running when draining began did not say 'connection: close', because that was decided at the start of the attempt; it is decided now when the head is written. - a future of platform reads was not Send (random number generator held over a wait). Two tests were wrong, not the code: the fuzz caller took any body for UTF-8, and a port that had just been freed was reused by a test running beside it; port 1 stands for 'nobody listens' now.

--- a/crates/daemon/src/front/answer.rs
+++ b/crates/daemon/src/front/answer.rs
@@ -17,6 +17,8 @@
 use futures_lite::{AsyncRead, AsyncReadExt as _, AsyncWriteExt as _, io::BufReader};
 use http_types::{Body, Method, Response};
 
+use crate::Shared;
+
 /// Bytes that are encoded at a time.
 const ENCODE_BYTES: usize = 16_384;
 
@@ -27,6 +29,7 @@
 #[derive(Debug)]
 pub(crate) struct Answer {
     stream: TcpStream,
+    shared: Arc<Shared>,
     method: Method,
     close: bool,
     started: Arc<AtomicBool>,
@@ -46,11 +49,12 @@
 }
 
 impl Answer {
-    /// Starts without anything written. With `close`, the caller is told that the connection will
-    /// be closed.
-    pub(crate) fn new(stream: TcpStream, method: Method, close: bool) -> Self {
+    /// Starts without anything written. With `close`, or if the process drains when the head is
+    /// written, the caller is told that the connection will be closed.
+    pub(crate) fn new(stream: TcpStream, shared: Arc<Shared>, method: Method, close: bool) -> Self {
         Self {
             stream,
+            shared,
             method,
             close,
             started: Arc::default(),
@@ -81,13 +85,6 @@
         self.close
     }
 
-    /// Sets that the connection will be closed, if the head is not written yet.
-    pub(crate) fn close_after(&mut self) {
-        if !self.is_started() {
-            self.close = true;
-        }
-    }
-
     /// Returns how many events the caller has got.
     pub(crate) fn events(&self) -> u32 {
         self.events
@@ -138,7 +135,8 @@
         self.write_encoded().await
     }
 
-    fn encoder(&self, mut res: Response) -> Encoder {
+    fn encoder(&mut self, mut res: Response) -> Encoder {
+        self.close |= self.shared.is_draining();
         if self.close {
             res.insert_header("connection", "close");
         }
--- a/crates/daemon/src/front/connection.rs
+++ b/crates/daemon/src/front/connection.rs
@@ -1,5 +1,7 @@
 //! The life of one caller's connection.
 
+use std::sync::Arc;
+
 use async_net::TcpStream;
 use futures_lite::FutureExt as _;
 use http_types::{Method, Response};
@@ -51,7 +53,7 @@
     let problem =
         Problem::from(Refusal::not_run(Reason::Capacity).retry_after(Duration::from_secs(1)));
     let res = problem.response(front.id_of(front.next_no()));
-    let mut answer = Answer::new(caller.stream.clone(), Method::Get, true);
+    let mut answer = front.answer(&caller, Method::Get, true);
     if front.within_head_time(answer.whole(res)).await {
         caller.close().await;
     }
@@ -74,7 +76,7 @@
         Ok(routed) => routed,
         Err(failure) => return refuse(front, caller, id, failure).await,
     };
-    let answer = Answer::new(caller.stream.clone(), method, close);
+    let answer = front.answer(caller, method, close);
     exchange::run(front, caller, routed, answer).await
 }
 
@@ -154,7 +156,7 @@
     mut res: Response,
 ) -> Next {
     res.insert_header("x-request-id", id.to_string());
-    let mut answer = Answer::new(caller.stream.clone(), Method::Get, true);
+    let mut answer = front.answer(caller, Method::Get, true);
     match front.within_head_time(answer.whole(res)).await {
         true => Next::Close,
         false => Next::Abort,
@@ -162,6 +164,10 @@
 }
 
 impl Front {
+    fn answer(&self, caller: &Caller, method: Method, close: bool) -> Answer {
+        Answer::new(caller.stream.clone(), Arc::clone(&self.cx.shared), method, close)
+    }
+
     /// Writes a short answer within the time for a request's head; returns whether that worked.
     pub(super) async fn within_head_time(
         &self,
--- a/crates/daemon/src/front/exchange.rs
+++ b/crates/daemon/src/front/exchange.rs
@@ -106,9 +106,6 @@
     /// Makes an attempt; `None` if the control thread decides how to go on.
     async fn attempt(&mut self, order: &RunOrder, caller: &mut Caller) -> Option<Next> {
         self.report.running(order.attempt);
-        if self.front.cx.shared.is_draining() {
-            self.answer.close_after();
-        }
         match self.run_attempt(order, caller).await {
             Happened::Ended(ended) => {
                 self.may_have_run |= ended.may_have_run;
@@ -164,9 +161,6 @@
         if self.answer.is_started() || refusal.reason == Reason::CallerLeft {
             return Next::Abort;
         }
-        if self.front.cx.shared.is_draining() {
-            self.answer.close_after();
-        }
         let execution = if self.may_have_run { Execution::Unknown } else { refusal.execution };
         let problem = Problem::from(Refusal { execution, ..refusal });
         let mut res = problem.response(self.id);
--- a/crates/daemon/src/platform.rs
+++ b/crates/daemon/src/platform.rs
@@ -165,7 +165,8 @@
     /// Waits after a failure, for a time that differs between instances.
     async fn pause(&self) {
         let retry = Duration::from_millis(self.cx.settings.platform.retry_ms);
-        Timer::after(retry.mul_f64(rand::rng().random_range(0.5..1.5))).await;
+        let factor = rand::rng().random_range(0.5..1.5);
+        Timer::after(retry.mul_f64(factor)).await;
     }
 
     async fn keep_interval(&self, started: Time) {
--- /dev/null
+++ b/crates/daemon/tests/traffic/bench.rs
@@ -0,0 +1,224 @@
+//! A front with a scripted control thread behind it.
+
+use std::{
+    collections::HashMap,
+    net::SocketAddr,
+    sync::{Arc, Mutex, mpsc},
+    thread,
+    time::{Duration, Instant},
+};
+
+use async_channel::Sender;
+use async_net::TcpListener;
+use config::{Account, Catalog, Class, Config, Pool, PoolKind, Route, Settings};
+use control::{Event, RequestHead, RequestOrder, RunOrder};
+use daemon::{Clock, Input, Link, Pool as Threads, Shared, Traffic, front, metrics::Metrics};
+use model::prelude::*;
+
+/// The key of the account `acme`.
+pub(crate) const KEY: &str = "key-of-acme-0123456789";
+/// Longest wait for something that must happen.
+pub(crate) const SOON: Duration = Duration::from_secs(10);
+
+/// A front with a scripted control thread behind it.
+pub(crate) struct Bench {
+    pub(crate) address: SocketAddr,
+    pub(crate) cx: Traffic,
+    pub(crate) heads: mpsc::Receiver<RequestHead>,
+    pub(crate) events: mpsc::Receiver<Event>,
+    pub(crate) ended: mpsc::Receiver<()>,
+}
+
+/// What the control thread orders for each request: the first order at once, a further one after
+/// each attempt that failed, and a refusal at the end. Without any order it forgets the request.
+pub(crate) type Script = Box<dyn Fn(&RequestHead) -> Vec<RequestOrder> + Send>;
+
+pub(crate) fn settings() -> Settings {
+    let json = r#"{
+        "instance": "a", "zone": "east",
+        "listen": "127.0.0.1:0", "peer_listen": "127.0.0.1:0", "admin_listen": "127.0.0.1:0",
+        "platform": {
+            "config": "127.0.0.1:1", "instances": "127.0.0.1:1", "watch_ms": 100, "retry_ms": 20
+        },
+        "limits": {"body_bytes": 10000, "connections": 20}
+    }"#;
+    serde_json::from_str(json).unwrap()
+}
+
+pub(crate) fn config() -> Config {
+    let route = |name: &str, method: &str, path: &str| Route {
+        name: name.to_owned(),
+        method: method.to_owned(),
+        path: path.to_owned(),
+        pool: Some("stock".to_owned()),
+        classes: vec!["live".to_owned(), "batch".to_owned()],
+        idempotent: true,
+        open: false,
+        max_duration_ms: 10_000,
+    };
+    let class = |name: &str, tier| Class {
+        name: name.to_owned(),
+        tier,
+        target_ms: 1_000,
+        max_wait_ms: None,
+    };
+    let pool = |name: &str, kind| Pool { name: name.to_owned(), kind };
+    let hash = KeyHash::of(KEY.as_bytes()).0.iter().map(|it| format!("{it:02x}")).collect();
+    Config {
+        version: 1,
+        classes: vec![class("live", 0), class("batch", 1)],
+        accounts: vec![Account {
+            name: "acme".to_owned(),
+            key_hashes: vec![hash],
+            rate: 10.0,
+            burst: 10,
+            weight: 1,
+        }],
+        pools: vec![pool("llama", PoolKind::Engine), pool("stock", PoolKind::Service)],
+        routes: vec![
+            Route { pool: None, ..route("chat", "POST", "/v1/chat") },
+            route("stock", "POST", "/stock"),
+            route("look", "GET", "/look"),
+            Route { open: true, ..route("open", "GET", "/open") },
+        ],
+        ..Config::default()
+    }
+}
+
+/// A request with the channel for its orders.
+pub(crate) type Handed = (RequestHead, Sender<RequestOrder>);
+
+/// Starts a front with a scripted control thread.
+pub(crate) fn bench(settings: Settings, script: Script) -> Bench {
+    let (handed_tx, handed) = mpsc::channel::<Handed>();
+    let mut bench = bench_handing_over(settings, handed_tx);
+    let (heads_tx, heads) = mpsc::channel();
+    let (events_tx, events) = mpsc::channel();
+    let raw = std::mem::replace(&mut bench.events, events);
+    bench.heads = heads;
+    let todos = Arc::new(Mutex::new(HashMap::new()));
+    let others = Arc::clone(&todos);
+    thread::spawn(move || {
+        for (head, orders) in handed {
+            let mut todo = script(&head).into_iter();
+            if todo.len() > 0 {
+                let first = todo.next().unwrap();
+                todos.lock().unwrap().insert(head.no, (todo, orders.clone()));
+                let _ = orders.try_send(first);
+            }
+            let _ = heads_tx.send(head);
+        }
+    });
+    thread::spawn(move || {
+        for event in raw {
+            if let Event::Ended { no, end, .. } = &event
+                && !matches!(end, AttemptEnd::Completed { .. } | AttemptEnd::CallerLeft)
+                && let Some((todo, orders)) = others.lock().unwrap().get_mut(no)
+            {
+                let refusal = Refusal::not_run(Reason::ServerFailed);
+                let order = todo.next().unwrap_or(RequestOrder::Refuse(refusal));
+                let _ = orders.try_send(order);
+            }
+            let _ = events_tx.send(event);
+        }
+    });
+    bench
+}
+
+/// Starts a front whose requests are handed to the test.
+pub(crate) fn bench_handing_over(settings: Settings, handed: mpsc::Sender<Handed>) -> Bench {
+    let (link, rx) = Link::new();
+    let shared = Arc::new(Shared::default());
+    shared.install(Arc::new(Catalog::new(&config())));
+    let cx = Traffic {
+        settings: Arc::new(settings),
+        link,
+        shared,
+        clock: Clock::start(),
+        metrics: Metrics::new(None).unwrap(),
+        pool: Threads::start(2).unwrap(),
+    };
+    let listener = async_io::block_on(TcpListener::bind("127.0.0.1:0")).unwrap();
+    let address = listener.local_addr().unwrap();
+    let (ended_tx, ended) = mpsc::channel();
+    let serving = front::serve(cx.clone(), listener);
+    cx.pool.detach(async move {
+        serving.await;
+        let _ = ended_tx.send(());
+    });
+    let (_, heads) = mpsc::channel();
+    let (events_tx, events) = mpsc::channel();
+    thread::spawn(move || {
+        while let Ok(input) = rx.recv_blocking() {
+            match input {
+                Input::Request { head, orders } => {
+                    let _ = handed.send((head, orders));
+                }
+                Input::Event(event) => {
+                    let _ = events_tx.send(event);
+                }
+                Input::Dump { reply } => reply.try_send("{}".to_owned()).unwrap(),
+            }
+        }
+    });
+    Bench { address, cx, heads, events, ended }
+}
+
+/// A front whose control thread sends each request to these backend servers in turn.
+pub(crate) fn bench_with(servers: &[SocketAddr]) -> Bench {
+    let servers = servers.to_vec();
+    bench(settings(), Box::new(move |head| runs(head, &servers)))
+}
+
+/// Returns an address where nobody listens: a port that the operating system does not hand out,
+/// since another test may get one that was free a moment ago.
+pub(crate) fn nowhere() -> SocketAddr {
+    SocketAddr::from(([127, 0, 0, 1], 1))
+}
+
+/// Orders for attempts at these backend servers in turn.
+pub(crate) fn runs(head: &RequestHead, servers: &[SocketAddr]) -> Vec<RequestOrder> {
+    let attempts = servers.iter().zip(1..);
+    attempts.map(|(address, attempt)| RequestOrder::Run(run(head, attempt, *address))).collect()
+}
+
+/// An order for an attempt with enough time.
+pub(crate) fn run(head: &RequestHead, attempt: u32, address: SocketAddr) -> RunOrder {
+    RunOrder {
+        attempt,
+        server: ServerId(u64::from(attempt)),
+        address,
+        tier: Tier(3),
+        start_by: head.arrived + SOON,
+        first_byte_by: head.arrived + SOON,
+        end_by: head.arrived + SOON,
+        resumes: true,
+    }
+}
+
+impl Bench {
+    /// Returns how the next attempt ended.
+    pub(crate) fn ended(&self) -> AttemptEnd {
+        self.event(|event| match event {
+            Event::Ended { end, .. } => Some(end),
+            _ => None,
+        })
+    }
+
+    /// Waits for an event, skipping others.
+    pub(crate) fn event<T>(&self, pick: impl Fn(Event) -> Option<T>) -> T {
+        let deadline = Instant::now() + SOON;
+        loop {
+            let left = deadline.saturating_duration_since(Instant::now());
+            let event = self.events.recv_timeout(left).expect("no such event");
+            if let Some(found) = pick(event) {
+                return found;
+            }
+        }
+    }
+
+    /// Returns the next request that the control thread heard of.
+    pub(crate) fn head(&self) -> RequestHead {
+        self.heads.recv_timeout(SOON).expect("no request")
+    }
+}
--- /dev/null
+++ b/crates/daemon/tests/traffic/main.rs
@@ -0,0 +1,16 @@
+//! Callers, backend servers and the platform against the traffic threads, with a scripted control
+//! thread.
+
+#![allow(clippy::unwrap_used, reason = "helpers of tests fail the test")]
+
+mod admin;
+mod backend;
+mod bench;
+mod caller;
+mod callers;
+mod forwarding;
+mod framing;
+mod fuzz;
+mod platform;
+mod shutdown;
+mod watch;
