Start the declared deployments in the test fleets

Cause: the two deployments stood twice, in the operators' library and in the fakes. Change: the test fleets run what the operators' library declares, with addresses and keys replaced.

--- a/crates/fakes/src/builder.rs
+++ b/crates/fakes/src/builder.rs
@@ -1,5 +1,7 @@
 //! Describes a fleet before it starts.
 
+use std::net::{Ipv4Addr, SocketAddr, SocketAddrV4};
+
 use config::{
     Account, Class, Config, Engine as EngineSpec, Limits, Ownership, Policy, Pool, PoolKind, Route,
     Server, ServerState, Zone, ZoneState,
@@ -9,6 +11,7 @@
 use crate::{Engine, Fleet, FleetError, Knobs};
 
 const ROUTE_MAX_MS: u64 = 60_000;
+const NO_ADDRESS: SocketAddr = SocketAddr::V4(SocketAddrV4::new(Ipv4Addr::UNSPECIFIED, 0));
 
 /// Describes a fleet before it starts.
 pub struct FleetBuilder {
@@ -27,14 +30,10 @@
     pub(crate) zone: String,
 }
 
-/// A backend server to start.
+/// A backend server to start; its address is not known yet.
 pub(crate) struct ServerPlan {
-    name: String,
-    zone: String,
-    pool: String,
-    limit: u32,
+    server: Server,
     knobs: Knobs,
-    kind: PoolKind,
 }
 
 impl Default for FleetBuilder {
@@ -148,7 +147,7 @@
     #[must_use]
     pub fn tune(mut self, mut change: impl FnMut(&str, &mut Knobs)) -> Self {
         for server in &mut self.servers {
-            change(&server.name, &mut server.knobs);
+            change(&server.server.name, &mut server.knobs);
         }
         self
     }
@@ -190,15 +189,42 @@
         if !self.config.pools.iter().any(|it| it.name == pool) {
             self.config.pools.push(Pool { name: pool.to_owned(), kind });
         }
-        let earlier = self.servers.iter().filter(|it| it.pool == pool && it.zone == zone).count();
-        self.servers.push(ServerPlan {
+        let same = |it: &&ServerPlan| it.server.pool == pool && it.server.zone == zone;
+        let earlier = self.servers.iter().filter(same).count();
+        let engine =
+            EngineSpec { resumes: knobs.resumes, fenced: knobs.fenced, orders: Vec::new() };
+        let server = Server {
             name: format!("{pool}-{zone}-{}", earlier + 1),
             zone: zone.to_owned(),
             pool: pool.to_owned(),
+            address: NO_ADDRESS,
             limit,
-            knobs,
-            kind,
-        });
+            cold_limit: u32::try_from(knobs.cold_limit).unwrap_or(u32::MAX).min(limit),
+            state: ServerState::In,
+            engine: (kind == PoolKind::Engine).then_some(engine),
+        };
+        self.servers.push(ServerPlan { server, knobs });
+        self
+    }
+
+    /// Takes over a declared configuration: its zones get this many daemons each, its accounts the
+    /// keys that [`key_of`] tells, and its backend servers are started with these knobs.
+    #[must_use]
+    pub fn declared(
+        mut self,
+        config: Config,
+        daemons: &[usize],
+        knobs: impl Fn(&Server) -> Knobs,
+    ) -> Self {
+        for (zone, daemons) in config.zones.iter().zip(daemons) {
+            self = self.zone(&zone.name, *daemons);
+        }
+        let plan = |server: Server| ServerPlan { knobs: knobs(&server), server };
+        self.config = Config { servers: Vec::new(), ..config.clone() };
+        self.servers = config.servers.into_iter().map(plan).collect();
+        for account in &mut self.config.accounts {
+            account.key_hashes = vec![key_hash(&key_of(&account.name))];
+        }
         self
     }
 }
@@ -206,22 +232,8 @@
 impl ServerPlan {
     /// Starts the server warm and describes it for the configuration.
     pub(crate) fn start(self) -> Result<(Engine, Server), FleetError> {
-        let engine = Engine::start_warm(self.knobs.clone())?;
-        let spec = EngineSpec {
-            resumes: self.knobs.resumes,
-            fenced: self.knobs.fenced,
-            orders: Vec::new(),
-        };
-        let server = Server {
-            name: self.name,
-            zone: self.zone,
-            pool: self.pool,
-            address: engine.address(),
-            limit: self.limit,
-            cold_limit: u32::try_from(self.knobs.cold_limit).unwrap_or(u32::MAX).min(self.limit),
-            state: ServerState::In,
-            engine: (self.kind == PoolKind::Engine).then_some(spec),
-        };
+        let engine = Engine::start_warm(self.knobs)?;
+        let server = Server { address: engine.address(), ..self.server };
         Ok((engine, server))
     }
 }
--- a/crates/fakes/src/deployment.rs
+++ b/crates/fakes/src/deployment.rs
@@ -3,11 +3,7 @@
 use clap::ValueEnum;
 use config::Config;
 
-use crate::{
-    FleetBuilder,
-    load::Mix,
-    presets::{ENGINE_LIMIT, RUNNER_TOKENS_PER_S},
-};
+use crate::{FleetBuilder, FleetError, load::Mix, presets::RUNNER_TOKENS_PER_S};
 
 /// One of the two deployments.
 #[derive(Clone, Copy, PartialEq, Eq, Debug, ValueEnum)]
@@ -20,7 +16,7 @@
 
 impl Deployment {
     /// Describes its fleet.
-    pub fn fleet(self) -> FleetBuilder {
+    pub fn fleet(self) -> Result<FleetBuilder, FleetError> {
         match self {
             Self::Alfombras => FleetBuilder::alfombras(),
             Self::Adwoa => FleetBuilder::adwoa(),
@@ -29,8 +25,9 @@
 
     /// Describes its load, for the configuration that its fleet runs with.
     pub fn mix(self, config: &Config) -> Mix {
-        let engines = config.servers.iter().filter(|it| it.engine.is_some()).count();
-        let tokens_per_s = engines as f64 * f64::from(ENGINE_LIMIT) * RUNNER_TOKENS_PER_S;
+        let engines = config.servers.iter().filter(|it| it.engine.is_some());
+        let streams: u32 = engines.map(|it| it.limit).sum();
+        let tokens_per_s = f64::from(streams) * RUNNER_TOKENS_PER_S;
         match self {
             Self::Alfombras => Mix::alfombras(config, tokens_per_s),
             Self::Adwoa => Mix::adwoa(config, tokens_per_s),
--- a/crates/fakes/src/error.rs
+++ b/crates/fakes/src/error.rs
@@ -14,9 +14,9 @@
     /// A settings or configuration document could not be written.
     #[error(transparent)]
     Json(#[from] serde_json::Error),
-    /// A daemon does not run.
-    #[error("daemon {0} does not run")]
-    NotRunning(String),
+    /// A declared configuration is refused by its check.
+    #[error("the declared configuration is refused:\n{0}")]
+    Config(String),
     /// A condition was not met in time.
     #[error("{what} did not happen within {millis} ms; last seen: {seen}\n{logs}")]
     Deadline {
--- a/crates/fakes/src/load/mix.rs
+++ b/crates/fakes/src/load/mix.rs
@@ -73,9 +73,9 @@
     pub fn alfombras(config: &Config, tokens_per_s: f64) -> Self {
         let mix = Self::new(config, tokens_per_s);
         let model = "asistente";
-        mix.model("dialogue", model, 0.35, 30.0, true)
-            .model("summary", model, 0.15, 50.0, true)
-            .model("reminder", model, 0.20, 60.0, false)
+        mix.model("live-replies", model, 0.35, 30.0, true)
+            .model("summaries", model, 0.15, 50.0, true)
+            .model("drafts", model, 0.20, 60.0, false)
             .plain("ledger", "GET", "/ledger/balance", 0.2)
             .plain("ledger", "POST", "/ledger/promise", 0.07)
             .plain("ledger", "POST", "/ledger/reversal", 0.03)
@@ -85,11 +85,11 @@
     pub fn adwoa(config: &Config, tokens_per_s: f64) -> Self {
         let mix = Self::new(config, tokens_per_s);
         let model = "recipes";
-        mix.model("cook-step", model, 0.4, 25.0, true)
-            .model("dish", model, 0.2, 40.0, true)
-            .model("menu", model, 0.1, 100.0, false)
-            .plain("stock", "GET", "/stock/level", 0.2)
-            .plain("stock", "POST", "/stock/order", 0.1)
+        mix.model("live-cook-steps", model, 0.4, 25.0, true)
+            .model("dish-rescale", model, 0.2, 40.0, true)
+            .model("menu-rescale", model, 0.1, 100.0, false)
+            .plain("stock-lookups", "GET", "/stock/level", 0.2)
+            .plain("stock-orders", "POST", "/stock/order", 0.1)
     }
 
     /// Returns the requests a second that keep all engines at their limits.
--- a/crates/fakes/src/presets.rs
+++ b/crates/fakes/src/presets.rs
@@ -2,55 +2,34 @@
 
 use std::time::Duration;
 
-use crate::{FleetBuilder, Knobs};
+use config::{Config, Server};
+use declare::deployment::{Site, adwoa, alfombras};
+
+use crate::{FleetBuilder, FleetError, Knobs};
 
 /// The length of the two deployments' cold starts.
 const COLD_START: Duration = Duration::from_secs(2);
 const COLD_LIMIT: usize = 2;
-pub(crate) const ENGINE_LIMIT: u32 = 8;
+const ENGINE_LIMIT: u32 = 8;
 const SERVICE_LIMIT: u32 = 32;
 const SERVICE_TIME: Duration = Duration::from_millis(5);
+/// Output tokens a second of one stream at the two deployments' model runners.
 pub(crate) const RUNNER_TOKENS_PER_S: f64 = 50.0;
 const ACCOUNTS: usize = 10;
-const LARGE_ACCOUNTS: usize = 3;
 
 impl FleetBuilder {
     /// A debt collection desk: 8 daemons, 12 model runners and 3 ledger runners in 3 availability
     /// zones, 10 client accounts.
-    pub fn alfombras() -> Self {
-        let zones = ["cali", "palmira", "buga"];
-        let mut builder = Self::new()
-            .class("dialogue", 0, 1_000)
-            .class("ledger", 0, 500)
-            .class("summary", 1, 3_000)
-            .class("reminder", 2, 15_000)
-            .completions("/v1/chat/completions", &["dialogue", "summary", "reminder"])
-            .route("GET", "/ledger/balance", Some("ledger"), &["ledger"], true)
-            .route("POST", "/ledger/promise", Some("ledger"), &["ledger"], false)
-            .route("POST", "/ledger/reversal", Some("ledger"), &["ledger"], false);
-        for (zone, daemons) in zones.iter().zip([3, 3, 2]) {
-            builder =
-                builder.zone(zone, daemons).runners("asistente", zone, 4).plain("ledger", zone);
-        }
-        builder.accounts("cliente")
+    pub fn alfombras() -> Result<Self, FleetError> {
+        let site = Site::example(12, 3, ACCOUNTS);
+        Ok(Self::new().declared(parse(&alfombras(&site))?, &[3, 3, 2], knobs))
     }
 
     /// A kitchen franchise: 7 daemons, 9 model runners and 3 stock runners in 3 availability
     /// zones, 10 client accounts.
-    pub fn adwoa() -> Self {
-        let zones = ["osu", "tema", "madina"];
-        let mut builder = Self::new()
-            .class("cook-step", 0, 500)
-            .class("stock", 0, 500)
-            .class("dish", 1, 2_000)
-            .class("menu", 2, 15_000)
-            .completions("/v1/chat/completions", &["cook-step", "dish", "menu"])
-            .route("GET", "/stock/level", Some("stock"), &["stock"], true)
-            .route("POST", "/stock/order", Some("stock"), &["stock"], false);
-        for (zone, daemons) in zones.iter().zip([3, 2, 2]) {
-            builder = builder.zone(zone, daemons).runners("recipes", zone, 3).plain("stock", zone);
-        }
-        builder.accounts("outlet")
+    pub fn adwoa() -> Result<Self, FleetError> {
+        let site = Site::example(9, 3, ACCOUNTS);
+        Ok(Self::new().declared(parse(&adwoa(&site))?, &[3, 2, 2], knobs))
     }
 
     /// A small fleet for tests: `daemons` in each of three availability zones `a`, `b` and `c`,
@@ -88,13 +67,22 @@
     fn plain(self, pool: &str, zone: &str) -> Self {
         self.service(pool, zone, SERVICE_LIMIT, Knobs::service(SERVICE_TIME))
     }
+}
 
-    /// Adds the accounts; the first few are large.
-    fn accounts(mut self, prefix: &str) -> Self {
-        for i in 1..=ACCOUNTS {
-            let (rate, burst) = if i <= LARGE_ACCOUNTS { (60.0, 60) } else { (15.0, 20) };
-            self = self.account(&format!("{prefix}-{i}"), rate, burst);
-        }
-        self
+fn parse(fleet: &declare::Fleet) -> Result<Config, FleetError> {
+    let text = fleet.publish().map_err(|err| FleetError::Config(err.to_string()))?;
+    Ok(serde_json::from_str(&text)?)
+}
+
+/// Returns how a declared backend server behaves.
+fn knobs(server: &Server) -> Knobs {
+    let Some(engine) = &server.engine else { return Knobs::service(SERVICE_TIME) };
+    Knobs {
+        resumes: engine.resumes,
+        fenced: engine.fenced,
+        ..Knobs::default()
+            .tokens_per_s(RUNNER_TOKENS_PER_S)
+            .slots(server.limit as usize)
+            .cold(server.cold_limit as usize, COLD_START)
     }
 }
--- a/crates/fakes/src/trial.rs
+++ b/crates/fakes/src/trial.rs
@@ -105,7 +105,7 @@
 impl Trial {
     /// Starts a fleet, runs the trial and stops the fleet.
     pub fn run(self) -> Result<Outcome, FleetError> {
-        let mut builder = self.deployment.fleet().policy(self.policy);
+        let mut builder = self.deployment.fleet()?.policy(self.policy);
         if self.scenario == Scenario::Partition {
             builder = builder.proxied();
         }
--- a/crates/fakes/tests/load.rs
+++ b/crates/fakes/tests/load.rs
@@ -19,7 +19,7 @@
         weight: 1,
     };
     let config = Config {
-        classes: ["dialogue", "ledger", "summary", "reminder"].map(class).to_vec(),
+        classes: ["live-replies", "ledger", "summaries", "drafts"].map(class).to_vec(),
         accounts: vec![account("large", 60.0), account("small", 15.0)],
         ..Config::default()
     };
