Reduce events: membership, configuration, shards, requests

Cause: the crates need one reducer that combines them. Change: State::step over all events; requests go through claim, token, queue and run; shards are taken, ceded and dropped with their state; documents spread by heartbeats; joining asks the others first; leaving hands everything over. Ruled out: one queue a request (a higher tier could be shed in one zone while a lower one runs in another).

--- a/crates/config/src/catalog.rs
+++ b/crates/config/src/catalog.rs
@@ -25,6 +25,10 @@
     pub pools: HashMap<PoolId, String>,
     /// The backend servers.
     pub servers: BTreeMap<ServerId, ServerSpec>,
+    /// The cells with a backend server that receives new work, by pool.
+    open_cells: HashMap<PoolId, Vec<CellId>>,
+    /// The longest that answers may take, by route.
+    durations: HashMap<RouteId, Duration>,
     /// The routes by path.
     routes: HashMap<String, Vec<RouteSpec>>,
     /// Key hashes by [`KeyHash::bucket`].
@@ -138,10 +142,18 @@
         }
         for server in &cfg.servers {
             let spec = catalog.server_spec(server);
+            if spec.open {
+                let cells = catalog.open_cells.entry(spec.cell.pool).or_default();
+                if !cells.contains(&spec.cell) {
+                    cells.push(spec.cell);
+                }
+            }
             catalog.servers.insert(ServerId::of(&server.name), spec);
         }
         for route in &cfg.routes {
-            catalog.routes.entry(route.path.clone()).or_default().push(route_spec(route));
+            let spec = route_spec(route);
+            catalog.durations.insert(spec.id, spec.max_duration);
+            catalog.routes.entry(route.path.clone()).or_default().push(spec);
         }
         catalog
     }
@@ -162,6 +174,16 @@
         self.routes.contains_key(path)
     }
 
+    /// Returns the cells of a pool that have a backend server which receives new work.
+    pub fn open_cells(&self, pool: PoolId) -> &[CellId] {
+        self.open_cells.get(&pool).map_or(&[], Vec::as_slice)
+    }
+
+    /// Returns the longest that an answer of a route may take.
+    pub fn max_duration(&self, route: RouteId) -> Duration {
+        self.durations.get(&route).copied().unwrap_or_default()
+    }
+
     /// Returns the cells in use in the order of their ids.
     pub fn cells(&self) -> Vec<CellId> {
         let mut cells: Vec<_> = self.servers.values().map(|it| it.cell).collect();
--- /dev/null
+++ b/crates/control/src/dump.rs
@@ -0,0 +1,59 @@
+//! The control state in a readable form.
+
+use model::prelude::*;
+use serde_json::{Value, json};
+
+use crate::{
+    request::{Request, Stage},
+    state::{Phase, State},
+};
+
+impl State {
+    /// Returns the state in a readable form, without keys.
+    pub fn dump(&self, now: Time) -> Value {
+        let peers = self.members.others().map(|(id, it)| {
+            json!({
+                "instance": id,
+                "zone": it.zone,
+                "address": it.address,
+                "leaving": it.leaving,
+                "heard_ms_ago": it.heard_at.map(|at| millis(now.since(at))),
+            })
+        });
+        let cells = self.cells.values().map(|it| it.dump(now));
+        json!({
+            "instance": self.setup.name,
+            "zone": self.setup.zone_name,
+            "incarnation": self.setup.me.incarnation,
+            "ready": self.phase == Phase::Serving,
+            "phase": format!("{:?}", self.phase),
+            "permit": self.members.permit(now),
+            "config_version": self.catalog.version,
+            "config_rejected": self.docs.rejected,
+            "config_down": self.docs.config_down,
+            "list_version": self.members.list_version(),
+            "list_down": self.docs.list_down,
+            "peers": peers.collect::<Vec<_>>(),
+            "shards": self.holdings.active().collect::<Vec<_>>(),
+            "shards_waiting": self.holdings.waiting(),
+            "shares": self.shares.summary(),
+            "cells": cells.collect::<Vec<_>>(),
+            "requests": self.request_counts(),
+        })
+    }
+
+    fn request_counts(&self) -> Value {
+        let count = |f: fn(&Request) -> bool| self.requests.values().filter(|it| f(it)).count();
+        json!({
+            "total": self.requests.len(),
+            "claim": count(|it| it.stage == Stage::Claim),
+            "token": count(|it| it.stage == Stage::Token),
+            "queue": count(|it| it.stage == Stage::Queue),
+            "run": count(|it| matches!(it.stage, Stage::Run { .. })),
+        })
+    }
+}
+
+fn millis(span: Duration) -> u64 {
+    u64::try_from(span.as_millis()).unwrap_or(u64::MAX)
+}
--- /dev/null
+++ b/crates/control/src/duties.rs
@@ -0,0 +1,281 @@
+//! What this instance decides for the fleet: the shards that it owns.
+
+use std::collections::BTreeSet;
+
+use config::AccountSpec;
+use limit::{Start as ShareStart, split};
+use model::{
+    msg::{CellMsg, Handover, Reply, TokenMsg},
+    prelude::*,
+};
+use own::{Shard, Shift};
+use sched::{Cell, ServerPlan, Start as CellStart};
+
+use crate::{Effect, LoadError, LoadReport, Metric, Note, state::State};
+
+impl State {
+    /// Returns whether this instance may decide for a shard now.
+    pub(crate) fn decides(&self, now: Time, shard: Shard) -> bool {
+        self.holdings.is_active(shard) && self.members.permit(now)
+    }
+
+    /// Advances takeovers and follows the permit.
+    pub(crate) fn follow_ownership(&mut self, now: Time) {
+        let shifts = self.holdings.tick(now, &self.members);
+        self.shift(now, shifts);
+    }
+
+    /// Compares what is owned with the list and the configuration, after either changed.
+    pub(crate) fn refresh_shards(&mut self, now: Time) {
+        let shards = self.shards();
+        let shifts = self.holdings.refresh(now, &self.members, shards);
+        self.shift(now, shifts);
+        self.follow_ownership(now);
+    }
+
+    fn shards(&self) -> Vec<Shard> {
+        let zone = self.setup.zone;
+        let accounts = self.catalog.accounts.keys();
+        let has_shares = self.catalog.share_zones().contains(&zone);
+        let shares = accounts.filter(|_| has_shares);
+        let shares = shares.map(|it| Shard::Share(ShareId { account: *it, zone }));
+        let cells = self.catalog.cells().into_iter().filter(|it| it.zone == zone);
+        shares.chain(cells.map(Shard::Cell)).collect()
+    }
+
+    fn shift(&mut self, now: Time, shifts: Vec<Shift>) {
+        if shifts.is_empty() {
+            return;
+        }
+        for shift in shifts {
+            match shift {
+                Shift::Take(Shard::Share(share)) => self.open_share(now, share, ShareStart::Empty),
+                Shift::Take(Shard::Cell(cell)) => self.open_cell(now, cell, CellStart::Fresh),
+                Shift::Cede { shard, to } => self.cede(now, shard, to),
+                Shift::Drop(shard) => self.drop_shard(now, shard),
+            }
+        }
+        let owned = u32::try_from(self.holdings.active().count()).unwrap_or(u32::MAX);
+        self.out.effects.push(Effect::Count(Metric::Owned(owned)));
+    }
+
+    fn open_share(&mut self, now: Time, share: ShareId, start: ShareStart) {
+        let Some(spec) = self.catalog.accounts.get(&share.account) else { return };
+        let zones = self.catalog.share_zones();
+        let Some(part) = part_of(spec, share, &zones) else { return };
+        self.shares.open(now, share, part, start);
+        self.out.log(Note::Took { shard: Shard::Share(share).to_string() });
+    }
+
+    fn open_cell(&mut self, now: Time, id: CellId, start: CellStart) {
+        let is_fresh = matches!(start, CellStart::Fresh);
+        let cell = Cell::new(now, id, self.setup.policy, start).owned_by(self.setup.me);
+        self.cells.insert(id, cell);
+        self.configure_cell(now, id);
+        if is_fresh {
+            let all: Vec<_> = self.members.iter().map(|(instance, _)| instance).collect();
+            let Some(cell) = self.cells.get_mut(&id) else { return };
+            let replies = cell.expect(now, all);
+            self.send_cell(replies);
+        }
+        self.refresh_watches();
+        self.out.log(Note::Took { shard: Shard::Cell(id).to_string() });
+    }
+
+    fn cede(&mut self, now: Time, shard: Shard, to: InstanceId) {
+        let state = match shard {
+            Shard::Share(share) => self.shares.close(now, share).map(Handover::Share),
+            Shard::Cell(id) => self.cells.remove(&id).map(|it| Handover::Cell(it.handover())),
+        };
+        if let Some(state) = state {
+            self.send(to, Msg::Handover(state));
+        }
+        self.left(shard);
+    }
+
+    fn drop_shard(&mut self, now: Time, shard: Shard) {
+        match shard {
+            Shard::Share(share) => drop(self.shares.close(now, share)),
+            Shard::Cell(id) => drop(self.cells.remove(&id)),
+        }
+        self.left(shard);
+    }
+
+    fn left(&mut self, shard: Shard) {
+        self.refresh_watches();
+        self.out.log(Note::Left { shard: shard.to_string() });
+    }
+
+    pub(crate) fn handed_over(&mut self, now: Time, handover: Handover) {
+        let shard = match &handover {
+            Handover::Share(it) => Shard::Share(it.share),
+            Handover::Cell(it) => Shard::Cell(it.cell),
+        };
+        if !self.holdings.handed_over(shard) {
+            return;
+        }
+        match handover {
+            Handover::Share(it) => self.open_share(now, it.share, ShareStart::From(it)),
+            Handover::Cell(it) => self.open_cell(now, it.cell, CellStart::From(it)),
+        }
+    }
+
+    /// Applies a new configuration to what is owned.
+    pub(crate) fn configure_duties(&mut self, now: Time) {
+        self.refresh_shards(now);
+        let zones = self.catalog.share_zones();
+        for share in self.shares.ids() {
+            let spec = self.catalog.accounts.get(&share.account);
+            if let Some(part) = spec.and_then(|it| part_of(it, share, &zones)) {
+                self.shares.resize(now, share, part);
+            }
+        }
+        let cells: Vec<_> = self.cells.keys().copied().collect();
+        for cell in cells {
+            self.configure_cell(now, cell);
+        }
+        self.refresh_watches();
+    }
+
+    fn configure_cell(&mut self, now: Time, id: CellId) {
+        let Some(cell) = self.cells.get_mut(&id) else { return };
+        for (account, spec) in &self.catalog.accounts {
+            cell.set_weight(*account, spec.weight);
+        }
+        let servers = self.catalog.servers.iter().filter(|(_, it)| it.cell == id);
+        let plans = servers.map(|(server, it)| ServerPlan {
+            id: *server,
+            limit: it.limit,
+            cold_limit: it.cold_limit,
+            open: it.open,
+        });
+        let replies = cell.set_servers(now, plans);
+        self.send_cell(replies);
+    }
+
+    /// Watches the servers of the owned cells and no others.
+    fn refresh_watches(&mut self) {
+        let servers = self.catalog.servers.iter();
+        let owned = servers.filter(|(_, it)| self.cells.contains_key(&it.cell));
+        let wanted: BTreeSet<_> = owned.map(|(id, _)| *id).collect();
+        for server in self.watched.difference(&wanted) {
+            self.orders.forget(*server);
+            self.out.effects.push(Effect::Unwatch { server: *server });
+        }
+        for server in wanted.difference(&self.watched) {
+            let address = self.catalog.servers[server].address;
+            self.out.effects.push(Effect::Watch { server: *server, address });
+        }
+        self.watched = wanted;
+    }
+
+    pub(crate) fn load(
+        &mut self,
+        now: Time,
+        server: ServerId,
+        report: Result<LoadReport, LoadError>,
+    ) {
+        let Some(spec) = self.catalog.servers.get(&server) else { return };
+        if let Ok(report) = &report {
+            self.orders.seen(server, report.incarnation);
+        }
+        let Some(cell) = self.cells.get_mut(&spec.cell) else { return };
+        let replies = cell.load(now, server, report);
+        if self.decides(now, Shard::Cell(spec.cell)) {
+            self.send_cell(replies);
+        }
+    }
+
+    pub(crate) fn tick_duties(&mut self, now: Time) {
+        if !self.members.permit(now) {
+            return;
+        }
+        let replies = self.shares.tick(now);
+        self.send_token(replies);
+        let mut replies = Vec::new();
+        for cell in self.cells.values_mut() {
+            replies.extend(cell.tick(now));
+        }
+        self.send_cell(replies);
+        let order = self.orders.next(now, &self.catalog, &self.watched);
+        self.out.effects.extend(order);
+    }
+
+    /// Takes a message about tokens: a question to an owner, or an owner's answer.
+    pub(crate) fn token(&mut self, now: Time, from: Peer, msg: &TokenMsg) {
+        match *msg {
+            TokenMsg::Give { .. } | TokenMsg::Queued { .. } | TokenMsg::Deny { .. } => {
+                let out = self.wallet.handle(now, msg);
+                self.wallet_out(now, out);
+            }
+            TokenMsg::Ask { ask, share, wait } if !self.decides(now, Shard::Share(share)) => {
+                let reason = Reason::NoOwner;
+                let msg = TokenMsg::Deny { ask, share, reason, retry_after: wait };
+                self.send(from.instance, Msg::Token(msg));
+            }
+            _ => {
+                let replies = self.shares.handle(now, from, msg);
+                self.send_token(replies);
+            }
+        }
+    }
+
+    /// Takes a message about a cell that this instance owns, or is taken to own.
+    pub(crate) fn cell_owned(&mut self, now: Time, from: Peer, id: CellId, msg: &CellMsg) {
+        if !self.decides(now, Shard::Cell(id)) {
+            if let CellMsg::Acquire(it) = msg {
+                let ticket = it.ticket;
+                let reason = Reason::NoOwner;
+                let msg = CellMsg::Refuse { ticket, cell: id, reason, retry_after: it.wait };
+                self.send(from.instance, Msg::Cell(msg));
+            }
+            return;
+        }
+        let Some(cell) = self.cells.get_mut(&id) else { return };
+        let replies = cell.handle(now, from, msg);
+        self.send_cell(replies);
+    }
+
+    /// A run of an instance ended: what it held is free.
+    pub(crate) fn instance_gone(
+        &mut self,
+        now: Time,
+        instance: InstanceId,
+        keep: Option<Incarnation>,
+    ) {
+        let mut replies = Vec::new();
+        for cell in self.cells.values_mut() {
+            replies.extend(cell.instance_gone(now, instance, keep));
+        }
+        if self.members.permit(now) {
+            self.send_cell(replies);
+        }
+    }
+
+    /// Forgets instances that the list does not show any more.
+    pub(crate) fn forget_unlisted(&mut self, now: Time) {
+        let listed: BTreeSet<_> = self.members.iter().map(|(id, _)| id).collect();
+        let gone: Vec<_> = self.former.difference(&listed).copied().collect();
+        for instance in gone {
+            self.instance_gone(now, instance, None);
+        }
+        self.former = listed;
+    }
+
+    fn send_token(&mut self, replies: Vec<Reply<TokenMsg>>) {
+        for reply in replies {
+            self.send(reply.to, Msg::Token(reply.msg));
+        }
+    }
+
+    pub(crate) fn send_cell(&mut self, replies: Vec<Reply<CellMsg>>) {
+        for reply in replies {
+            self.send(reply.to, Msg::Cell(reply.msg));
+        }
+    }
+}
+
+fn part_of(account: &AccountSpec, share: ShareId, zones: &[ZoneId]) -> Option<limit::ShareSpec> {
+    let parts = split(share.account, account.rate, account.burst, zones);
+    parts.into_iter().find(|it| it.share == share).map(|it| it.spec)
+}
--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -3,10 +3,18 @@
 //! [`Event`] says what happened, [`Effect`] what is to be done. Neither sockets nor clocks are
 //! used here: the daemon turns input into events and effects into output.
 
+mod budget;
+mod dump;
+mod duties;
 mod effect;
+mod entry;
 mod event;
+mod fleet;
+mod orders;
+mod request;
 mod setup;
 mod state;
+mod waiting;
 
 pub use effect::{Effect, Metric, Note, RequestOrder, RunOrder};
 pub use event::{Event, Idempotency, LoadError, LoadReport, RequestHead};
--- a/crates/model/src/msg.rs
+++ b/crates/model/src/msg.rs
@@ -19,10 +19,12 @@
 pub enum Msg {
     /// See [`Heartbeat`].
     Heartbeat(Heartbeat),
-    /// Asks for the receiver's configuration document.
+    /// Asks for the receiver's configuration document and instance list.
     ConfigPull,
     /// See [`ConfigDoc`].
     ConfigDoc(ConfigDoc),
+    /// The instance list, for instances that cannot read it from the platform.
+    ListDoc(ConfigDoc),
     /// See [`TokenMsg`].
     Token(TokenMsg),
     /// See [`CellMsg`].
@@ -71,7 +73,7 @@
     pub waiting: u32,
 }
 
-/// A configuration document.
+/// A published document.
 #[derive(Clone, PartialEq, Debug)]
 pub struct ConfigDoc {
     /// Its version.
--- a/crates/own/src/members.rs
+++ b/crates/own/src/members.rs
@@ -358,6 +358,11 @@
         heard_at.is_some_and(|at| now < at + self.times.lease)
     }
 
+    /// Returns whether all other listed instances acknowledged a heartbeat.
+    pub fn all_acked(&self) -> bool {
+        self.others().all(|(_, it)| it.acked.is_some())
+    }
+
     fn zone_peers(&self) -> impl Iterator<Item = &Member> {
         let members = self.others().map(|(_, it)| it);
         members.filter(|it| it.zone == self.zone && !it.leaving)
--- a/crates/wire/schema/peer.capnp
+++ b/crates/wire/schema/peer.capnp
@@ -49,6 +49,7 @@
     onceFree @21 :OnceFree;
     shareState @22 :ShareState;
     cellState @23 :CellState;
+    listDoc @24 :ConfigDoc;
   }
 }
 
--- a/crates/wire/src/peer_capnp.rs
+++ b/crates/wire/src/peer_capnp.rs
@@ -806,7 +806,7 @@
 }
 
 pub mod message {
-    pub use self::Which::{Heartbeat,ConfigPull,ConfigDoc,TokenAsk,TokenGive,TokenQueued,TokenDeny,TokenCancel,TokenSpent,TokenReturn,CellAcquire,CellQueued,CellGrant,CellRefuse,CellCancel,CellRelease,CellPreempt,CellHeld,CellReclaim,OnceClaim,OnceAnswer,OnceFree,ShareState,CellState};
+    pub use self::Which::{Heartbeat,ConfigPull,ConfigDoc,TokenAsk,TokenGive,TokenQueued,TokenDeny,TokenCancel,TokenSpent,TokenReturn,CellAcquire,CellQueued,CellGrant,CellRefuse,CellCancel,CellRelease,CellPreempt,CellHeld,CellReclaim,OnceClaim,OnceAnswer,OnceFree,ShareState,CellState,ListDoc};
 
     #[derive(Copy, Clone)]
     pub struct Owned(());
@@ -984,6 +984,11 @@
             !self.reader.get_pointer_field(0).is_null()
         }
         #[inline]
+        pub fn has_list_doc(&self) -> bool {
+            if self.reader.get_data_field::<u16>(0) != 24 { return false; }
+            !self.reader.get_pointer_field(0).is_null()
+        }
+        #[inline]
         pub fn which(self) -> ::core::result::Result<WhichReader<'a,>, ::capnp::NotInSchema> {
             match self.reader.get_data_field::<u16>(0) {
                 0 => {
@@ -1106,6 +1111,11 @@
                         ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(0), ::core::option::Option::None)
                     ))
                 }
+                24 => {
+                    ::core::result::Result::Ok(ListDoc(
+                        ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(0), ::core::option::Option::None)
+                    ))
+                }
                 x => ::core::result::Result::Err(::capnp::NotInSchema(x))
             }
         }
@@ -1513,6 +1523,21 @@
             !self.builder.is_pointer_field_null(0)
         }
         #[inline]
+        pub fn set_list_doc(&mut self, value: crate::peer_capnp::config_doc::Reader<'_>) -> ::capnp::Result<()> {
+            self.builder.set_data_field::<u16>(0, 24);
+            ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(0), value, false)
+        }
+        #[inline]
+        pub fn init_list_doc(self, ) -> crate::peer_capnp::config_doc::Builder<'a> {
+            self.builder.set_data_field::<u16>(0, 24);
+            ::capnp::traits::FromPointerBuilder::init_pointer(self.builder.get_pointer_field(0), 0)
+        }
+        #[inline]
+        pub fn has_list_doc(&self) -> bool {
+            if self.builder.get_data_field::<u16>(0) != 24 { return false; }
+            !self.builder.is_pointer_field_null(0)
+        }
+        #[inline]
         pub fn which(self) -> ::core::result::Result<WhichBuilder<'a,>, ::capnp::NotInSchema> {
             match self.builder.get_data_field::<u16>(0) {
                 0 => {
@@ -1635,6 +1660,11 @@
                         ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(0), ::core::option::Option::None)
                     ))
                 }
+                24 => {
+                    ::core::result::Result::Ok(ListDoc(
+                        ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(0), ::core::option::Option::None)
+                    ))
+                }
                 x => ::core::result::Result::Err(::capnp::NotInSchema(x))
             }
         }
@@ -1649,192 +1679,199 @@
     impl Pipeline  {
     }
     mod _private {
-        pub(crate) static ENCODED_NODE: [::capnp::Word; 401] = [
+        pub(crate) static ENCODED_NODE: [::capnp::Word; 416] = [
             ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
             ::capnp::word(114, 36, 246, 75, 77, 88, 122, 177),
             ::capnp::word(11, 0, 0, 0, 1, 0, 1, 0),
             ::capnp::word(134, 112, 158, 181, 194, 243, 161, 212),
-            ::capnp::word(1, 0, 7, 0, 0, 0, 24, 0),
+            ::capnp::word(1, 0, 7, 0, 0, 0, 25, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(21, 0, 0, 0, 154, 0, 0, 0),
             ::capnp::word(29, 0, 0, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(25, 0, 0, 0, 71, 5, 0, 0),
+            ::capnp::word(25, 0, 0, 0, 127, 5, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(112, 101, 101, 114, 46, 99, 97, 112),
             ::capnp::word(110, 112, 58, 77, 101, 115, 115, 97),
             ::capnp::word(103, 101, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
-            ::capnp::word(96, 0, 0, 0, 3, 0, 4, 0),
+            ::capnp::word(100, 0, 0, 0, 3, 0, 4, 0),
             ::capnp::word(0, 0, 255, 255, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(145, 2, 0, 0, 82, 0, 0, 0),
+            ::capnp::word(173, 2, 0, 0, 82, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(144, 2, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(156, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(172, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(184, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(1, 0, 254, 255, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(153, 2, 0, 0, 90, 0, 0, 0),
+            ::capnp::word(181, 2, 0, 0, 90, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(152, 2, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(164, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(180, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(192, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(2, 0, 253, 255, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(161, 2, 0, 0, 82, 0, 0, 0),
+            ::capnp::word(189, 2, 0, 0, 82, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(160, 2, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(172, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(188, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(200, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(3, 0, 252, 255, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 3, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(169, 2, 0, 0, 74, 0, 0, 0),
+            ::capnp::word(197, 2, 0, 0, 74, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(168, 2, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(180, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(196, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(208, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(4, 0, 251, 255, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 4, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(177, 2, 0, 0, 82, 0, 0, 0),
+            ::capnp::word(205, 2, 0, 0, 82, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(176, 2, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(188, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(204, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(216, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(5, 0, 250, 255, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 5, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(185, 2, 0, 0, 98, 0, 0, 0),
+            ::capnp::word(213, 2, 0, 0, 98, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(184, 2, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(196, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(212, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(224, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(6, 0, 249, 255, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 6, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(193, 2, 0, 0, 82, 0, 0, 0),
+            ::capnp::word(221, 2, 0, 0, 82, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(192, 2, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(204, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(220, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(232, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(7, 0, 248, 255, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(201, 2, 0, 0, 98, 0, 0, 0),
+            ::capnp::word(229, 2, 0, 0, 98, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(200, 2, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(212, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(228, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(240, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(8, 0, 247, 255, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 8, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(209, 2, 0, 0, 90, 0, 0, 0),
+            ::capnp::word(237, 2, 0, 0, 90, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(208, 2, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(220, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(236, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(248, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(9, 0, 246, 255, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 9, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(217, 2, 0, 0, 98, 0, 0, 0),
+            ::capnp::word(245, 2, 0, 0, 98, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(216, 2, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(228, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(244, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(0, 3, 0, 0, 2, 0, 1, 0),
             ::capnp::word(10, 0, 245, 255, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 10, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(225, 2, 0, 0, 98, 0, 0, 0),
+            ::capnp::word(253, 2, 0, 0, 98, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(224, 2, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(236, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(252, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(8, 3, 0, 0, 2, 0, 1, 0),
             ::capnp::word(11, 0, 244, 255, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 11, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(233, 2, 0, 0, 90, 0, 0, 0),
+            ::capnp::word(5, 3, 0, 0, 90, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(232, 2, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(244, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(4, 3, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(16, 3, 0, 0, 2, 0, 1, 0),
             ::capnp::word(12, 0, 243, 255, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 12, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(241, 2, 0, 0, 82, 0, 0, 0),
+            ::capnp::word(13, 3, 0, 0, 82, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(240, 2, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(252, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(12, 3, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(24, 3, 0, 0, 2, 0, 1, 0),
             ::capnp::word(13, 0, 242, 255, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 13, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(249, 2, 0, 0, 90, 0, 0, 0),
+            ::capnp::word(21, 3, 0, 0, 90, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(248, 2, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(4, 3, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(20, 3, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(32, 3, 0, 0, 2, 0, 1, 0),
             ::capnp::word(14, 0, 241, 255, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 14, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(1, 3, 0, 0, 90, 0, 0, 0),
+            ::capnp::word(29, 3, 0, 0, 90, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 3, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(12, 3, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(28, 3, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(40, 3, 0, 0, 2, 0, 1, 0),
             ::capnp::word(15, 0, 240, 255, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 15, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(9, 3, 0, 0, 98, 0, 0, 0),
+            ::capnp::word(37, 3, 0, 0, 98, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(8, 3, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(20, 3, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(36, 3, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(48, 3, 0, 0, 2, 0, 1, 0),
             ::capnp::word(16, 0, 239, 255, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 16, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(17, 3, 0, 0, 98, 0, 0, 0),
+            ::capnp::word(45, 3, 0, 0, 98, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(16, 3, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(28, 3, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(44, 3, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(56, 3, 0, 0, 2, 0, 1, 0),
             ::capnp::word(17, 0, 238, 255, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 17, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(25, 3, 0, 0, 74, 0, 0, 0),
+            ::capnp::word(53, 3, 0, 0, 74, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(24, 3, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(36, 3, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(52, 3, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(64, 3, 0, 0, 2, 0, 1, 0),
             ::capnp::word(18, 0, 237, 255, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 18, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(33, 3, 0, 0, 98, 0, 0, 0),
+            ::capnp::word(61, 3, 0, 0, 98, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(32, 3, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(44, 3, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(60, 3, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(72, 3, 0, 0, 2, 0, 1, 0),
             ::capnp::word(19, 0, 236, 255, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 19, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(41, 3, 0, 0, 82, 0, 0, 0),
+            ::capnp::word(69, 3, 0, 0, 82, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(40, 3, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(52, 3, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(68, 3, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(80, 3, 0, 0, 2, 0, 1, 0),
             ::capnp::word(20, 0, 235, 255, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 20, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(49, 3, 0, 0, 90, 0, 0, 0),
+            ::capnp::word(77, 3, 0, 0, 90, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(48, 3, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(60, 3, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(76, 3, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(88, 3, 0, 0, 2, 0, 1, 0),
             ::capnp::word(21, 0, 234, 255, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 21, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(57, 3, 0, 0, 74, 0, 0, 0),
+            ::capnp::word(85, 3, 0, 0, 74, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(56, 3, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(68, 3, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(84, 3, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(96, 3, 0, 0, 2, 0, 1, 0),
             ::capnp::word(22, 0, 233, 255, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 22, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(65, 3, 0, 0, 90, 0, 0, 0),
+            ::capnp::word(93, 3, 0, 0, 90, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(64, 3, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(76, 3, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(92, 3, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(104, 3, 0, 0, 2, 0, 1, 0),
             ::capnp::word(23, 0, 232, 255, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 23, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(73, 3, 0, 0, 82, 0, 0, 0),
+            ::capnp::word(101, 3, 0, 0, 82, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(72, 3, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(84, 3, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(100, 3, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(112, 3, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(24, 0, 231, 255, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 24, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(109, 3, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(104, 3, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(116, 3, 0, 0, 2, 0, 1, 0),
             ::capnp::word(104, 101, 97, 114, 116, 98, 101, 97),
             ::capnp::word(116, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
@@ -2051,6 +2088,14 @@
             ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(108, 105, 115, 116, 68, 111, 99, 0),
+            ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(124, 230, 33, 90, 37, 129, 62, 178),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
         ];
         pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
             match index {
@@ -2078,6 +2123,7 @@
                 21 => <crate::peer_capnp::once_free::Owned as ::capnp::introspect::Introspect>::introspect(),
                 22 => <crate::peer_capnp::share_state::Owned as ::capnp::introspect::Introspect>::introspect(),
                 23 => <crate::peer_capnp::cell_state::Owned as ::capnp::introspect::Introspect>::introspect(),
+                24 => <crate::peer_capnp::config_doc::Owned as ::capnp::introspect::Introspect>::introspect(),
                 _ => ::capnp::introspect::panic_invalid_field_index(index),
             }
         }
@@ -2092,11 +2138,11 @@
             MEMBERS_BY_NAME
         );
         pub(crate) static NONUNION_MEMBERS : &[u16] = &[];
-        pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[0,1,2,3,4,5,6,7,8,9,10,11,12,13,14,15,16,17,18,19,20,21,22,23];
-        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[10,14,12,17,16,11,18,13,15,23,2,1,0,20,19,21,22,3,7,6,4,5,9,8];
+        pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[0,1,2,3,4,5,6,7,8,9,10,11,12,13,14,15,16,17,18,19,20,21,22,23,24];
+        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[10,14,12,17,16,11,18,13,15,23,2,1,0,24,20,19,21,22,3,7,6,4,5,9,8];
         pub(crate) const TYPE_ID: u64 = 0xb17a_584d_4bf6_2472;
     }
-    pub enum Which<A0,A1,A2,A3,A4,A5,A6,A7,A8,A9,A10,A11,A12,A13,A14,A15,A16,A17,A18,A19,A20,A21,A22> {
+    pub enum Which<A0,A1,A2,A3,A4,A5,A6,A7,A8,A9,A10,A11,A12,A13,A14,A15,A16,A17,A18,A19,A20,A21,A22,A23> {
         Heartbeat(A0),
         ConfigPull(()),
         ConfigDoc(A1),
@@ -2121,9 +2167,10 @@
         OnceFree(A20),
         ShareState(A21),
         CellState(A22),
+        ListDoc(A23),
     }
-    pub type WhichReader<'a,> = Which<::capnp::Result<crate::peer_capnp::heartbeat::Reader<'a>>,::capnp::Result<crate::peer_capnp::config_doc::Reader<'a>>,::capnp::Result<crate::peer_capnp::token_ask::Reader<'a>>,::capnp::Result<crate::peer_capnp::token_give::Reader<'a>>,::capnp::Result<crate::peer_capnp::token_queued::Reader<'a>>,::capnp::Result<crate::peer_capnp::token_deny::Reader<'a>>,::capnp::Result<crate::peer_capnp::token_cancel::Reader<'a>>,::capnp::Result<crate::peer_capnp::token_lease::Reader<'a>>,::capnp::Result<crate::peer_capnp::token_lease::Reader<'a>>,::capnp::Result<crate::peer_capnp::cell_acquire::Reader<'a>>,::capnp::Result<crate::peer_capnp::cell_queued::Reader<'a>>,::capnp::Result<crate::peer_capnp::cell_grant::Reader<'a>>,::capnp::Result<crate::peer_capnp::cell_refuse::Reader<'a>>,::capnp::Result<crate::peer_capnp::cell_cancel::Reader<'a>>,::capnp::Result<crate::peer_capnp::cell_release::Reader<'a>>,::capnp::Result<crate::peer_capnp::cell_preempt::Reader<'a>>,::capnp::Result<crate::peer_capnp::cell_held::Reader<'a>>,::capnp::Result<crate::peer_capnp::cell_id::Reader<'a>>,::capnp::Result<crate::peer_capnp::once_claim::Reader<'a>>,::capnp::Result<crate::peer_capnp::once_answer::Reader<'a>>,::capnp::Result<crate::peer_capnp::once_free::Reader<'a>>,::capnp::Result<crate::peer_capnp::share_state::Reader<'a>>,::capnp::Result<crate::peer_capnp::cell_state::Reader<'a>>>;
-    pub type WhichBuilder<'a,> = Which<::capnp::Result<crate::peer_capnp::heartbeat::Builder<'a>>,::capnp::Result<crate::peer_capnp::config_doc::Builder<'a>>,::capnp::Result<crate::peer_capnp::token_ask::Builder<'a>>,::capnp::Result<crate::peer_capnp::token_give::Builder<'a>>,::capnp::Result<crate::peer_capnp::token_queued::Builder<'a>>,::capnp::Result<crate::peer_capnp::token_deny::Builder<'a>>,::capnp::Result<crate::peer_capnp::token_cancel::Builder<'a>>,::capnp::Result<crate::peer_capnp::token_lease::Builder<'a>>,::capnp::Result<crate::peer_capnp::token_lease::Builder<'a>>,::capnp::Result<crate::peer_capnp::cell_acquire::Builder<'a>>,::capnp::Result<crate::peer_capnp::cell_queued::Builder<'a>>,::capnp::Result<crate::peer_capnp::cell_grant::Builder<'a>>,::capnp::Result<crate::peer_capnp::cell_refuse::Builder<'a>>,::capnp::Result<crate::peer_capnp::cell_cancel::Builder<'a>>,::capnp::Result<crate::peer_capnp::cell_release::Builder<'a>>,::capnp::Result<crate::peer_capnp::cell_preempt::Builder<'a>>,::capnp::Result<crate::peer_capnp::cell_held::Builder<'a>>,::capnp::Result<crate::peer_capnp::cell_id::Builder<'a>>,::capnp::Result<crate::peer_capnp::once_claim::Builder<'a>>,::capnp::Result<crate::peer_capnp::once_answer::Builder<'a>>,::capnp::Result<crate::peer_capnp::once_free::Builder<'a>>,::capnp::Result<crate::peer_capnp::share_state::Builder<'a>>,::capnp::Result<crate::peer_capnp::cell_state::Builder<'a>>>;
+    pub type WhichReader<'a,> = Which<::capnp::Result<crate::peer_capnp::heartbeat::Reader<'a>>,::capnp::Result<crate::peer_capnp::config_doc::Reader<'a>>,::capnp::Result<crate::peer_capnp::token_ask::Reader<'a>>,::capnp::Result<crate::peer_capnp::token_give::Reader<'a>>,::capnp::Result<crate::peer_capnp::token_queued::Reader<'a>>,::capnp::Result<crate::peer_capnp::token_deny::Reader<'a>>,::capnp::Result<crate::peer_capnp::token_cancel::Reader<'a>>,::capnp::Result<crate::peer_capnp::token_lease::Reader<'a>>,::capnp::Result<crate::peer_capnp::token_lease::Reader<'a>>,::capnp::Result<crate::peer_capnp::cell_acquire::Reader<'a>>,::capnp::Result<crate::peer_capnp::cell_queued::Reader<'a>>,::capnp::Result<crate::peer_capnp::cell_grant::Reader<'a>>,::capnp::Result<crate::peer_capnp::cell_refuse::Reader<'a>>,::capnp::Result<crate::peer_capnp::cell_cancel::Reader<'a>>,::capnp::Result<crate::peer_capnp::cell_release::Reader<'a>>,::capnp::Result<crate::peer_capnp::cell_preempt::Reader<'a>>,::capnp::Result<crate::peer_capnp::cell_held::Reader<'a>>,::capnp::Result<crate::peer_capnp::cell_id::Reader<'a>>,::capnp::Result<crate::peer_capnp::once_claim::Reader<'a>>,::capnp::Result<crate::peer_capnp::once_answer::Reader<'a>>,::capnp::Result<crate::peer_capnp::once_free::Reader<'a>>,::capnp::Result<crate::peer_capnp::share_state::Reader<'a>>,::capnp::Result<crate::peer_capnp::cell_state::Reader<'a>>,::capnp::Result<crate::peer_capnp::config_doc::Reader<'a>>>;
+    pub type WhichBuilder<'a,> = Which<::capnp::Result<crate::peer_capnp::heartbeat::Builder<'a>>,::capnp::Result<crate::peer_capnp::config_doc::Builder<'a>>,::capnp::Result<crate::peer_capnp::token_ask::Builder<'a>>,::capnp::Result<crate::peer_capnp::token_give::Builder<'a>>,::capnp::Result<crate::peer_capnp::token_queued::Builder<'a>>,::capnp::Result<crate::peer_capnp::token_deny::Builder<'a>>,::capnp::Result<crate::peer_capnp::token_cancel::Builder<'a>>,::capnp::Result<crate::peer_capnp::token_lease::Builder<'a>>,::capnp::Result<crate::peer_capnp::token_lease::Builder<'a>>,::capnp::Result<crate::peer_capnp::cell_acquire::Builder<'a>>,::capnp::Result<crate::peer_capnp::cell_queued::Builder<'a>>,::capnp::Result<crate::peer_capnp::cell_grant::Builder<'a>>,::capnp::Result<crate::peer_capnp::cell_refuse::Builder<'a>>,::capnp::Result<crate::peer_capnp::cell_cancel::Builder<'a>>,::capnp::Result<crate::peer_capnp::cell_release::Builder<'a>>,::capnp::Result<crate::peer_capnp::cell_preempt::Builder<'a>>,::capnp::Result<crate::peer_capnp::cell_held::Builder<'a>>,::capnp::Result<crate::peer_capnp::cell_id::Builder<'a>>,::capnp::Result<crate::peer_capnp::once_claim::Builder<'a>>,::capnp::Result<crate::peer_capnp::once_answer::Builder<'a>>,::capnp::Result<crate::peer_capnp::once_free::Builder<'a>>,::capnp::Result<crate::peer_capnp::share_state::Builder<'a>>,::capnp::Result<crate::peer_capnp::cell_state::Builder<'a>>,::capnp::Result<crate::peer_capnp::config_doc::Builder<'a>>>;
 }
 
 pub mod cell_id {
--- a/crates/wire/src/read.rs
+++ b/crates/wire/src/read.rs
@@ -56,6 +56,7 @@
         Which::Heartbeat(it) => Msg::Heartbeat(heartbeat(it?)?),
         Which::ConfigPull(()) => Msg::ConfigPull,
         Which::ConfigDoc(it) => Msg::ConfigDoc(config_doc(it?)?),
+        Which::ListDoc(it) => Msg::ListDoc(config_doc(it?)?),
         Which::TokenAsk(it) => Msg::Token(token_ask(it?)?),
         Which::TokenGive(it) => Msg::Token(token_give(it?)?),
         Which::TokenQueued(it) => Msg::Token(token_queued(it?)?),
--- a/crates/wire/src/write.rs
+++ b/crates/wire/src/write.rs
@@ -4,8 +4,8 @@
 
 use model::{
     msg::{
-        Acquire, CellMsg, CellState, Handover, Heartbeat, HeldGrant, Msg, OnceMsg, OnceVerdict,
-        ShareState, TokenMsg,
+        Acquire, CellMsg, CellState, ConfigDoc, Handover, Heartbeat, HeldGrant, Msg, OnceMsg,
+        OnceVerdict, ShareState, TokenMsg,
     },
     prelude::*,
 };
@@ -28,11 +28,8 @@
     match msg {
         Msg::Heartbeat(it) => heartbeat(out.init_heartbeat(), it),
         Msg::ConfigPull => out.set_config_pull(()),
-        Msg::ConfigDoc(it) => {
-            let mut out = out.init_config_doc();
-            out.set_version(it.version.0);
-            out.set_text(&it.text[..]);
-        }
+        Msg::ConfigDoc(it) => document(out.init_config_doc(), it),
+        Msg::ListDoc(it) => document(out.init_list_doc(), it),
         Msg::Token(it) => token(out, it),
         Msg::Cell(it) => cell(out, it),
         Msg::Once(it) => once(out, it),
@@ -41,6 +38,11 @@
     }
 }
 
+fn document(mut out: schema::config_doc::Builder<'_>, it: &ConfigDoc) {
+    out.set_version(it.version.0);
+    out.set_text(&it.text[..]);
+}
+
 fn heartbeat(mut out: schema::heartbeat::Builder<'_>, it: &Heartbeat) {
     out.set_nonce(it.nonce.0);
     out.set_ack(it.ack);
--- a/crates/wire/tests/round_trip.rs
+++ b/crates/wire/tests/round_trip.rs
@@ -85,6 +85,7 @@
         Msg::Heartbeat(heartbeat),
         Msg::ConfigPull,
         Msg::ConfigDoc(ConfigDoc { version: Version(5), text: Arc::from("{\"ü\": 1}") }),
+        Msg::ListDoc(ConfigDoc { version: Version(6), text: Arc::from("{}") }),
         Msg::Token(TokenMsg::Ask { ask, share: share(), wait: SPAN }),
         Msg::Token(TokenMsg::Give { ask, share: share(), lease, ttl: SPAN }),
         Msg::Token(TokenMsg::Queued { ask, share: share(), eta: SPAN }),
