--- a/crates/fakes/src/host.rs
+++ b/crates/fakes/src/host.rs
@@ -82,9 +82,7 @@
     pub(crate) fn reset(&self) {
         let connections = std::mem::take(&mut *lock(&self.connections));
         for (_, connection) in connections {
-            // Without lingering, closing the socket resets the connection.
-            let _ =
-                rustix::net::sockopt::set_socket_linger(&connection.stream, Some(Duration::ZERO));
+            reset_on_close(&connection.stream);
             drop(connection.task);
         }
     }
@@ -145,3 +143,10 @@
 fn same(a: &TcpStream, b: &TcpStream) -> bool {
     a.peer_addr().ok() == b.peer_addr().ok()
 }
+
+/// Makes the connection end with a reset once its socket is dropped.
+pub(crate) fn reset_on_close(stream: &TcpStream) -> io::Error {
+    // Without lingering, closing a socket resets its connection.
+    let _ = rustix::net::sockopt::set_socket_linger(stream, Some(Duration::ZERO));
+    io::ErrorKind::ConnectionReset.into()
+}
--- a/crates/fakes/src/proxy.rs
+++ b/crates/fakes/src/proxy.rs
@@ -12,7 +12,7 @@
 use futures_lite::{AsyncReadExt, AsyncWriteExt, future};
 
 use crate::{
-    host::Host,
+    host::{Host, reset_on_close},
     rt::{lock, sleep, spawn},
 };
 
@@ -113,7 +113,7 @@
     }
 
     /// Resets the connections; new ones are accepted.
-    pub fn reset(&self) {
+    pub fn reset_on_close(&self) {
         self.host.reset();
     }
 
@@ -130,7 +130,7 @@
         sleep(POLL).await;
     }
     let Ok(server) = TcpStream::connect(target).await else {
-        reset(&client);
+        reset_on_close(&client);
         return;
     };
     let _ = server.set_nodelay(true);
@@ -146,20 +146,20 @@
         let both = async {
             let result = future::try_zip(forward, back).await;
             if result.is_err() {
-                reset(&client);
-                reset(&server);
+                reset_on_close(&client);
+                reset_on_close(&server);
             }
             true
         };
         future::or(half, both).await
     };
     if !open {
-        reset(&server);
+        reset_on_close(&server);
         drop(server);
         while lock(&faults).half_open {
             sleep(POLL).await;
         }
-        reset(&client);
+        reset_on_close(&client);
     }
 }
 
@@ -241,7 +241,3 @@
     *left -= allowed as u64;
     allowed
 }
-
-fn reset(stream: &TcpStream) {
-    let _ = rustix::net::sockopt::set_socket_linger(stream, Some(Duration::ZERO));
-}
--- a/crates/fakes/tests/load.rs
+++ b/crates/fakes/tests/load.rs
@@ -1,10 +1,14 @@
 //! The load tool without daemons.
 #![allow(clippy::unwrap_used)]
 
-use std::time::Duration;
+use std::{sync::Arc, time::Duration};
 
 use config::{Account, Class, Config};
-use fakes::load::{Arrival, Mix, Plan};
+use fakes::{
+    Balancer, Engine, Knobs,
+    load::{Arrival, Mix, Plan, Report, run},
+    rt::block_on,
+};
 
 const LENGTH: Duration = Duration::from_secs(20);
 
@@ -63,3 +67,22 @@
     assert!((290.0..=310.0).contains(&over(1).0), "{:?}", over(1));
     assert!(over(1).1 > 2_000);
 }
+
+#[test]
+fn a_report_counts_every_request_once() {
+    let engine = Engine::start_warm(Knobs::default().tokens_per_s(2_000.0).slots(64)).unwrap();
+    let plan = Plan::new(&mix(), 5, Duration::from_secs(2), 30.0);
+    let balancer = Arc::new(Balancer::start([(engine.address(), engine.address())]));
+
+    let samples = block_on(run(&mix(), &plan, &balancer));
+    let report = Report::new(&mix(), &plan, &samples, &engine.record());
+
+    println!("{report}");
+    let all = &report.all;
+    assert_eq!(all.offered, plan.arrivals.len());
+    assert_eq!(all.in_target + all.late + all.broken(), all.offered);
+    assert_eq!(all.broken(), 0, "{:?}", all.broken);
+    assert_eq!(report.classes.iter().map(|it| it.offered).sum::<usize>(), all.offered);
+    assert_eq!(report.accounts.iter().map(|it| it.offered).sum::<usize>(), all.offered);
+    assert_eq!(report.foreign, 0);
+}
