--- a/crates/ctl/src/main.rs
+++ b/crates/ctl/src/main.rs
@@ -1,2 +1,28 @@
-//! ctl.
-fn main() {}
+//! `clementinectl`, the operators' command-line tool.
+
+use std::{
+    io::{self, Write},
+    process::ExitCode,
+};
+
+use clap::Parser;
+use ctl::{Args, Verdict, run};
+
+fn main() -> ExitCode {
+    let args = Args::parse();
+    let mut out = io::stdout().lock();
+    let result = run(&args, &mut out).and_then(|verdict| {
+        out.flush()?;
+        Ok(verdict)
+    });
+    match result {
+        Ok(Verdict::Good) => ExitCode::SUCCESS,
+        Ok(Verdict::Bad) => ExitCode::from(1),
+        // A reader that has seen enough, as in `clementinectl dump .. | head`.
+        Err(err) if err.is_broken_pipe() => ExitCode::SUCCESS,
+        Err(err) => {
+            eprintln!("error: {err}");
+            ExitCode::from(3)
+        }
+    }
+}
--- /dev/null
+++ b/crates/ctl/src/status.rs
@@ -0,0 +1,125 @@
+//! Shows what instances say of themselves.
+
+use std::{collections::BTreeSet, io::Write, net::SocketAddr, time::Duration};
+
+use futures::future::join_all;
+use serde_json::Value;
+
+use crate::{Error, Verdict, admin, error::CallError, table::Table};
+
+/// Stands for a value that the dump does not have.
+const NO_VALUE: &str = "-";
+
+pub(crate) fn dump(
+    address: SocketAddr,
+    timeout: Duration,
+    out: &mut impl Write,
+) -> Result<Verdict, Error> {
+    let dump = async_io::block_on(admin::dump(address, timeout));
+    let dump = dump.map_err(|err| Error::call(address, err))?;
+    writeln!(out, "{dump:#}")?;
+    Ok(Verdict::Good)
+}
+
+pub(crate) fn health(
+    address: SocketAddr,
+    timeout: Duration,
+    out: &mut impl Write,
+) -> Result<Verdict, Error> {
+    let get = |path| async_io::block_on(admin::get(address, path, timeout));
+    let alive = get("/healthz").map_err(|err| Error::call(address, err))?;
+    let ready = get("/readyz").map_err(|err| Error::call(address, err))?;
+    let alive = alive.status.is_success();
+    let ready = ready.status.is_success();
+    let words =
+        [if alive { "healthy" } else { "not healthy" }, if ready { "ready" } else { "not ready" }];
+    writeln!(out, "{}", words.join(", "))?;
+    Ok(Verdict::good_if(alive && ready))
+}
+
+pub(crate) fn status(
+    addresses: &[SocketAddr],
+    timeout: Duration,
+    out: &mut impl Write,
+) -> Result<Verdict, Error> {
+    let dumps = join_all(addresses.iter().map(|it| admin::dump(*it, timeout)));
+    let dumps = async_io::block_on(dumps);
+    let rows: Vec<_> = addresses.iter().zip(&dumps).map(Row::new).collect();
+    write_table(&rows, out)?;
+    write_differences(&rows, out)?;
+    Ok(Verdict::good_if(rows.iter().all(|it| it.is_ready())))
+}
+
+/// What one instance says of itself.
+struct Row<'a> {
+    address: SocketAddr,
+    dump: &'a Result<Value, CallError>,
+}
+
+impl<'a> Row<'a> {
+    fn new((address, dump): (&SocketAddr, &'a Result<Value, CallError>)) -> Self {
+        Self { address: *address, dump }
+    }
+
+    fn field(&self, name: &str) -> Option<&'a Value> {
+        self.dump.as_ref().ok()?.get(name).filter(|it| !it.is_null())
+    }
+
+    fn is_ready(&self) -> bool {
+        self.field("ready") == Some(&Value::Bool(true))
+    }
+
+    /// Returns a value, or the number of elements of a list.
+    fn cell(&self, name: &str) -> String {
+        match self.field(name) {
+            Some(Value::Array(list)) => list.len().to_string(),
+            Some(Value::Object(fields)) => fields.len().to_string(),
+            Some(Value::String(text)) => text.clone(),
+            Some(value) => value.to_string(),
+            None => NO_VALUE.to_owned(),
+        }
+    }
+
+    fn state(&self) -> String {
+        match (self.dump, self.is_ready()) {
+            (Err(err), _) => err.to_string(),
+            (Ok(_), true) => "ready".to_owned(),
+            (Ok(_), false) => "not ready".to_owned(),
+        }
+    }
+}
+
+fn write_table(rows: &[Row<'_>], out: &mut impl Write) -> Result<(), Error> {
+    let mut table = Table::new([
+        "ADDRESS", "INSTANCE", "ZONE", "CONFIG", "LIST", "PEERS", "SHARDS", "CELLS", "REQUESTS",
+        "STATE",
+    ]);
+    for row in rows {
+        table.push([
+            row.address.to_string(),
+            row.cell("instance"),
+            row.cell("zone"),
+            row.cell("config_version"),
+            row.cell("list_version"),
+            row.cell("peers"),
+            row.cell("shards"),
+            row.cell("cells"),
+            row.cell("requests"),
+            row.state(),
+        ]);
+    }
+    table.write(out)?;
+    Ok(())
+}
+
+/// Points out what should be the same everywhere and is not.
+fn write_differences(rows: &[Row<'_>], out: &mut impl Write) -> Result<(), Error> {
+    for (name, title) in [("config_version", "configuration"), ("list_version", "instance list")] {
+        let versions: BTreeSet<_> = rows.iter().filter_map(|it| it.field(name)?.as_u64()).collect();
+        if versions.len() > 1 {
+            let versions: Vec<_> = versions.iter().map(ToString::to_string).collect();
+            writeln!(out, "versions of the {title} differ: {}", versions.join(", "))?;
+        }
+    }
+    Ok(())
+}
