--- a/crates/ctl/src/status.rs
+++ b/crates/ctl/src/status.rs
@@ -47,7 +47,7 @@
     let rows: Vec<_> = addresses.iter().zip(&dumps).map(Row::new).collect();
     write_table(&rows, out)?;
     write_differences(&rows, out)?;
-    Ok(Verdict::good_if(rows.iter().all(|it| it.is_ready())))
+    Ok(Verdict::good_if(rows.iter().all(Row::is_ready)))
 }
 
 /// What one instance says of itself.
