Run the daemon: control thread, peers over Cap'n Proto RPC, logs, program

Cause: the reducer and the traffic threads had no process around them.

Change: the control thread takes inputs in batches, steps the reducer and executes its effects. Instances talk over one connection for each address: bounded queues, a deadline for each call, nothing written late, limits on what a message of another process may cost. The program checks its settings, binds, logs and ends with status 0 after the drain.

Ruled out: a writer without deadlines, because a process that is stopped between making and writing a call would write it when it goes on, before any timer has fired.

Seen by hand: health, readiness, dump and a refused request with the reducer's stub; bad settings print all findings and end with status 2.

--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -3,15 +3,20 @@
 pub mod admin;
 mod clock;
 mod deadline;
+pub mod driver;
 mod forward;
 pub mod front;
 mod http;
 mod link;
+pub mod logging;
 pub mod metrics;
+pub mod peer;
 pub mod platform;
+mod process;
 mod traffic;
 pub mod watch;
 
 pub use clock::Clock;
 pub use link::{Input, Link, Shared};
+pub use process::{RunError, run};
 pub use traffic::{Pool, Traffic};
--- /dev/null
+++ b/crates/daemon/src/logging.rs
@@ -0,0 +1,72 @@
+//! Log lines: time, level, message and fields, one record a line.
+
+use std::{
+    fmt,
+    io::{self, Write},
+    panic, thread,
+};
+
+use env_logger::{Env, fmt::Formatter};
+use log::{
+    Record, SetLoggerError,
+    kv::{self, Key, Value, VisitSource},
+};
+
+/// What is logged unless the environment variable `RUST_LOG` says otherwise.
+const DEFAULT_FILTER: &str = "info";
+
+/// Starts to log to standard error, with the instance's name in each line. Panics are logged, too.
+pub fn init(instance: &str) -> Result<(), SetLoggerError> {
+    let instance = instance.to_owned();
+    env_logger::Builder::from_env(Env::default().default_filter_or(DEFAULT_FILTER))
+        .format(move |buf, record| write_line(buf, &instance, record))
+        .try_init()?;
+    panic::set_hook(Box::new(|info| {
+        let thread = thread::current();
+        let thread = thread.name().unwrap_or("unnamed");
+        let place = info.location().map(ToString::to_string).unwrap_or_default();
+        let message = info.payload_as_str().unwrap_or("no message");
+        log::error!(thread, place, message; "panic");
+    }));
+    Ok(())
+}
+
+fn write_line(buf: &mut Formatter, instance: &str, record: &Record<'_>) -> io::Result<()> {
+    let time = buf.timestamp_millis();
+    let message = Quoted(record.args().to_string());
+    write!(buf, "{time} {:5} {message} instance={}", record.level(), Quoted(instance.to_owned()))?;
+    let mut fields = Fields { buf, result: Ok(()) };
+    // The visitor keeps the first error itself.
+    let _ = record.key_values().visit(&mut fields);
+    fields.result?;
+    writeln!(buf, " target={}", record.target())
+}
+
+/// Writes fields as `key=value`.
+struct Fields<'a> {
+    buf: &'a mut Formatter,
+    result: io::Result<()>,
+}
+
+impl<'kvs> VisitSource<'kvs> for Fields<'_> {
+    fn visit_pair(&mut self, key: Key<'kvs>, value: Value<'kvs>) -> Result<(), kv::Error> {
+        if self.result.is_ok() {
+            self.result = write!(self.buf, " {key}={}", Quoted(value.to_string()));
+        }
+        Ok(())
+    }
+}
+
+/// A text that is quoted where it would not be one word, so that no input can forge a line.
+struct Quoted(String);
+
+impl fmt::Display for Quoted {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let is_word = |it: char| it.is_ascii_graphic() && !matches!(it, '"' | '=' | '\\');
+        if !self.0.is_empty() && self.0.chars().all(is_word) {
+            f.write_str(&self.0)
+        } else {
+            write!(f, "{:?}", self.0)
+        }
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/peer/outgoing.rs
@@ -0,0 +1,130 @@
+//! Messages on their way to other instances.
+
+use std::{collections::HashMap, net::SocketAddr, rc::Rc};
+
+use async_channel::{Sender, bounded};
+use async_executor::{LocalExecutor, Task};
+use async_io::Timer;
+use model::prelude::*;
+
+use super::sender;
+use crate::Clock;
+
+/// Envelopes that wait for one instance; the oldest ones make room for newer ones.
+const QUEUE: usize = 256;
+/// Messages in one envelope.
+const MAX_MESSAGES: usize = 256;
+/// Interval at which [`Peers::drain`] looks whether everything was delivered.
+const DRAIN_INTERVAL: Duration = Duration::from_millis(5);
+
+/// Sends messages to other instances, over one connection for each address.
+pub struct Peers {
+    me: Peer,
+    clock: Clock,
+    executor: Rc<LocalExecutor<'static>>,
+    /// Messages since the last [`Peers::flush`].
+    batches: HashMap<Receiver, Vec<Msg>>,
+    lanes: HashMap<SocketAddr, Lane>,
+    /// Held by every envelope that is not delivered yet.
+    undelivered: Rc<()>,
+}
+
+/// An instance, and where it is reached.
+#[derive(Clone, Copy, PartialEq, Eq, Hash, Debug)]
+struct Receiver {
+    to: InstanceId,
+    address: SocketAddr,
+}
+
+/// Messages that go in one envelope.
+#[derive(Debug)]
+pub(super) struct Batch {
+    /// The receiver.
+    pub(super) to: InstanceId,
+    /// The messages in the order in which they were made.
+    pub(super) msgs: Vec<Msg>,
+    /// When the first one was made.
+    pub(super) made: Time,
+    /// Tells [`Peers`] when the batch is dropped.
+    pub(super) _undelivered: Rc<()>,
+}
+
+/// The way to one address.
+struct Lane {
+    queue: Sender<Batch>,
+    /// Dropped with the lane, which closes the connection.
+    _task: Task<()>,
+}
+
+impl Peers {
+    /// Starts without connections.
+    pub fn new(me: Peer, clock: Clock, executor: Rc<LocalExecutor<'static>>) -> Self {
+        let (batches, lanes) = Default::default();
+        Self { me, clock, executor, batches, lanes, undelivered: Rc::new(()) }
+    }
+
+    /// Takes a message, which goes out with the next [`Peers::flush`].
+    pub fn send(&mut self, to: InstanceId, address: SocketAddr, msg: Msg) {
+        self.batches.entry(Receiver { to, address }).or_default().push(msg);
+    }
+
+    /// Sends what was taken since the last time, one envelope for each instance.
+    pub fn flush(&mut self, now: Time) {
+        for (receiver, msgs) in std::mem::take(&mut self.batches) {
+            for msgs in split(msgs) {
+                self.enqueue(now, receiver, msgs);
+            }
+        }
+    }
+
+    /// Waits until everything is delivered or dropped, at most until the deadline.
+    pub async fn drain(&self, deadline: Time) {
+        while Rc::strong_count(&self.undelivered) > 1 && self.clock.now() < deadline {
+            Timer::after(DRAIN_INTERVAL).await;
+        }
+    }
+
+    /// Returns the number of addresses that messages were sent to lately.
+    pub fn lanes(&self) -> usize {
+        self.lanes.values().filter(|it| !it.queue.is_closed()).count()
+    }
+
+    fn enqueue(&mut self, now: Time, receiver: Receiver, msgs: Vec<Msg>) {
+        let _undelivered = Rc::clone(&self.undelivered);
+        let batch = Batch { to: receiver.to, msgs, made: now, _undelivered };
+        // The queue is open: a lane that has ended was replaced.
+        if let Ok(Some(dropped)) = self.lane(receiver.address).queue.force_send(batch) {
+            let count = dropped.msgs.len();
+            log::debug!(address:% = receiver.address, count; "dropped messages of a full queue");
+        }
+    }
+
+    /// Returns the lane to an address; lanes that were idle for long have ended.
+    fn lane(&mut self, address: SocketAddr) -> &Lane {
+        if self.lanes.get(&address).is_none_or(|it| it.queue.is_closed()) {
+            self.lanes.retain(|_, it| !it.queue.is_closed());
+        }
+        self.lanes.entry(address).or_insert_with(|| {
+            let (queue, batches) = bounded(QUEUE);
+            let run = sender::run(self.me, address, self.clock, batches);
+            Lane { queue, _task: self.executor.spawn(run) }
+        })
+    }
+}
+
+/// Splits messages so that no envelope gets too large: large messages end theirs.
+fn split(msgs: Vec<Msg>) -> Vec<Vec<Msg>> {
+    let mut envelopes = Vec::new();
+    let mut envelope = Vec::new();
+    for msg in msgs {
+        let is_large = matches!(msg, Msg::ConfigDoc(_) | Msg::Handover(_));
+        envelope.push(msg);
+        if is_large || envelope.len() == MAX_MESSAGES {
+            envelopes.push(std::mem::take(&mut envelope));
+        }
+    }
+    if !envelope.is_empty() {
+        envelopes.push(envelope);
+    }
+    envelopes
+}
