--- a/crates/fakes/src/client.rs
+++ b/crates/fakes/src/client.rs
@@ -15,6 +15,9 @@
 
 const TIMEOUT: Duration = Duration::from_secs(30);
 const BUF_BYTES: usize = 16 * 1024;
+/// The decoder of `async-h1` forgets to wake its reader when the end of a chunked body comes in
+/// two pieces, so it is polled again after this time.
+const POLL_AGAIN: Duration = Duration::from_millis(20);
 const DONE: &str = "[DONE]";
 
 /// A request as a caller sends it.
@@ -275,13 +278,14 @@
     let length = response.len();
     let mut buf = vec![0; BUF_BYTES];
     loop {
-        match response.read(&mut buf).await {
-            Ok(0) => break,
-            Ok(n) => {
+        match timeout(POLL_AGAIN, response.read(&mut buf)).await {
+            None => {}
+            Some(Ok(0)) => break,
+            Some(Ok(n)) => {
                 reply.first_byte.get_or_insert_with(|| start.elapsed());
                 reply.body.extend_from_slice(&buf[..n]);
             }
-            Err(_) => return false,
+            Some(Err(_)) => return false,
         }
     }
     // The decoder ends a short body without an error.
--- a/crates/fakes/src/lib.rs
+++ b/crates/fakes/src/lib.rs
@@ -45,5 +45,5 @@
 pub use ports::free_port;
 pub use process::Process;
 pub use proxy::{Direction, Proxy};
-pub use record::{Entry, Finish, peak, peak_running};
+pub use record::{Entry, Finish, excess, peak, peak_running};
 pub use trial::{Outcome, Scenario, Trial};
--- a/crates/fakes/src/record.rs
+++ b/crates/fakes/src/record.rs
@@ -87,3 +87,19 @@
 pub fn peak_running<'a>(entries: impl IntoIterator<Item = &'a Entry>) -> usize {
     entries.into_iter().map(|it| it.running).max().unwrap_or(0)
 }
+
+/// Returns by how much the arrivals pass `rate * window + burst` in the worst of all windows of
+/// every length; zero or less if they never do. The entries may be in any order.
+pub fn excess<'a>(entries: impl IntoIterator<Item = &'a Entry>, rate: f64, burst: u32) -> f64 {
+    let mut times: Vec<Instant> = entries.into_iter().map(|it| it.at).collect();
+    times.sort();
+    let Some(&start) = times.first() else { return -f64::from(burst) };
+    let mut lowest = f64::INFINITY;
+    let mut worst = f64::NEG_INFINITY;
+    for (before, time) in times.iter().enumerate() {
+        let refill = rate * (*time - start).as_secs_f64();
+        lowest = lowest.min(before as f64 - refill);
+        worst = worst.max((before + 1) as f64 - refill - lowest);
+    }
+    worst - f64::from(burst)
+}
--- a/crates/fakes/src/trial.rs
+++ b/crates/fakes/src/trial.rs
@@ -1,6 +1,7 @@
 //! One run of a fleet under load and faults.
 
 use std::{
+    collections::{HashMap, HashSet},
     sync::Arc,
     thread,
     time::{Duration, Instant},
@@ -11,7 +12,7 @@
 use serde::Serialize;
 
 use crate::{
-    Deployment, Entry, Fleet, FleetError, key_of,
+    Deployment, Entry, Fleet, FleetError, excess, key_of,
     load::{self, Plan, Report},
     rt::{block_on, spawn},
 };
@@ -83,6 +84,9 @@
     pub keys_seen: usize,
     /// Non-idempotent requests that ran more than once.
     pub doubled: usize,
+    /// By how much the account that passed its rate furthest did so, in attempts; counted at the
+    /// backend servers over windows of every length.
+    pub excess: f64,
     /// Requests that ran although the caller was told that they did not.
     pub false_not_run: usize,
 }
@@ -96,6 +100,7 @@
             ("doubled non-idempotent requests", self.doubled),
             ("false refusals as not run", self.false_not_run),
             ("foreign answers", self.report.foreign),
+            ("attempts over an account's rate", self.excess.max(0.0).ceil() as usize),
         ];
         let broken = counts.iter().filter(|(_, count)| *count > 0);
         broken.map(|(what, count)| format!("{what}: {count}")).collect()
@@ -136,6 +141,7 @@
             falls: fleet.engines().values().map(crate::Engine::falls).sum(),
             keys_seen: record.iter().filter(|it| has_key(fleet, it)).count(),
             doubled: repeated(record.iter().filter(non_idempotent)),
+            excess: worst_excess(fleet, &record),
             false_not_run: false_not_run(&samples, &record),
         })
     }
@@ -216,6 +222,20 @@
     routes.any(|it| !it.idempotent && it.path == request.path && it.method == request.method)
 }
 
+/// Returns by how much the account that passed its rate furthest did so.
+fn worst_excess(fleet: &Fleet, record: &[Entry]) -> f64 {
+    let mut by_account: HashMap<String, Vec<&Entry>> = HashMap::new();
+    for entry in record {
+        by_account.entry(entry.account()).or_default().push(entry);
+    }
+    let accounts = fleet.config().accounts.iter();
+    let excesses = accounts.filter_map(|account| {
+        let entries = by_account.get(&account.name)?;
+        Some(excess(entries.iter().copied(), account.rate, account.burst))
+    });
+    excesses.fold(f64::NEG_INFINITY, f64::max)
+}
+
 /// Returns how many requests ran more than once.
 fn repeated<'a>(entries: impl Iterator<Item = &'a Entry>) -> usize {
     let mut nonces: Vec<String> = entries.filter(|it| it.ran()).map(Entry::nonce).collect();
@@ -226,8 +246,7 @@
 }
 
 fn false_not_run(samples: &[load::Sample], record: &[Entry]) -> usize {
-    let ran: std::collections::HashSet<String> =
-        record.iter().filter(|it| it.ran()).map(Entry::nonce).collect();
+    let ran: HashSet<String> = record.iter().filter(|it| it.ran()).map(Entry::nonce).collect();
     let refused = samples.iter().filter(|it| it.reply.is_not_run());
     refused.filter(|it| ran.contains(&format!("n{}", it.arrival.no))).count()
 }
--- a/crates/fakes/tests/fakes.rs
+++ b/crates/fakes/tests/fakes.rs
@@ -5,7 +5,8 @@
 
 use config::InstanceList;
 use fakes::{
-    Call, Client, Direction, End, Engine, Fault, Finish, Knobs, Platform, Proxy, Reply,
+    Call, Client, Direction, End, Engine, Entry, Fault, Finish, Knobs, Platform, Proxy, Reply,
+    excess, peak,
     rt::{block_on, sleep, spawn},
 };
 
@@ -115,6 +116,25 @@
     assert_eq!(after, End::Whole);
 }
 
+#[test]
+fn the_worst_window_of_every_length_is_found() {
+    let engine = warm_engine();
+    send(&engine, &completion("1"));
+    let first = engine.record().remove(0);
+    let at = |millis: u64| Entry { at: first.at + Duration::from_millis(millis), ..first.clone() };
+    // A pause, then three at once and one a second later.
+    let entries = [at(0), at(10_000), at(10_000), at(10_000), at(11_000)];
+
+    let even = excess(&entries, 1.0, 3);
+    let tight = excess(&entries, 1.0, 2);
+    let slow = excess(&entries, 0.5, 3);
+
+    assert!(even.abs() < 1e-6, "{even}");
+    assert!((tight - 1.0).abs() < 1e-6, "{tight}");
+    assert!((slow - 0.5).abs() < 1e-6, "{slow}");
+    assert_eq!(peak(&entries, Duration::from_millis(500)), 3);
+}
+
 #[test]
 fn a_fenced_engine_refuses_old_orders() {
     let engine = Engine::start_warm(Knobs::default().fenced()).unwrap();
