--- a/crates/sched/src/cell.rs
+++ b/crates/sched/src/cell.rs
@@ -20,6 +20,7 @@
     prefix::Prefixes,
     queue::{Place, Queue, Waiter, WaiterKey},
     recent::Recent,
+    server::Server,
     servers::{Servers, Wish},
     start::{ServerPlan, Start},
     starvation::{Starvation, TierClass},
@@ -205,8 +206,8 @@
         match msg {
             CellMsg::Acquire(req) => self.acquire(now, from, req, &mut out),
             CellMsg::Cancel { ticket, .. } => self.cancel(now, (from, *ticket)),
-            CellMsg::Release { grant, end, cold, .. } => {
-                self.release(now, from, *grant, *end, *cold);
+            CellMsg::Release { grant, server, end, cold, .. } => {
+                self.release(now, from, *grant, *server, Outcome { end: *end, cold: *cold });
             }
             CellMsg::Held { grants, .. } => self.held(now, from, grants),
             _ => {}
@@ -340,9 +341,7 @@
     fn advance(&mut self, now: Time, out: &mut Replies) {
         self.end_reclaim(now);
         self.free_silent(now);
-        while let Some(key) = self.queue.expired(now) {
-            self.refuse(now, key, Reason::Capacity, out);
-        }
+        self.expire(now, out);
         if !self.servers.any_open() {
             self.refuse_all(now, out);
         }
@@ -386,8 +385,9 @@
             }
             None => {}
         }
-        // What can be served without this request is served before it.
-        self.advance(now, out);
+        // A request whose time is over must not take the place of this one; a free server is not
+        // given away before this one stands in the queue.
+        self.expire(now, out);
         let waiter = self.waiter(now, from, req);
         match self.admit(now, &waiter, out) {
             Ok(()) => self.enqueue(now, waiter, out),
@@ -493,6 +493,12 @@
         self.close(now, (waiter.from, waiter.req.ticket), Closed::Done);
     }
 
+    fn expire(&mut self, now: Time, out: &mut Replies) {
+        while let Some(key) = self.queue.expired(now) {
+            self.refuse(now, key, Reason::Capacity, out);
+        }
+    }
+
     fn refuse_all(&mut self, now: Time, out: &mut Replies) {
         let keys: Vec<WaiterKey> = self.queue.keys().collect();
         for key in keys {
@@ -673,7 +679,9 @@
     ) {
         self.servers.start(held.server);
         let server = self.servers.get_or_closed(held.server);
-        let epoch = server.epoch;
+        // An attempt that started under another owner may have ended before a cold start that this
+        // owner knows of.
+        let epoch = ticket.map(|_| server.epoch);
         let grant = Grant { held, holder, ticket, since: now, epoch, preempted: false, guaranteed };
         if grant.is_preemptible() {
             server.preemptible.insert((Reverse(held.tier), Reverse(now), held.grant));
@@ -718,27 +726,26 @@
         Some(grant)
     }
 
-    fn release(&mut self, now: Time, from: Peer, id: GrantId, end: AttemptEnd, cold: bool) {
-        match self.grants.get(id) {
-            Some(grant) if grant.holder == from => {}
-            Some(_) => return,
-            None => {}
+    fn release(&mut self, now: Time, from: Peer, id: GrantId, server: ServerId, outcome: Outcome) {
+        let is_other = |it: &Grant| it.holder != from;
+        if self.released.get(&id).is_some() || self.grants.get(id).is_some_and(is_other) {
+            return;
         }
         // A list from before the release may still be under way.
         self.released.insert(now, id, ());
+        if let Some(server) = self.servers.get_mut(server) {
+            outcome.chill(server);
+        }
         let Some(grant) = self.free(now, id) else { return };
-        self.learn(now, &grant, end, cold);
+        self.learn(now, &grant, outcome);
         self.servers.judge(now, grant.held.server);
     }
 
-    fn learn(&mut self, now: Time, grant: &Grant, end: AttemptEnd, cold: bool) {
+    fn learn(&mut self, now: Time, grant: &Grant, outcome: Outcome) {
         let Some(server) = self.servers.get_mut(grant.held.server) else { return };
-        if cold {
-            server.declare_cold();
-        }
-        match end {
+        match outcome.end {
             AttemptEnd::Completed { total, tokens, .. } => {
-                if !cold {
+                if !outcome.cold {
                     server.completed(now, grant.epoch);
                 }
                 if let Some(service) = self.forecast.service(grant.held.class) {
@@ -746,11 +753,9 @@
                 }
                 self.forecast.learn(grant.held.class, total, tokens);
             }
-            AttemptEnd::ConnectFailed | AttemptEnd::Broken { .. } => {
-                server.turn_cold();
+            AttemptEnd::ConnectFailed | AttemptEnd::Broken { .. } | AttemptEnd::TimedOut { .. } => {
                 server.failed();
             }
-            AttemptEnd::TimedOut { .. } => server.failed(),
             AttemptEnd::ServerBusy => server.busy(),
             AttemptEnd::CallerLeft | AttemptEnd::Preempted | AttemptEnd::Unused => {}
         }
@@ -812,6 +817,26 @@
     }
 }
 
+/// How an attempt ended.
+#[derive(Clone, Copy, Debug)]
+struct Outcome {
+    end: AttemptEnd,
+    /// Whether the server said that it is in its cold start.
+    cold: bool,
+}
+
+impl Outcome {
+    /// Turns the server cold if the outcome says that it restarted, or may have.
+    fn chill(self, server: &mut Server) {
+        if self.cold {
+            server.declare_cold();
+        }
+        if matches!(self.end, AttemptEnd::ConnectFailed | AttemptEnd::Broken { .. }) {
+            server.turn_cold();
+        }
+    }
+}
+
 fn owned_grant(grant: &Grant) -> OwnedGrant {
     OwnedGrant {
         holder: grant.holder.instance,
--- a/crates/sched/src/grants.rs
+++ b/crates/sched/src/grants.rs
@@ -12,8 +12,8 @@
     /// The holder's ticket; none for a grant of a former owner.
     pub(crate) ticket: Option<TicketId>,
     pub(crate) since: Time,
-    /// The server's cold starts before the grant.
-    pub(crate) epoch: u64,
+    /// The server's cold starts before the grant; none for a grant of a former owner.
+    pub(crate) epoch: Option<u64>,
     /// Whether it was asked back.
     pub(crate) preempted: bool,
     /// Whether it went to a starving class, and is not asked back.
--- a/crates/sched/src/server.rs
+++ b/crates/sched/src/server.rs
@@ -183,8 +183,8 @@
 
     /// Takes an attempt that completed; `epoch` is from when it started. An attempt from before a
     /// cold start proves nothing.
-    pub(crate) fn completed(&mut self, now: Time, epoch: u64) {
-        if epoch != self.epoch {
+    pub(crate) fn completed(&mut self, now: Time, epoch: Option<u64>) {
+        if epoch != Some(self.epoch) {
             return;
         }
         if !self.reports(now) {
@@ -234,7 +234,9 @@
     pub(crate) fn turn_cold(&mut self) {
         self.epoch += 1;
         self.proved_at = None;
-        self.warmth = Warmth::Ramping { limit: self.plan.cold_limit };
+        if let Warmth::Ramping { limit } = &mut self.warmth {
+            *limit = self.plan.cold_limit;
+        }
     }
 
     /// Takes the server's word that it is in its cold start.
--- a/crates/sched/tests/rules.rs
+++ b/crates/sched/tests/rules.rs
@@ -11,7 +11,9 @@
     msg::{Acquire, CellMsg},
     prelude::*,
 };
-use sched::{Cell, HELD_GRACE, MIN_SHARE, RECLAIM_WAIT, STARVATION_WINDOW, ServerPlan, Start};
+use sched::{
+    Cell, HELD_GRACE, HOLDER_SILENCE, MIN_SHARE, RECLAIM_WAIT, STARVATION_WINDOW, ServerPlan, Start,
+};
 
 /// Ends the running attempt again and again; returns the tickets in the order of their grants.
 fn drain(bench: &mut Bench, mut running: Granted) -> Vec<TicketId> {
@@ -41,14 +43,17 @@
 fn full_queue_sheds_the_lowest_tier() {
     let mut bench = Bench::warm(Policy::Tiered, 1);
     bench.run(Acquire { idempotent: false, ..request(0, 1) });
-    let low: Vec<_> = (0..21).map(|_| bench.acquire(request(2, 1)).0).collect();
+    for _ in 0..5 {
+        bench.acquire(request(1, 1));
+    }
+    let low: Vec<_> = (0..17).map(|_| bench.acquire(request(2, 1)).0).collect();
 
     let (extra, refused_low) = bench.acquire(request(2, 1));
     bench.acquire(request(0, 1));
     let (_, refused_for_high) = bench.acquire(request(0, 1));
 
     assert_eq!(refused(&refused_low), [(extra, Reason::Capacity)]);
-    assert_eq!(refused(&refused_for_high), [(low[20], Reason::Capacity)]);
+    assert_eq!(refused(&refused_for_high), [(low[16], Reason::Capacity)]);
 }
 
 #[test]
@@ -114,6 +119,27 @@
     assert!((3..=4).contains(&served.len()), "{served:?}");
 }
 
+#[test]
+fn starving_classes_together_get_a_small_share() {
+    let mut bench = Bench::warm(Policy::Tiered, 1);
+    let mut running = bench.run(request(0, 1));
+    let low = |tier| Acquire { wait: WAIT * 10, ..request(tier, 1) };
+    let starving: Vec<_> = (1..8).map(|tier| bench.acquire(low(tier)).0).collect();
+    let mut ahead = Vec::new();
+
+    for _ in 0..140 {
+        bench.acquire(request(0, 1));
+        bench.now = bench.now + Duration::from_millis(100);
+        bench.cell.load(bench.now, ServerId(1), Ok(report(1, false)));
+        running = grants(&bench.release(running, completed(10), false))[0];
+        ahead.push(starving.contains(&running.ticket));
+    }
+
+    let most = ahead.windows(MIN_SHARE as usize).map(|it| it.iter().filter(|it| **it).count());
+    assert_eq!(most.max(), Some(1));
+    assert_eq!(ahead.iter().filter(|it| **it).count(), starving.len());
+}
+
 #[test]
 fn cold_server_ramps_by_completed_requests() {
     let mut bench = Bench::new(Policy::Tiered, &[plan(1, 8, 2)]);
@@ -301,10 +327,11 @@
 fn idempotent_work_of_the_lowest_tier_is_preempted() {
     let mut bench = Bench::warm(Policy::Tiered, 4);
     bench.run(request(1, 1));
-    bench.run(Acquire { idempotent: false, ..request(2, 1) });
     bench.run(request(2, 1));
     bench.pass(1);
     let youngest = bench.run(request(2, 1));
+    bench.pass(1);
+    bench.run(Acquire { idempotent: false, ..request(2, 1) });
 
     let (high, replies) = bench.acquire(request(0, 1));
     let (_, same) = bench.acquire(request(2, 1));
@@ -418,6 +445,16 @@
     assert_eq!([kept, dump.grants, dump.waiting.len()], [1, 0, 0]);
 }
 
+#[test]
+fn run_that_ended_unnoticed_loses_its_grants() {
+    let mut bench = Bench::warm(Policy::Tiered, 1);
+    bench.run(request(1, 1));
+
+    bench.pass(HOLDER_SILENCE.as_millis() as u64);
+
+    assert_eq!(bench.cell.dump(bench.now).grants, 0);
+}
+
 #[test]
 fn baselines_ignore_tiers_but_not_limits() {
     for policy in [Policy::RoundRobin, Policy::Fifo, Policy::StaticLimits] {
