--- a/crates/config/src/check/config.rs
+++ b/crates/config/src/check/config.rs
@@ -140,6 +140,9 @@
             if route.method.eq_ignore_ascii_case("CONNECT") {
                 out.error(place.field("method"), "tunnels are not routed");
             }
+            if route.path.split('/').any(|it| matches!(it, "." | "..")) {
+                out.error(place.field("path"), "has dot segments, which no request keeps");
+            }
             if let Some(pool) = &route.pool {
                 self.pools.check_reference("pool", pool, place.field("pool"), out);
             }
--- a/crates/config/src/schema.rs
+++ b/crates/config/src/schema.rs
@@ -19,8 +19,8 @@
 pub(crate) const KEY_HASH: &str = "^[0-9a-fA-F]{64}$";
 /// A token of HTTP.
 pub(crate) const METHOD: &str = "^[!#$%&'*+.^_`|~0-9A-Za-z-]{1,32}$";
-/// A path as it stands in a request line, without query and fragment.
-pub(crate) const PATH: &str = "^/[^\\s?#\\x00-\\x20\\x7f]{0,1023}$";
+/// A path as it stands in a request line, without query and fragment (RFC 3986).
+pub(crate) const PATH: &str = "^/[A-Za-z0-9._~!$&'()*+,;=:@%/-]{0,1023}$";
 /// No time in a document is longer, in milliseconds.
 pub(crate) const DAY_MS: u64 = 24 * 60 * 60 * 1_000;
 
--- a/crates/config/tests/check.rs
+++ b/crates/config/tests/check.rs
@@ -270,6 +270,7 @@
     let doc = push(doc, "/routes", route("c", "GET", "c"));
     let doc = push(doc, "/routes", route("d", "GET", "/d?x=1"));
     let doc = push(doc, "/routes", route("e", "CONNECT", "/e"));
+    let doc = push(doc, "/routes", route("f", "GET", "/e/../f"));
     let doc = with(doc, "/routes/0/classes", json!([]));
 
     let findings = Config::parse(&doc.to_string()).unwrap_err();
@@ -283,6 +284,7 @@
             "/routes/4/path",
             "/routes/1/path",
             "/routes/5/method",
+            "/routes/6/path",
         ]
     );
 }
--- a/crates/declare/src/deployment.rs
+++ b/crates/declare/src/deployment.rs
@@ -67,9 +67,9 @@
         })
     }
 
-    fn accounts<'a>(&'a self, tenants: &'a [Tenant]) -> impl Iterator<Item = Account> + 'a {
-        tenants.iter().enumerate().map(|(i, tenant)| {
-            let account = Account::new(tenant.name).rate(tenant.rate).burst(tenant.burst);
+    fn accounts<'a>(&'a self, quotas: &'a [Quota]) -> impl Iterator<Item = Account> + 'a {
+        quotas.iter().enumerate().map(|(i, quota)| {
+            let account = Account::new(quota.name).rate(quota.rate).burst(quota.burst);
             match self.keys.get(i) {
                 Some(key) => account.key(key),
                 None => account,
@@ -78,14 +78,14 @@
     }
 }
 
-/// A client account without its key.
-struct Tenant {
+/// The name and the limits of a client account.
+struct Quota {
     name: &'static str,
     rate: f64,
     burst: u32,
 }
 
-impl Tenant {
+impl Quota {
     const fn new(name: &'static str, rate: f64, burst: u32) -> Self {
         Self { name, rate, burst }
     }
--- a/crates/declare/src/deployment/adwoa.rs
+++ b/crates/declare/src/deployment/adwoa.rs
@@ -2,23 +2,23 @@
 
 use std::time::Duration;
 
-use super::{Site, Tenant};
+use super::{Quota, Site};
 use crate::{Class, Fleet, Pool, Route, Zone};
 
 const ZONES: [&str; 3] = ["osu", "tema", "madina"];
 const MODEL: &str = "recipes";
 const STOCK: &str = "stock";
-const TENANTS: [Tenant; 10] = [
-    Tenant::new("head-office", 50.0, 60),
-    Tenant::new("menu-team", 40.0, 45),
-    Tenant::new("outlet-osu", 30.0, 40),
-    Tenant::new("outlet-labone", 12.0, 18),
-    Tenant::new("outlet-tema", 12.0, 18),
-    Tenant::new("outlet-madina", 12.0, 18),
-    Tenant::new("outlet-kumasi", 12.0, 18),
-    Tenant::new("outlet-takoradi", 8.0, 12),
-    Tenant::new("outlet-tamale", 8.0, 12),
-    Tenant::new("training", 3.0, 6),
+const QUOTAS: [Quota; 10] = [
+    Quota::new("head-office", 50.0, 60),
+    Quota::new("menu-team", 40.0, 45),
+    Quota::new("outlet-osu", 30.0, 40),
+    Quota::new("outlet-labone", 12.0, 18),
+    Quota::new("outlet-tema", 12.0, 18),
+    Quota::new("outlet-madina", 12.0, 18),
+    Quota::new("outlet-kumasi", 12.0, 18),
+    Quota::new("outlet-takoradi", 8.0, 12),
+    Quota::new("outlet-tamale", 8.0, 12),
+    Quota::new("training", 3.0, 6),
 ];
 
 /// Declares the group of kitchens: made for nine model runners, three stock runners and ten client
@@ -31,7 +31,7 @@
         .class(Class::new("stock-lookups").tier(1).target(Duration::from_millis(500)))
         .class(Class::new("dish-rescale").tier(1).target(Duration::from_secs(2)))
         .class(Class::new("menu-rescale").tier(2).target(Duration::from_secs(15)))
-        .accounts(site.accounts(&TENANTS))
+        .accounts(site.accounts(&QUOTAS))
         .pool(Pool::engine(MODEL))
         .pool(Pool::service(STOCK))
         .servers(site.runners(MODEL, &ZONES))
--- a/crates/declare/src/deployment/alfombras.rs
+++ b/crates/declare/src/deployment/alfombras.rs
@@ -2,23 +2,23 @@
 
 use std::time::Duration;
 
-use super::{Site, Tenant};
+use super::{Quota, Site};
 use crate::{Class, Fleet, Pool, Route, Zone};
 
 const ZONES: [&str; 3] = ["cali", "palmira", "buga"];
 const MODEL: &str = "asistente";
 const LEDGER: &str = "ledger";
-const TENANTS: [Tenant; 10] = [
-    Tenant::new("hoteles-norte", 60.0, 60),
-    Tenant::new("hoteles-sur", 60.0, 60),
-    Tenant::new("oficinas", 45.0, 45),
-    Tenant::new("hogares-cali", 15.0, 20),
-    Tenant::new("hogares-palmira", 15.0, 20),
-    Tenant::new("hogares-buga", 15.0, 20),
-    Tenant::new("disputas", 15.0, 20),
-    Tenant::new("convenios", 10.0, 15),
-    Tenant::new("auditoria", 6.0, 9),
-    Tenant::new("pruebas", 3.0, 6),
+const QUOTAS: [Quota; 10] = [
+    Quota::new("hoteles-norte", 60.0, 60),
+    Quota::new("hoteles-sur", 60.0, 60),
+    Quota::new("oficinas", 45.0, 45),
+    Quota::new("hogares-cali", 15.0, 20),
+    Quota::new("hogares-palmira", 15.0, 20),
+    Quota::new("hogares-buga", 15.0, 20),
+    Quota::new("disputas", 15.0, 20),
+    Quota::new("convenios", 10.0, 15),
+    Quota::new("auditoria", 6.0, 9),
+    Quota::new("pruebas", 3.0, 6),
 ];
 
 /// Declares the collections desk: made for twelve model runners, three ledger runners and ten
@@ -30,7 +30,7 @@
         .class(Class::new("ledger").tier(0).target(Duration::from_millis(500)))
         .class(Class::new("summaries").tier(1).target(Duration::from_secs(3)))
         .class(Class::new("drafts").tier(2).target(Duration::from_secs(15)))
-        .accounts(site.accounts(&TENANTS))
+        .accounts(site.accounts(&QUOTAS))
         .pool(Pool::engine(MODEL))
         .pool(Pool::service(LEDGER))
         .servers(site.runners(MODEL, &ZONES))
