Show in the status what an instance cannot read or has refused

Run against a real daemon without a platform, the table showed the number of the fields under requests instead of their total, and not that the daemon could not read its platform. Both are mended.

--- a/crates/ctl/src/status.rs
+++ b/crates/ctl/src/status.rs
@@ -47,6 +47,7 @@
     let rows: Vec<_> = addresses.iter().zip(&dumps).map(Row::new).collect();
     write_table(&rows, out)?;
     write_differences(&rows, out)?;
+    write_troubles(&rows, out)?;
     Ok(Verdict::good_if(rows.iter().all(Row::is_ready)))
 }
 
@@ -69,11 +70,14 @@
         self.field("ready") == Some(&Value::Bool(true))
     }
 
-    /// Returns a value, or the number of elements of a list.
+    /// Returns a value, the total of several numbers, or the number of elements of a list.
     fn cell(&self, name: &str) -> String {
         match self.field(name) {
             Some(Value::Array(list)) => list.len().to_string(),
-            Some(Value::Object(fields)) => fields.len().to_string(),
+            Some(Value::Object(fields)) => match fields.get("total") {
+                Some(total) => total.to_string(),
+                None => fields.len().to_string(),
+            },
             Some(Value::String(text)) => text.clone(),
             Some(value) => value.to_string(),
             None => NO_VALUE.to_owned(),
@@ -112,6 +116,24 @@
     Ok(())
 }
 
+/// Points out what an instance cannot read or has refused.
+fn write_troubles(rows: &[Row<'_>], out: &mut impl Write) -> Result<(), Error> {
+    for row in rows {
+        for (name, service) in
+            [("config_down", "configuration service"), ("list_down", "instance list")]
+        {
+            if row.field(name) == Some(&Value::Bool(true)) {
+                writeln!(out, "{}: cannot read the {service}", row.address)?;
+            }
+        }
+        if row.field("config_rejected").is_some() {
+            let findings = row.cell("config_rejected");
+            writeln!(out, "{}: refused a configuration:\n{findings}", row.address)?;
+        }
+    }
+    Ok(())
+}
+
 /// Points out what should be the same everywhere and is not.
 fn write_differences(rows: &[Row<'_>], out: &mut impl Write) -> Result<(), Error> {
     for (name, title) in [("config_version", "configuration"), ("list_version", "instance list")] {
--- a/crates/ctl/tests/cli.rs
+++ b/crates/ctl/tests/cli.rs
@@ -219,9 +219,13 @@
         instance(
             "200 OK",
             r#"{"instance":"a-1","zone":"a","ready":true,"config_version":7,"list_version":2,
-                "peers":[{},{}],"shards":{"x":1},"cells":[],"requests":5}"#,
+                "peers":[{},{}],"shards":{"x":1},"cells":[],"requests":{"run":2,"total":5}}"#,
+        ),
+        instance(
+            "200 OK",
+            r#"{"instance":"b-1","zone":"b","ready":true,"config_version":8,
+                "config_down":true,"list_down":false,"config_rejected":"/zones: field is missing"}"#,
         ),
-        instance("200 OK", r#"{"instance":"b-1","zone":"b","ready":true,"config_version":8}"#),
     ];
 
     let outcome = ctl(&["status", TIMEOUT, &a.to_string(), &b.to_string()]);
@@ -233,7 +237,16 @@
     assert_eq!(lines[0][..4], ["ADDRESS", "INSTANCE", "ZONE", "CONFIG"]);
     assert_eq!(lines[1], [&a, "a-1", "a", "7", "2", "2", "1", "0", "5", "ready"]);
     assert_eq!(lines[2], [&b, "b-1", "b", "8", "-", "-", "-", "-", "-", "ready"]);
-    assert_eq!(lines[3].join(" "), "versions of the configuration differ: 7, 8");
+    let notes: Vec<_> = outcome.stdout.lines().skip(3).collect();
+    assert_eq!(
+        notes,
+        [
+            "versions of the configuration differ: 7, 8".to_owned(),
+            format!("{b}: cannot read the configuration service"),
+            format!("{b}: refused a configuration:"),
+            "/zones: field is missing".to_owned(),
+        ]
+    );
 }
 
 #[test]
