Bound stalled callers, reads of the platform and the race at the end of listening

Cause, found by reading the traffic side again: - a caller that takes nothing held its backend server until the end of the longest answer; - a configuration service whose replicas differ answers each watch at once, which let one instance read 20 times a second; - a read of the instance list proves it as of the read's start, so reads that wait for a whole second leave a proof up to two seconds old, as old as the default lease; - connections that were established but had sent nothing were closed the moment listening ended. Change: writes have a stall timeout (the idle time of the settings); reads start at least 500 ms apart; the list's reads wait at most a quarter of the lease; connections stay open for 200 ms after listening ended, for requests on their way.

--- a/crates/daemon/src/front/answer.rs
+++ b/crates/daemon/src/front/answer.rs
@@ -9,6 +9,7 @@
         atomic::{AtomicBool, Ordering},
     },
     task::{Context, Poll},
+    time::Duration,
 };
 
 use async_h1::server::Encoder;
@@ -17,10 +18,12 @@
 use futures_lite::{AsyncRead, AsyncReadExt as _, AsyncWriteExt as _, io::BufReader};
 use http_types::{Body, Method, Response};
 
-use crate::Shared;
+use crate::{Shared, deadline};
 
 /// Bytes that are encoded at a time.
 const ENCODE_BYTES: usize = 16_384;
+/// Time for which a caller may take nothing of what is written.
+const DEFAULT_STALL_TIMEOUT: Duration = Duration::from_secs(60);
 
 /// The answer to one request, whole or in parts.
 ///
@@ -32,6 +35,7 @@
     shared: Arc<Shared>,
     method: Method,
     close: bool,
+    stall_timeout: Duration,
     started: Arc<AtomicBool>,
     parts: Option<Parts>,
     events: u32,
@@ -49,14 +53,14 @@
 }
 
 impl Answer {
-    /// Starts without anything written. With `close`, or if the process drains when the head is
-    /// written, the caller is told that the connection will be closed.
-    pub(crate) fn new(stream: TcpStream, shared: Arc<Shared>, method: Method, close: bool) -> Self {
+    /// Starts without anything written.
+    pub(crate) fn new(stream: TcpStream, shared: Arc<Shared>, method: Method) -> Self {
         Self {
             stream,
             shared,
             method,
-            close,
+            close: false,
+            stall_timeout: DEFAULT_STALL_TIMEOUT,
             started: Arc::default(),
             parts: None,
             events: 0,
@@ -65,6 +69,21 @@
         }
     }
 
+    /// Sets whether the caller is told that the connection will be closed. It is told so, too, if
+    /// the process drains when the head is written.
+    #[must_use]
+    pub(crate) fn close(mut self, close: bool) -> Self {
+        self.close = close;
+        self
+    }
+
+    /// Sets how long the caller may take nothing of what is written.
+    #[must_use]
+    pub(crate) fn stall_timeout(mut self, span: Duration) -> Self {
+        self.stall_timeout = span;
+        self
+    }
+
     /// Returns whether a byte may have gone to the caller.
     pub(crate) fn is_started(&self) -> bool {
         self.started.load(Ordering::Relaxed)
@@ -160,7 +179,14 @@
     async fn write(&mut self, bytes: &[u8]) -> io::Result<()> {
         self.started.store(true, Ordering::Relaxed);
         self.torn = true;
-        self.stream.write_all(bytes).await?;
+        let mut left = bytes;
+        while !left.is_empty() {
+            let n = deadline::io_within(self.stall_timeout, self.stream.write(left)).await?;
+            if n == 0 {
+                return Err(io::ErrorKind::WriteZero.into());
+            }
+            left = &left[n..];
+        }
         self.torn = false;
         Ok(())
     }
--- a/crates/daemon/src/front/connection.rs
+++ b/crates/daemon/src/front/connection.rs
@@ -2,6 +2,7 @@
 
 use std::sync::Arc;
 
+use async_io::Timer;
 use async_net::TcpStream;
 use futures_lite::FutureExt as _;
 use http_types::{Method, Response};
@@ -19,6 +20,9 @@
     http::{AskHead, BodyError, HeadError, read_ask, read_whole},
 };
 
+/// Time for a request that was on its way when the process stopped listening.
+const STOP_GRACE: Duration = Duration::from_millis(200);
+
 /// Why no request came out of a connection.
 enum Failure {
     /// There is nobody to tell.
@@ -91,6 +95,7 @@
     let came = async { matches!(deadline::io_within(idle, input.fill()).await, Ok(n) if n > 0) };
     let stopped = async {
         front.cx.shared.stopped_listening().await;
+        Timer::after(STOP_GRACE).await;
         false
     };
     came.or(stopped).await
@@ -165,7 +170,9 @@
 
 impl Front {
     fn answer(&self, caller: &Caller, method: Method, close: bool) -> Answer {
-        Answer::new(caller.stream.clone(), Arc::clone(&self.cx.shared), method, close)
+        let stall = Duration::from_millis(self.cx.settings.limits.idle_ms);
+        let shared = Arc::clone(&self.cx.shared);
+        Answer::new(caller.stream.clone(), shared, method).close(close).stall_timeout(stall)
     }
 
     /// Writes a short answer within the time for a request's head; returns whether that worked.
--- a/crates/daemon/src/platform.rs
+++ b/crates/daemon/src/platform.rs
@@ -21,13 +21,17 @@
 
 /// Time for a service to answer, beyond the time for which it was asked to wait.
 const ANSWER_TIMEOUT: Duration = Duration::from_millis(1_000);
-/// Shortest time between two reads that succeed, for a service that does not wait.
-const MIN_INTERVAL: Duration = Duration::from_millis(50);
+/// Shortest time between the starts of two reads: a service whose replicas differ answers each
+/// watch at once, and the reads of all instances together are limited.
+const MIN_INTERVAL: Duration = Duration::from_millis(500);
+/// Reads of the instance list within the time for which a read lets an owner go on.
+const READS_PER_LEASE: u64 = 4;
 
 /// Watches the configuration service for as long as the process runs.
 pub async fn read_config(cx: Traffic) {
     let platform = &cx.settings.platform;
-    let mut reader = Reader::new(&cx, platform.config, &platform.config_path);
+    let wait = Duration::from_millis(platform.watch_ms);
+    let mut reader = Reader::new(&cx, platform.config, &platform.config_path, wait);
     loop {
         let started = cx.clock.now();
         match reader.read().await {
@@ -46,7 +50,10 @@
 /// Watches the instance list for as long as the process runs.
 pub async fn read_instances(cx: Traffic) {
     let platform = &cx.settings.platform;
-    let mut reader = Reader::new(&cx, platform.instances, &platform.instances_path);
+    // A read proves the list as of its start, so it must not wait for long.
+    let longest = cx.settings.ownership.lease_ms / READS_PER_LEASE;
+    let wait = Duration::from_millis(platform.watch_ms.min(longest));
+    let mut reader = Reader::new(&cx, platform.instances, &platform.instances_path, wait);
     let mut last = None;
     loop {
         let asked_at = cx.clock.now();
@@ -110,20 +117,21 @@
     cx: &'a Traffic,
     address: SocketAddr,
     path: &'a str,
+    /// How long the service is asked to wait for a change.
+    wait: Duration,
     client: Option<Client>,
     version: Option<u64>,
 }
 
 impl<'a> Reader<'a> {
-    fn new(cx: &'a Traffic, address: SocketAddr, path: &'a str) -> Self {
-        Self { cx, address, path, client: None, version: None }
+    fn new(cx: &'a Traffic, address: SocketAddr, path: &'a str, wait: Duration) -> Self {
+        Self { cx, address, path, wait, client: None, version: None }
     }
 
     /// Returns the document, or `None` if it did not change. The first read does not wait.
     async fn read(&mut self) -> Result<Option<Arc<str>>, ReadError> {
-        let watch = Duration::from_millis(self.cx.settings.platform.watch_ms);
-        let by = self.cx.clock.now() + watch + ANSWER_TIMEOUT;
-        let req = self.request(watch)?;
+        let by = self.cx.clock.now() + self.wait + ANSWER_TIMEOUT;
+        let req = self.request()?;
         // An error leaves no connection behind.
         let client = self.client.take();
         let exchange = async {
@@ -144,11 +152,11 @@
         }
     }
 
-    fn request(&self, watch: Duration) -> Result<Request, ReadError> {
+    fn request(&self) -> Result<Request, ReadError> {
         let mut text = format!("http://{}{}", self.address, self.path);
         if let Some(version) = self.version {
             let mark = if self.path.contains('?') { '&' } else { '?' };
-            text.push_str(&format!("{mark}after={version}&wait_ms={}", watch.as_millis()));
+            text.push_str(&format!("{mark}after={version}&wait_ms={}", self.wait.as_millis()));
         }
         let url = Url::parse(&text).map_err(|_| ReadError::Path)?;
         Ok(Request::new(Method::Get, url))
--- a/crates/daemon/tests/traffic/forwarding.rs
+++ b/crates/daemon/tests/traffic/forwarding.rs
@@ -213,6 +213,27 @@
     assert_eq!(end.ended(), AttemptEnd::TimedOut { answered: true });
 }
 
+#[test]
+fn a_caller_that_takes_nothing_holds_no_backend_server() {
+    let mut settings = settings();
+    settings.limits.idle_ms = 200;
+    let (tx, closed) = mpsc::channel();
+    let backend = Backend::start(move |_, stream| {
+        let _ = stream.write_all(STREAM_HEAD.as_bytes());
+        let event = chunk(&format!("data: {}\n\n", "a".repeat(10_000)));
+        while stream.write_all(event.as_bytes()).is_ok() {}
+        tx.send(()).unwrap();
+    });
+    let address = backend.address;
+    let bench = bench(settings, Box::new(move |head| runs(head, &[address])));
+    let mut caller = Caller::connect(bench.address);
+
+    caller.send(post("/stock", "x"));
+
+    assert_eq!(bench.ended(), AttemptEnd::CallerLeft);
+    closed.recv().unwrap();
+}
+
 #[test]
 fn an_attempt_is_preempted_until_its_answer_began() {
     let (go, wait) = mpsc::channel();
--- a/crates/daemon/tests/traffic/shutdown.rs
+++ b/crates/daemon/tests/traffic/shutdown.rs
@@ -24,6 +24,19 @@
     assert_eq!(call(bench.address, &get("/look", "")).field("connection"), Some("close"));
 }
 
+#[test]
+fn a_request_on_its_way_is_served_when_the_process_stops_listening() {
+    let backend = Backend::answering(whole("ok"));
+    let bench = bench_with(&[backend.address]);
+    let mut caller = Caller::connect(bench.address);
+
+    bench.cx.shared.stop_listening();
+    caller.send(get("/look", ""));
+
+    assert_eq!(caller.response().status, 200);
+    assert!(caller.is_closed());
+}
+
 #[test]
 fn stopping_finishes_what_runs_and_closes_what_is_idle() {
     let (go, wait) = mpsc::channel();
