Check the rate bound over every window with many owners and wallets

Cause: the bound is about all runs; unit tests of one owner cannot show it.

A second property: an account at 29 of 30 attempts a second with a wait of 500 ms, through one instance or all, is never refused without faults (20 seeds).

--- /dev/null
+++ b/crates/limit/tests/fleet.rs
@@ -0,0 +1,571 @@
+//! The bound on an account's attempts holds over every window, and a client account within its
+//! rate is not refused.
+
+use std::collections::BTreeMap;
+
+use limit::{ShareSpec, Shares, Start, Timing, Wallet, WalletOut, split};
+use model::{
+    msg::{ShareState, TokenMsg},
+    prelude::*,
+};
+use rand::{RngExt as _, SeedableRng as _};
+use rand_chacha::ChaCha8Rng;
+
+const ZONES: usize = 3;
+const INSTANCES: usize = 6;
+const SPREAD: Duration = Duration::from_secs(3);
+const RUN: Duration = Duration::from_secs(40);
+const FLIGHT_MICROS: u64 = 100_000;
+
+#[test]
+fn no_window_exceeds_rate_and_burst_without_faults() {
+    for seed in 0..20 {
+        let mut fleet = Fleet::new(seed, Faults::default(), Limits { rate: 30.0, burst: 20 });
+        fleet.demand(Demand { rate: 90.0, wait: millis(1_500), max_hold: millis(400) });
+
+        fleet.run();
+
+        fleet.check_windows(seed);
+        assert!(fleet.arrivals.len() > 300, "seed {seed}: {}", fleet.arrivals.len());
+    }
+}
+
+#[test]
+fn no_window_exceeds_rate_and_burst_under_faults() {
+    let faults =
+        Faults { loss: 0.05, double: 0.1, slow: 0.02, every: millis(1_500), changes: false };
+    for seed in 0..40 {
+        let mut fleet = Fleet::new(seed, faults, Limits { rate: 30.0, burst: 12 });
+        fleet.demand(Demand { rate: 60.0, wait: millis(2_500), max_hold: millis(1_500) });
+
+        fleet.run();
+
+        fleet.check_windows(seed);
+        assert!(fleet.arrivals.len() > 50, "seed {seed}: {}", fleet.arrivals.len());
+    }
+}
+
+#[test]
+fn no_window_exceeds_rate_and_burst_under_changes() {
+    let faults =
+        Faults { loss: 0.02, double: 0.02, slow: 0.01, every: millis(2_000), changes: true };
+    for seed in 0..40 {
+        let mut fleet = Fleet::new(seed, faults, Limits { rate: 30.0, burst: 12 });
+        fleet.demand(Demand { rate: 90.0, wait: millis(1_500), max_hold: millis(100) });
+
+        fleet.run();
+
+        fleet.check_windows(seed);
+        assert!(fleet.arrivals.len() > 50, "seed {seed}: {}", fleet.arrivals.len());
+    }
+}
+
+#[test]
+fn account_within_its_rate_is_never_refused_without_faults() {
+    for seed in 0..20 {
+        let mut fleet = Fleet::new(seed, Faults::default(), Limits { rate: 30.0, burst: 20 });
+        fleet.one_entry = seed % 2 == 0;
+        fleet.demand(Demand { rate: 29.0, wait: millis(500), max_hold: millis(20) });
+
+        fleet.run();
+
+        assert_eq!(fleet.dry, 0, "seed {seed}");
+        assert!(fleet.arrivals.len() > 700, "seed {seed}: {}", fleet.arrivals.len());
+    }
+}
+
+/// What goes wrong.
+#[derive(Clone, Copy, Default)]
+struct Faults {
+    /// The probability that a message is lost.
+    loss: f64,
+    /// The probability that a message comes twice.
+    double: f64,
+    /// The probability that a message takes up to three seconds.
+    slow: f64,
+    /// The mean time between kills, pauses, handovers and changes of the limits; none if zero.
+    every: Duration,
+    /// Whether the configuration changes, too.
+    changes: bool,
+}
+
+#[derive(Clone, Copy, PartialEq, Debug)]
+struct Limits {
+    rate: f64,
+    burst: u32,
+}
+
+/// A configuration: the limits and how many zones take part.
+#[derive(Clone, Copy, PartialEq, Debug)]
+struct Setup {
+    version: usize,
+    limits: Limits,
+    zones: usize,
+}
+
+#[derive(Clone, Copy)]
+struct Demand {
+    rate: f64,
+    wait: Duration,
+    max_hold: Duration,
+}
+
+#[derive(Clone, Debug)]
+enum Event {
+    /// A message to the owner of the shares at an instance.
+    Owner {
+        at: usize,
+        from: Peer,
+        msg: TokenMsg,
+    },
+    /// A message to the wallet at an instance.
+    Wallet {
+        at: usize,
+        msg: TokenMsg,
+    },
+    /// A caller sends a request.
+    Request {
+        at: usize,
+    },
+    /// A backend server is free for a request.
+    Free {
+        from: Peer,
+        no: RequestNo,
+    },
+    /// The traffic thread starts an attempt.
+    Attempt {
+        from: Peer,
+        no: RequestNo,
+        start_by: Time,
+    },
+    /// An attempt ends.
+    End {
+        from: Peer,
+        no: RequestNo,
+    },
+    Tick {
+        at: usize,
+    },
+    Fault,
+    /// An instance begins to own a zone's share.
+    Open {
+        at: usize,
+        zone: usize,
+        state: Option<ShareState>,
+    },
+    /// An instance learns of a configuration.
+    Learn {
+        at: usize,
+        setup: Setup,
+    },
+}
+
+struct Instance {
+    peer: Peer,
+    shares: Shares,
+    wallet: Wallet,
+    paused_until: Time,
+    tick_at: Option<Time>,
+    /// The configurations that were learnt, with the time.
+    setups: Vec<(Time, Setup)>,
+}
+
+struct Fleet {
+    rng: ChaCha8Rng,
+    now: Time,
+    events: BTreeMap<(Time, u64), Event>,
+    next_no: u64,
+    instances: Vec<Instance>,
+    owners: [usize; ZONES],
+    faults: Faults,
+    demand: Demand,
+    one_entry: bool,
+    /// The configurations with the times of their publishing.
+    setups: Vec<(Time, Setup)>,
+    arrivals: Vec<Time>,
+    dry: u32,
+}
+
+impl Fleet {
+    fn new(seed: u64, faults: Faults, limits: Limits) -> Self {
+        let now = Time::from_millis(60_000);
+        let setup = Setup { version: 0, limits, zones: ZONES };
+        let mut fleet = Self {
+            rng: ChaCha8Rng::seed_from_u64(seed),
+            now,
+            events: BTreeMap::new(),
+            next_no: 0,
+            instances: (0..INSTANCES).map(|it| Instance::new(it, 0, now, setup)).collect(),
+            owners: [0, 2, 4],
+            faults,
+            demand: Demand { rate: 0.0, wait: Duration::ZERO, max_hold: Duration::ZERO },
+            one_entry: false,
+            setups: vec![(now, setup)],
+            arrivals: Vec::new(),
+            dry: 0,
+        };
+        for zone in 0..ZONES {
+            fleet.open(fleet.owners[zone], zone, None);
+        }
+        if !faults.every.is_zero() {
+            fleet.push(millis(3_000), Event::Fault);
+        }
+        fleet
+    }
+
+    /// Sends requests as a client account that keeps to a rate and a burst of twelve would, from
+    /// when the shares are full on.
+    fn demand(&mut self, demand: Demand) {
+        self.demand = demand;
+        let (mut tokens, mut at) = (12.0, millis(4_000));
+        while at < RUN {
+            let pause = self.between(0, 500_000);
+            at += pause;
+            tokens = f64::min(tokens + pause.as_secs_f64() * demand.rate, 12.0);
+            while tokens >= 1.0 {
+                tokens -= 1.0;
+                let entry = if self.one_entry { 1 } else { self.rng.random_range(0..INSTANCES) };
+                self.push(at, Event::Request { at: entry });
+            }
+        }
+    }
+
+    fn run(&mut self) {
+        let end = self.now + RUN + millis(3_000);
+        while let Some(((now, _), event)) = self.events.pop_first() {
+            if now > end {
+                return;
+            }
+            self.now = now;
+            match event.place() {
+                Some(at) if self.instances[at].paused_until > now => {
+                    self.push(now.until(self.instances[at].paused_until), event);
+                }
+                _ => self.step(event),
+            }
+        }
+    }
+
+    /// Checks `count <= rate * window + burst` over every window of arrivals: with the integral of
+    /// the highest rate in force as the clock, no arrival may be more than the burst ahead.
+    fn check_windows(&mut self, seed: u64) {
+        self.arrivals.sort_unstable();
+        let burst = self.setups.iter().map(|it| it.1.limits.burst).max().unwrap_or(0);
+        let mut lowest = f64::MAX;
+        for (i, at) in self.arrivals.iter().enumerate() {
+            let allowed = self.allowed_until(*at);
+            lowest = lowest.min(i as f64 - allowed);
+            let count = (i + 1) as f64 - allowed - lowest;
+            assert!(
+                count <= f64::from(burst) + 1e-6,
+                "seed {seed}: {count} over {burst} at {at:?}"
+            );
+        }
+    }
+
+    /// Integrates the rate; a lowered rate is in force everywhere only after [`SPREAD`].
+    fn allowed_until(&self, at: Time) -> f64 {
+        let ends = self.setups.iter().skip(1).map(|it| it.0).chain([at]);
+        let mut sum = 0.0;
+        for ((start, setup), end) in self.setups.iter().zip(ends) {
+            sum += setup.limits.rate * start.until(end.min(at)).as_secs_f64();
+        }
+        for pair in self.setups.windows(2) {
+            let lowered = (pair[0].1.limits.rate - pair[1].1.limits.rate).max(0.0);
+            sum += lowered * pair[1].0.until((pair[1].0 + SPREAD).min(at)).as_secs_f64();
+        }
+        sum
+    }
+
+    fn step(&mut self, event: Event) {
+        let now = self.now;
+        match event {
+            Event::Owner { at, from, msg } => {
+                let replies = self.instances[at].shares.handle(now, from, &msg);
+                self.reply(replies);
+                self.settle(at);
+            }
+            Event::Wallet { at, msg } => {
+                let out = self.instances[at].wallet.handle(now, &msg);
+                self.act(at, out);
+            }
+            Event::Request { at } => self.request(at),
+            Event::Free { from, no } if self.is_current(from) => self.start(from, no),
+            Event::Attempt { from, no, start_by } if self.is_current(from) => {
+                self.attempt(from, no, start_by);
+            }
+            Event::End { from, no } if self.is_current(from) => self.end(from, no),
+            Event::Free { .. } | Event::Attempt { .. } | Event::End { .. } => {}
+            Event::Tick { at } => self.tick(at),
+            Event::Fault => self.fault(),
+            Event::Open { at, zone, state } => self.open(at, zone, state),
+            Event::Learn { at, setup } => self.learn(at, setup),
+        }
+    }
+
+    fn request(&mut self, at: usize) {
+        self.next_no += 1;
+        let own = at / 2;
+        let zones: Vec<_> = (0..ZONES).map(|it| zone_id((own + it) % ZONES)).collect();
+        let no = RequestNo(self.next_no);
+        let out = self.instances[at].wallet.want(self.now, no, account(), self.demand.wait, &zones);
+        self.act(at, out);
+    }
+
+    fn start(&mut self, from: Peer, no: RequestNo) {
+        let at = from.instance.0 as usize;
+        if let Some(start_by) = self.instances[at].wallet.spend(self.now, no) {
+            let delay = self.between(0, 5_000);
+            self.push(delay, Event::Attempt { from, no, start_by });
+        }
+        self.settle(at);
+    }
+
+    fn attempt(&mut self, from: Peer, no: RequestNo, start_by: Time) {
+        let at = from.instance.0 as usize;
+        if self.now > start_by || self.rng.random_bool(0.05) {
+            let out = self.instances[at].wallet.give_back(self.now, no);
+            self.act(at, out);
+            return;
+        }
+        let flight = self.between(0, FLIGHT_MICROS);
+        self.arrivals.push(self.now + flight);
+        self.instances[at].wallet.sent(self.now, no);
+        let run = self.between(0, 200_000);
+        self.push(run, Event::End { from, no });
+        self.settle(at);
+    }
+
+    fn end(&mut self, from: Peer, no: RequestNo) {
+        let at = from.instance.0 as usize;
+        let out = self.instances[at].wallet.cancel(self.now, no);
+        self.act(at, out);
+    }
+
+    fn tick(&mut self, at: usize) {
+        if self.instances[at].tick_at.is_none_or(|it| it > self.now) {
+            return;
+        }
+        self.instances[at].tick_at = None;
+        let replies = self.instances[at].shares.tick(self.now);
+        self.reply(replies);
+        let out = self.instances[at].wallet.tick(self.now);
+        self.act(at, out);
+    }
+
+    fn act(&mut self, at: usize, out: Vec<WalletOut>) {
+        let from = self.instances[at].peer;
+        for out in out {
+            match out {
+                WalletOut::Send { share, msg } => {
+                    let zone = (0..ZONES).find(|it| zone_id(*it) == share.zone).unwrap_or(0);
+                    let event = Event::Owner { at: self.owners[zone], from, msg };
+                    self.send(&event);
+                }
+                WalletOut::Ready { no } => {
+                    let hold = self.between(0, self.demand.max_hold.as_micros() as u64);
+                    self.push(hold, Event::Free { from, no });
+                }
+                WalletOut::Dry { .. } => self.dry += 1,
+            }
+        }
+        self.settle(at);
+    }
+
+    fn reply(&mut self, replies: Vec<Reply<TokenMsg>>) {
+        for Reply { to, msg } in replies {
+            self.send(&Event::Wallet { at: to.0 as usize, msg });
+        }
+    }
+
+    fn send(&mut self, event: &Event) {
+        let copies = 1 + u32::from(self.rng.random_bool(self.faults.double));
+        for _ in 0..copies {
+            if self.rng.random_bool(self.faults.loss) {
+                continue;
+            }
+            let slow = self.rng.random_bool(self.faults.slow);
+            let delay = self.between(100, if slow { 3_000_000 } else { 3_000 });
+            self.push(delay, event.clone());
+        }
+    }
+
+    fn settle(&mut self, at: usize) {
+        let it = &mut self.instances[at];
+        let wakes = [it.shares.next_wake(), it.wallet.next_wake()];
+        let Some(wake) = wakes.into_iter().flatten().min() else { return };
+        if it.tick_at.is_some_and(|it| it <= wake) {
+            return;
+        }
+        it.tick_at = Some(wake);
+        self.push(self.now.until(wake), Event::Tick { at });
+    }
+
+    fn fault(&mut self) {
+        let at = self.rng.random_range(0..INSTANCES);
+        let zone = self.rng.random_range(0..ZONES);
+        match self.rng.random_range(0..if self.faults.changes { 5 } else { 3 }) {
+            0 => self.kill(at),
+            1 => self.pause(at),
+            2 => self.hand_over(zone),
+            _ => self.publish(),
+        }
+        let pause = self.between(0, 2 * self.faults.every.as_micros() as u64);
+        self.push(pause, Event::Fault);
+    }
+
+    fn kill(&mut self, at: usize) {
+        self.lose_shares(at);
+        let it = &self.instances[at];
+        let setups = it.setups.clone();
+        let mut next = Instance::new(at, it.peer.incarnation.0 + 1, self.now, setups[0].1);
+        next.setups = setups;
+        self.instances[at] = next;
+    }
+
+    fn pause(&mut self, at: usize) {
+        let pause = self.between(10_000, 3_000_000);
+        self.instances[at].paused_until = self.now + pause;
+        if pause > millis(500) {
+            // An owner that wakes up past its lease closes its shares before it does anything.
+            self.lose_shares(at);
+        }
+    }
+
+    fn lose_shares(&mut self, at: usize) {
+        self.instances[at].shares.close_all(self.now);
+        for zone in 0..ZONES {
+            if self.owners[zone] == at {
+                let delay = self.between(1_000, 1_000_000);
+                self.move_share(zone, delay, None);
+            }
+        }
+    }
+
+    fn hand_over(&mut self, zone: usize) {
+        let owner = self.owners[zone];
+        if self.instances[owner].paused_until > self.now {
+            return;
+        }
+        let state = self.instances[owner].shares.close(self.now, share_id(zone));
+        let state = state.filter(|_| self.rng.random_bool(0.8));
+        let delay = self.between(100, 50_000);
+        self.move_share(zone, delay, state);
+    }
+
+    fn move_share(&mut self, zone: usize, delay: Duration, state: Option<ShareState>) {
+        self.owners[zone] = self.rng.random_range(0..INSTANCES);
+        self.push(delay, Event::Open { at: self.owners[zone], zone, state });
+    }
+
+    fn open(&mut self, at: usize, zone: usize, state: Option<ShareState>) {
+        if self.owners[zone] != at {
+            return;
+        }
+        let it = &mut self.instances[at];
+        let start = state.map_or(Start::Empty, Start::From);
+        let recent = it.setups.iter().filter(|it| it.0 + SPREAD > self.now).count();
+        let (older, newer) = it.setups.split_at(it.setups.len() - recent);
+        let oldest =
+            older.last().or(newer.first()).map_or(ShareSpec::default(), |it| spec(it, zone));
+        it.shares.open(self.now, share_id(zone), oldest, start);
+        for setup in newer {
+            it.shares.resize(self.now, share_id(zone), spec(setup, zone));
+        }
+        self.settle(at);
+    }
+
+    fn publish(&mut self) {
+        let limits =
+            Limits { rate: self.rng.random_range(10.0..40.0), burst: self.rng.random_range(6..24) };
+        let zones = self.rng.random_range(1..=ZONES);
+        let setup = Setup { version: self.setups.len(), limits, zones };
+        self.setups.push((self.now, setup));
+        for at in 0..INSTANCES {
+            let delay = self.between(0, 2_900_000);
+            self.push(delay, Event::Learn { at, setup });
+        }
+    }
+
+    fn learn(&mut self, at: usize, setup: Setup) {
+        let it = &mut self.instances[at];
+        if it.setups.last().is_some_and(|it| it.1.version > setup.version) {
+            return;
+        }
+        it.setups.push((self.now, setup));
+        for zone in 0..ZONES {
+            it.shares.resize(self.now, share_id(zone), spec(&(self.now, setup), zone));
+        }
+        self.settle(at);
+    }
+
+    fn is_current(&self, peer: Peer) -> bool {
+        self.instances[peer.instance.0 as usize].peer == peer
+    }
+
+    fn between(&mut self, from_micros: u64, to_micros: u64) -> Duration {
+        Duration::from_micros(self.rng.random_range(from_micros..=to_micros))
+    }
+
+    fn push(&mut self, delay: Duration, event: Event) {
+        self.next_no += 1;
+        self.events.insert((self.now + delay, self.next_no), event);
+    }
+}
+
+impl Event {
+    /// Returns the instance that has to be awake for this.
+    fn place(&self) -> Option<usize> {
+        match self {
+            Self::Owner { at, .. }
+            | Self::Wallet { at, .. }
+            | Self::Request { at }
+            | Self::Tick { at }
+            | Self::Open { at, .. }
+            | Self::Learn { at, .. } => Some(*at),
+            Self::Free { from, .. } | Self::Attempt { from, .. } | Self::End { from, .. } => {
+                Some(from.instance.0 as usize)
+            }
+            Self::Fault => None,
+        }
+    }
+}
+
+impl Instance {
+    fn new(at: usize, incarnation: u64, now: Time, setup: Setup) -> Self {
+        let instance = InstanceId(at as u64);
+        let peer = Peer { instance, incarnation: Incarnation(incarnation) };
+        let timing = Timing { margin: millis(200), grow_after: SPREAD };
+        Self {
+            peer,
+            shares: Shares::new(peer, timing),
+            wallet: Wallet::new(peer),
+            paused_until: now,
+            tick_at: None,
+            setups: vec![(Time::default(), setup)],
+        }
+    }
+}
+
+fn spec((_, setup): &(Time, Setup), zone: usize) -> ShareSpec {
+    let zones: Vec<_> = (0..setup.zones).map(zone_id).collect();
+    let parts = split(account(), setup.limits.rate, setup.limits.burst, &zones);
+    let part = parts.iter().find(|it| it.share == share_id(zone));
+    part.map_or(ShareSpec::default(), |it| it.spec)
+}
+
+fn share_id(zone: usize) -> ShareId {
+    ShareId { account: account(), zone: zone_id(zone) }
+}
+
+fn zone_id(zone: usize) -> ZoneId {
+    ZoneId(zone as u64)
+}
+
+fn account() -> AccountId {
+    AccountId::of("x")
+}
+
+fn millis(millis: u64) -> Duration {
+    Duration::from_millis(millis)
+}
