--- /dev/null
+++ b/crates/control/tests/fleet/mod.rs
@@ -0,0 +1,563 @@
+//! An event queue over the states of a whole fleet, with faults drawn from a seed.
+
+use std::{
+    cmp::Reverse,
+    collections::{BTreeMap, BTreeSet, BinaryHeap},
+    net::SocketAddr,
+    sync::Arc,
+};
+
+use config::{
+    Account, Class, Config, Instance, InstanceList, InstanceState, Policy, Pool, PoolKind, Route,
+    Server, ServerState, Zone, ZoneState,
+};
+use control::{
+    Effect, Event, Idempotency, LoadError, LoadReport, RequestHead, RequestOrder, Setup, State,
+};
+use model::prelude::*;
+use own::Times;
+use rand::RngExt as _;
+use rand_chacha::{ChaCha8Rng, rand_core::SeedableRng};
+
+pub(crate) const ZONES: [&str; 3] = ["z1", "z2", "z3"];
+
+/// How long an attempt runs at a backend server.
+const SERVICE: Duration = Duration::from_millis(40);
+
+/// The longest delay of a message without faults.
+const MAX_DELAY_MS: u64 = 5;
+
+/// An attempt that arrived at a backend server.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Arrival {
+    pub(crate) at: Time,
+    pub(crate) server: ServerId,
+    pub(crate) account: AccountId,
+    pub(crate) request: RequestId,
+    pub(crate) class: ClassId,
+    pub(crate) running: u32,
+}
+
+/// How a request ended.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub(crate) enum Answer {
+    Completed,
+    Refused(Refusal),
+}
+
+#[derive(Debug)]
+enum Action {
+    Step { node: usize, run: u64, event: Event },
+    Wake { node: usize, run: u64 },
+    ReadList { node: usize, run: u64 },
+    ReadConfig { node: usize, run: u64 },
+    Arrive { node: usize, run: u64, no: RequestNo, attempt: u32, server: ServerId },
+    Finish { node: usize, run: u64, no: RequestNo, attempt: u32, server: ServerId },
+    PollLoad { node: usize, run: u64, server: ServerId },
+}
+
+struct Node {
+    name: String,
+    zone: &'static str,
+    state: State,
+    run: u64,
+    alive: bool,
+    paused_until: Time,
+    next_wake: Time,
+    watched: BTreeSet<ServerId>,
+    pub(crate) ready: bool,
+}
+
+#[derive(Default)]
+pub(crate) struct Faults {
+    /// Messages lost, of 1,000.
+    pub(crate) loss: u64,
+    /// Messages doubled, of 1,000.
+    pub(crate) doubling: u64,
+    /// The longest delay of a message, in milliseconds.
+    pub(crate) delay_ms: u64,
+    /// Links that are cut, one way.
+    pub(crate) cuts: BTreeSet<(usize, usize)>,
+    /// Instances that cannot read the platform.
+    pub(crate) blind: BTreeSet<usize>,
+}
+
+struct Backend {
+    incarnation: u64,
+    running: u32,
+    cold: bool,
+    completed: u32,
+}
+
+/// The fleet.
+pub(crate) struct Fleet {
+    pub(crate) now: Time,
+    pub(crate) rng: ChaCha8Rng,
+    pub(crate) cfg: Config,
+    pub(crate) list: InstanceList,
+    pub(crate) faults: Faults,
+    pub(crate) arrivals: Vec<Arrival>,
+    pub(crate) answers: BTreeMap<RequestId, Answer>,
+    pub(crate) installed: Vec<(usize, Time, u64)>,
+    nodes: Vec<Node>,
+    backends: BTreeMap<ServerId, Backend>,
+    heads: BTreeMap<(usize, u64, RequestNo), RequestHead>,
+    queue: BinaryHeap<Reverse<(Time, u64)>>,
+    actions: BTreeMap<u64, Action>,
+    next_seq: u64,
+    next_no: u64,
+    lists: Vec<(Time, InstanceList)>,
+}
+
+pub(crate) fn times() -> Times {
+    let millis = Duration::from_millis;
+    Times { lease: millis(600), list_lag: millis(400), margin: millis(50), heartbeat: millis(100) }
+}
+
+pub(crate) fn account(name: &str, rate: f64, burst: u32) -> Account {
+    let hash = KeyHash::of(name.as_bytes()).0;
+    let hex: String = hash.iter().map(|it| format!("{it:02x}")).collect();
+    Account { name: name.to_owned(), key_hashes: vec![hex], rate, burst, weight: 1 }
+}
+
+pub(crate) fn server(name: &str, zone: &str, limit: u32, cold_limit: u32) -> Server {
+    Server {
+        name: name.to_owned(),
+        zone: zone.to_owned(),
+        pool: "m".to_owned(),
+        address: SocketAddr::from(([127, 0, 0, 1], port(name))),
+        limit,
+        cold_limit,
+        state: ServerState::In,
+        engine: None,
+    }
+}
+
+fn port(name: &str) -> u16 {
+    2_000 + u16::try_from(ServerId::of(name).0 % 60_000).unwrap()
+}
+
+pub(crate) fn config(accounts: Vec<Account>, servers: Vec<Server>) -> Config {
+    let class = |name: &str, tier| Class {
+        name: name.to_owned(),
+        tier,
+        target_ms: 2_000,
+        max_wait_ms: None,
+    };
+    let route = |name: &str, idempotent| Route {
+        name: name.to_owned(),
+        method: "POST".to_owned(),
+        path: format!("/{name}"),
+        pool: Some("m".to_owned()),
+        classes: vec!["high".to_owned(), "low".to_owned()],
+        idempotent,
+        open: false,
+        max_duration_ms: 30_000,
+    };
+    let zone = |name: &&str| Zone { name: (*name).to_owned(), state: ZoneState::In };
+    Config {
+        version: 1,
+        zones: ZONES.iter().map(zone).collect(),
+        classes: vec![class("high", 0), class("low", 1)],
+        accounts,
+        pools: vec![Pool { name: "m".to_owned(), kind: PoolKind::Engine }],
+        servers,
+        routes: vec![route("read", true), route("write", false)],
+    }
+}
+
+impl Fleet {
+    /// Starts `count` instances over three zones.
+    pub(crate) fn start(seed: u64, count: usize, cfg: Config) -> Self {
+        let instances = (0..count).map(|i| Instance {
+            name: format!("d{i}"),
+            zone: ZONES[i % 3].to_owned(),
+            peer: SocketAddr::from(([127, 0, 0, 1], 1_000 + u16::try_from(i).unwrap())),
+            state: InstanceState::Live,
+        });
+        let list = InstanceList { version: 1, instances: instances.collect() };
+        let now = Time::from_millis(1_000_000);
+        let backends = cfg.servers.iter().map(|it| {
+            let backend = Backend { incarnation: 1, running: 0, cold: true, completed: 0 };
+            (ServerId::of(&it.name), backend)
+        });
+        let mut fleet = Self {
+            now,
+            rng: ChaCha8Rng::seed_from_u64(seed),
+            backends: backends.collect(),
+            cfg,
+            lists: vec![(now, list.clone())],
+            list,
+            faults: Faults::default(),
+            arrivals: Vec::new(),
+            answers: BTreeMap::new(),
+            installed: Vec::new(),
+            nodes: Vec::new(),
+            heads: BTreeMap::new(),
+            queue: BinaryHeap::new(),
+            actions: BTreeMap::new(),
+            next_seq: 0,
+            next_no: 0,
+        };
+        for i in 0..count {
+            let node = fleet.node(i, 1);
+            fleet.nodes.push(node);
+            fleet.begin(i);
+        }
+        fleet
+    }
+
+    fn node(&self, i: usize, run: u64) -> Node {
+        let name = format!("d{i}");
+        let zone = ZONES[i % 3];
+        let setup = Setup {
+            me: Peer { instance: InstanceId::of(&name), incarnation: Incarnation(run) },
+            name: name.clone(),
+            zone: ZoneId::of(zone),
+            zone_name: zone.to_owned(),
+            times: times(),
+            spread: Duration::from_secs(1),
+            policy: Policy::Tiered,
+            max_requests: 10_000,
+            seeds: Vec::new(),
+            drain_grace: Duration::from_millis(200),
+            drain: Duration::from_secs(5),
+            seed: run * 100 + i as u64,
+        };
+        let state = State::new(self.now, setup);
+        let paused_until = Time::default();
+        let watched = BTreeSet::new();
+        let next_wake = Time::default();
+        Node { name, zone, state, run, alive: true, paused_until, next_wake, watched, ready: false }
+    }
+
+    fn begin(&mut self, node: usize) {
+        let run = self.nodes[node].run;
+        self.push(self.now, Action::ReadConfig { node, run });
+        self.push(self.now, Action::ReadList { node, run });
+        self.step(node, Event::Tick);
+    }
+
+    /// Ends an instance without a word. Its attempts end at the backend servers.
+    pub(crate) fn kill(&mut self, node: usize) {
+        self.nodes[node].alive = false;
+        self.nodes[node].watched.clear();
+    }
+
+    /// Starts a killed instance anew.
+    pub(crate) fn restart(&mut self, node: usize) {
+        let run = self.nodes[node].run + 1;
+        self.nodes[node] = self.node(node, run);
+        self.begin(node);
+    }
+
+    pub(crate) fn pause(&mut self, node: usize, span: Duration) {
+        self.nodes[node].paused_until = self.now + span;
+    }
+
+    pub(crate) fn shutdown(&mut self, node: usize) {
+        self.step(node, Event::Shutdown);
+    }
+
+    pub(crate) fn is_alive(&self, node: usize) -> bool {
+        self.nodes[node].alive
+    }
+
+    pub(crate) fn is_ready(&self, node: usize) -> bool {
+        self.nodes[node].alive && self.nodes[node].ready
+    }
+
+    pub(crate) fn dump(&self, node: usize) -> serde_json::Value {
+        self.nodes[node].state.dump(self.now)
+    }
+
+    /// Publishes a list in which these instances are missing; it is read with a lag.
+    pub(crate) fn unlist(&mut self, missing: &[usize]) {
+        let names: Vec<_> = missing.iter().map(|it| format!("d{it}")).collect();
+        let all = &self.lists[0].1.instances;
+        let instances = all.iter().filter(|it| !names.contains(&it.name)).cloned().collect();
+        let version = self.list.version + 1;
+        self.list = InstanceList { version, instances };
+        self.lists.push((self.now, self.list.clone()));
+    }
+
+    /// A backend server restarts without a word: what runs there is gone, and it is cold.
+    pub(crate) fn chill(&mut self, server: &str) {
+        let backend = self.backends.get_mut(&ServerId::of(server)).unwrap();
+        backend.incarnation += 1;
+        backend.running = 0;
+        backend.cold = true;
+        backend.completed = 0;
+    }
+
+    /// Sends a request to an instance, and returns its name.
+    pub(crate) fn request(
+        &mut self,
+        node: usize,
+        account: &str,
+        class: &str,
+        write: bool,
+    ) -> RequestId {
+        self.next_no += 1;
+        let id = RequestId(u128::from(self.next_no));
+        self.send_as(node, account, class, write, id, None);
+        id
+    }
+
+    pub(crate) fn send_as(
+        &mut self,
+        node: usize,
+        account: &str,
+        class: &str,
+        write: bool,
+        id: RequestId,
+        key: Option<(&str, bool)>,
+    ) {
+        if !self.nodes[node].alive {
+            return;
+        }
+        self.next_no += 1;
+        let route = RouteId::of(if write { "write" } else { "read" });
+        let head = RequestHead {
+            no: RequestNo(self.next_no),
+            id,
+            arrived: self.now,
+            route,
+            pool: PoolId::of("m"),
+            class: ClassId::of(class),
+            idempotent: !write,
+            key: Some(KeyHash::of(account.as_bytes())),
+            prefix: PrefixHash(0),
+            idempotency: key.map(|(key, resend)| Idempotency {
+                key: IdempotencyId::of(AccountId::of(account), route, key),
+                resend,
+            }),
+        };
+        let run = self.nodes[node].run;
+        self.heads.insert((node, run, head.no), head.clone());
+        self.step(node, Event::Request(head));
+    }
+
+    /// Runs until a time.
+    pub(crate) fn run(&mut self, span: Duration) {
+        let until = self.now + span;
+        while let Some(Reverse((at, seq))) = self.queue.peek().copied() {
+            if at > until {
+                break;
+            }
+            self.queue.pop();
+            self.now = self.now.max(at);
+            let action = self.actions.remove(&seq).unwrap();
+            self.act(action);
+        }
+        self.now = until;
+    }
+
+    fn push(&mut self, at: Time, action: Action) {
+        self.next_seq += 1;
+        self.queue.push(Reverse((at, self.next_seq)));
+        self.actions.insert(self.next_seq, action);
+    }
+
+    fn act(&mut self, action: Action) {
+        let (Action::Step { node, run, .. }
+        | Action::Wake { node, run }
+        | Action::ReadList { node, run }
+        | Action::ReadConfig { node, run }
+        | Action::PollLoad { node, run, .. }
+        | Action::Arrive { node, run, .. }
+        | Action::Finish { node, run, .. }) = action;
+        let it = &self.nodes[node];
+        let is_gone = !it.alive || it.run != run;
+        if let (true, Action::Finish { server, .. }) = (is_gone, &action) {
+            let backend = self.backends.get_mut(server).unwrap();
+            backend.running = backend.running.saturating_sub(1);
+        }
+        if is_gone {
+            return;
+        }
+        if self.now < it.paused_until {
+            return self.push(it.paused_until, action);
+        }
+        match action {
+            Action::Step { event, .. } => self.step(node, event),
+            Action::Wake { .. } => {
+                if self.now >= self.nodes[node].next_wake {
+                    self.step(node, Event::Tick);
+                }
+            }
+            Action::ReadList { .. } => self.read_list(node, run),
+            Action::ReadConfig { .. } => self.read_config(node, run),
+            Action::Arrive { no, attempt, server, .. } => self.arrive(node, no, attempt, server),
+            Action::Finish { no, attempt, server, .. } => self.finish(node, no, attempt, server),
+            Action::PollLoad { server, .. } => self.poll_load(node, server),
+        }
+    }
+
+    fn step(&mut self, node: usize, event: Event) {
+        let effects = self.nodes[node].state.step(self.now, event);
+        for effect in effects {
+            self.effect(node, effect);
+        }
+        let it = &mut self.nodes[node];
+        let wake = it.state.next_wake(self.now).max(self.now + Duration::from_millis(1));
+        if wake < it.next_wake || it.next_wake <= self.now {
+            it.next_wake = wake;
+            let run = it.run;
+            self.push(wake, Action::Wake { node, run });
+        }
+    }
+
+    fn effect(&mut self, node: usize, effect: Effect) {
+        let run = self.nodes[node].run;
+        match effect {
+            Effect::Send { to, msg, .. } => self.deliver(node, to, &msg),
+            Effect::Request { no, order: RequestOrder::Run(order) } => {
+                let at = self.now + self.delay();
+                if at < order.start_by {
+                    let (attempt, server) = (order.attempt, order.server);
+                    self.push(at, Action::Arrive { node, run, no, attempt, server });
+                } else {
+                    let event = ended(no, order.attempt, AttemptEnd::Unused, false);
+                    self.push(self.now, Action::Step { node, run, event });
+                }
+            }
+            Effect::Request { no, order: RequestOrder::Refuse(refusal) } => {
+                if let Some(head) = self.heads.remove(&(node, run, no)) {
+                    self.answers.insert(head.id, Answer::Refused(refusal));
+                }
+            }
+            Effect::Install(catalog) => {
+                self.installed.push((node, self.now, catalog.version.0));
+            }
+            Effect::Watch { server, .. } => {
+                self.nodes[node].watched.insert(server);
+                self.push(self.now, Action::PollLoad { node, run, server });
+            }
+            Effect::Unwatch { server } => {
+                self.nodes[node].watched.remove(&server);
+            }
+            Effect::Ready(ready) => self.nodes[node].ready = ready,
+            Effect::Exit => self.kill(node),
+            _ => {}
+        }
+    }
+
+    fn delay(&mut self) -> Duration {
+        let max = self.faults.delay_ms.max(MAX_DELAY_MS);
+        Duration::from_micros(self.rng.random_range(100..max * 1_000))
+    }
+
+    fn deliver(&mut self, from: usize, to: InstanceId, msg: &Msg) {
+        let Some(node) = self.nodes.iter().position(|it| InstanceId::of(&it.name) == to) else {
+            return;
+        };
+        let is_lost = self.rng.random_range(0..1_000) < self.faults.loss;
+        if is_lost || self.faults.cuts.contains(&(from, node)) {
+            return;
+        }
+        let copies = 1 + u32::from(self.rng.random_range(0..1_000) < self.faults.doubling);
+        let peer = Peer {
+            instance: InstanceId::of(&self.nodes[from].name),
+            incarnation: Incarnation(self.nodes[from].run),
+        };
+        for _ in 0..copies {
+            let at = self.now + self.delay();
+            let run = self.nodes[node].run;
+            let event = Event::Message { from: peer, msg: msg.clone() };
+            self.push(at, Action::Step { node, run, event });
+        }
+    }
+
+    fn read_list(&mut self, node: usize, run: u64) {
+        self.push(self.now + Duration::from_millis(100), Action::ReadList { node, run });
+        if self.faults.blind.contains(&node) {
+            return self.step(node, Event::ListFailed);
+        }
+        let lag = Duration::from_millis(self.rng.random_range(0..400));
+        let seen = self.lists.iter().rev().find(|(at, _)| *at + lag <= self.now);
+        let list = seen.map_or_else(|| self.lists[0].1.clone(), |it| it.1.clone());
+        let event = Event::ListRead { asked_at: self.now, list };
+        let at = self.now + self.delay();
+        self.push(at, Action::Step { node, run, event });
+    }
+
+    fn read_config(&mut self, node: usize, run: u64) {
+        self.push(self.now + Duration::from_millis(100), Action::ReadConfig { node, run });
+        if self.faults.blind.contains(&node) {
+            return self.step(node, Event::ConfigFailed);
+        }
+        let text = Arc::from(serde_json::to_string(&self.cfg).unwrap());
+        let at = self.now + self.delay();
+        self.push(at, Action::Step { node, run, event: Event::ConfigRead { text } });
+    }
+
+    fn arrive(&mut self, node: usize, no: RequestNo, attempt: u32, server: ServerId) {
+        let run = self.nodes[node].run;
+        let Some(head) = self.heads.get(&(node, run, no)) else { return };
+        let (request, class) = (head.id, head.class);
+        let key = head.key.unwrap();
+        let named = self.cfg.accounts.iter().find(|it| KeyHash::of(it.name.as_bytes()) == key);
+        let account = named.map_or(AccountId(0), |it| AccountId::of(&it.name));
+        let backend = self.backends.get_mut(&server).unwrap();
+        backend.running += 1;
+        let running = backend.running;
+        let at = self.now;
+        self.arrivals.push(Arrival { at, server, account, request, class, running });
+        self.push(at + SERVICE, Action::Finish { node, run, no, attempt, server });
+        self.step(node, Event::Sent { no, attempt });
+    }
+
+    fn finish(&mut self, node: usize, no: RequestNo, attempt: u32, server: ServerId) {
+        let run = self.nodes[node].run;
+        let backend = self.backends.get_mut(&server).unwrap();
+        backend.running = backend.running.saturating_sub(1);
+        backend.completed += 1;
+        backend.cold &= backend.completed < 4;
+        let end = AttemptEnd::Completed { first_byte: SERVICE, total: SERVICE, tokens: 1 };
+        let cold = backend.cold;
+        if let Some(head) = self.heads.remove(&(node, run, no)) {
+            self.answers.insert(head.id, Answer::Completed);
+        }
+        self.step(node, ended(no, attempt, end, cold));
+    }
+
+    fn poll_load(&mut self, node: usize, server: ServerId) {
+        if !self.nodes[node].watched.contains(&server) {
+            return;
+        }
+        let run = self.nodes[node].run;
+        self.push(self.now + Duration::from_millis(250), Action::PollLoad { node, run, server });
+        let backend = &self.backends[&server];
+        let report = LoadReport {
+            incarnation: backend.incarnation,
+            running: backend.running,
+            queued: 0,
+            cold: backend.cold,
+        };
+        let report = Ok::<_, LoadError>(report);
+        self.step(node, Event::Load { server, report });
+    }
+}
+
+fn ended(no: RequestNo, attempt: u32, end: AttemptEnd, cold: bool) -> Event {
+    Event::Ended { no, attempt, end, cold }
+}
+
+/// Checks that no account ever got more than its rate and burst, over every window.
+pub(crate) fn check_rates(fleet: &Fleet, rate: f64, burst: u32) {
+    let mut by_account: BTreeMap<AccountId, Vec<Time>> = BTreeMap::new();
+    for arrival in &fleet.arrivals {
+        by_account.entry(arrival.account).or_default().push(arrival.at);
+    }
+    for (account, times) in by_account {
+        // The level of a bucket that is never empty before an allowed arrival.
+        let mut level = f64::from(burst);
+        let mut last = times[0];
+        for (i, at) in times.iter().enumerate() {
+            level = (level + rate * at.since(last).as_secs_f64()).min(f64::from(burst)) - 1.0;
+            last = *at;
+            assert!(level > -1e-6, "account {account:?} over its rate at arrival {i}, {at:?}");
+        }
+    }
+}
