Test cut-off, paused and isolated owners that are taken for dead

Change: tests that cut or pause an owner while the list drops it, and a zone cut during a platform outage.

--- a/crates/control/tests/fleet/mod.rs
+++ b/crates/control/tests/reducer/fleet.rs
@@ -34,7 +34,6 @@
     pub(crate) server: ServerId,
     pub(crate) account: AccountId,
     pub(crate) request: RequestId,
-    pub(crate) class: ClassId,
     pub(crate) running: u32,
 }
 
@@ -58,7 +57,6 @@
 
 struct Node {
     name: String,
-    zone: &'static str,
     state: State,
     run: u64,
     alive: bool,
@@ -228,7 +226,7 @@
         let paused_until = Time::default();
         let watched = BTreeSet::new();
         let next_wake = Time::default();
-        Node { name, zone, state, run, alive: true, paused_until, next_wake, watched, ready: false }
+        Node { name, state, run, alive: true, paused_until, next_wake, watched, ready: false }
     }
 
     fn begin(&mut self, node: usize) {
@@ -290,49 +288,74 @@
         backend.completed = 0;
     }
 
-    /// Sends a request to an instance, and returns its name.
-    pub(crate) fn request(
-        &mut self,
-        node: usize,
-        account: &str,
-        class: &str,
-        write: bool,
-    ) -> RequestId {
+    /// Cuts all links of an instance, to others and to the platform.
+    pub(crate) fn cut_off(&mut self, node: usize) {
+        for other in 0..self.nodes.len() {
+            self.faults.cuts.insert((node, other));
+            self.faults.cuts.insert((other, node));
+        }
+        self.faults.cuts.remove(&(node, node));
+        self.faults.blind.insert(node);
+    }
+
+    /// Cuts an instance's links to other availability zones; instances are spread in turn.
+    pub(crate) fn cut_from_other_zones(&mut self, node: usize) {
+        for other in (0..self.nodes.len()).filter(|it| it % 3 != node % 3) {
+            self.faults.cuts.insert((node, other));
+            self.faults.cuts.insert((other, node));
+        }
+    }
+
+    /// Mends all links.
+    pub(crate) fn heal(&mut self) {
+        self.faults.cuts.clear();
+        self.faults.blind.clear();
+    }
+
+    /// Sends an idempotent request to an instance, and returns its name.
+    pub(crate) fn request(&mut self, node: usize, account: &str, class: &str) -> RequestId {
         self.next_no += 1;
         let id = RequestId(u128::from(self.next_no));
-        self.send_as(node, account, class, write, id, None);
+        let head = self.head(id, account, class, true);
+        self.send(node, head);
         id
     }
 
-    pub(crate) fn send_as(
+    /// Sends a request that must not run twice.
+    pub(crate) fn write(
         &mut self,
         node: usize,
         account: &str,
-        class: &str,
-        write: bool,
         id: RequestId,
-        key: Option<(&str, bool)>,
+        key: &str,
+        resend: bool,
     ) {
-        if !self.nodes[node].alive {
-            return;
-        }
+        let mut head = self.head(id, account, "high", false);
+        let key = IdempotencyId::of(AccountId::of(account), head.route, key);
+        head.idempotency = Some(Idempotency { key, resend });
+        self.send(node, head);
+    }
+
+    fn head(&mut self, id: RequestId, account: &str, class: &str, idempotent: bool) -> RequestHead {
         self.next_no += 1;
-        let route = RouteId::of(if write { "write" } else { "read" });
-        let head = RequestHead {
+        RequestHead {
             no: RequestNo(self.next_no),
             id,
             arrived: self.now,
-            route,
+            route: RouteId::of(if idempotent { "read" } else { "write" }),
             pool: PoolId::of("m"),
             class: ClassId::of(class),
-            idempotent: !write,
+            idempotent,
             key: Some(KeyHash::of(account.as_bytes())),
             prefix: PrefixHash(0),
-            idempotency: key.map(|(key, resend)| Idempotency {
-                key: IdempotencyId::of(AccountId::of(account), route, key),
-                resend,
-            }),
-        };
+            idempotency: None,
+        }
+    }
+
+    fn send(&mut self, node: usize, head: RequestHead) {
+        if !self.nodes[node].alive {
+            return;
+        }
         let run = self.nodes[node].run;
         self.heads.insert((node, run, head.no), head.clone());
         self.step(node, Event::Request(head));
@@ -495,7 +518,7 @@
     fn arrive(&mut self, node: usize, no: RequestNo, attempt: u32, server: ServerId) {
         let run = self.nodes[node].run;
         let Some(head) = self.heads.get(&(node, run, no)) else { return };
-        let (request, class) = (head.id, head.class);
+        let request = head.id;
         let key = head.key.unwrap();
         let named = self.cfg.accounts.iter().find(|it| KeyHash::of(it.name.as_bytes()) == key);
         let account = named.map_or(AccountId(0), |it| AccountId::of(&it.name));
@@ -503,7 +526,7 @@
         backend.running += 1;
         let running = backend.running;
         let at = self.now;
-        self.arrivals.push(Arrival { at, server, account, request, class, running });
+        self.arrivals.push(Arrival { at, server, account, request, running });
         self.push(at + SERVICE, Action::Finish { node, run, no, attempt, server });
         self.step(node, Event::Sent { no, attempt });
     }
--- a/crates/control/tests/reducer.rs
+++ b/crates/control/tests/reducer/main.rs
@@ -1,5 +1,7 @@
 //! The rules that must always hold, over the states of a fleet, under faults drawn from seeds.
 
+#![allow(clippy::unwrap_used, reason = "a fixture that fails ends the test")]
+
 mod fleet;
 
 use std::{collections::BTreeMap, time::Duration};
@@ -33,7 +35,7 @@
             let node = fleet.rng.random_range(0..INSTANCES);
             let class = if fleet.rng.random_range(0..2) == 0 { "high" } else { "low" };
             if fleet.is_ready(node) {
-                ids.push(fleet.request(node, account, class, false));
+                ids.push(fleet.request(node, account, class));
             }
         }
         fleet.run(gap);
@@ -72,7 +74,7 @@
     let mut ids = Vec::new();
 
     for _ in 0..300 {
-        ids.push(fleet.request(0, "a", "high", false));
+        ids.push(fleet.request(0, "a", "high"));
         fleet.run(Duration::from_millis(37));
     }
     fleet.run(Duration::from_secs(3));
@@ -94,6 +96,52 @@
     }
 }
 
+#[test]
+fn rate_holds_while_an_owner_is_cut_off_and_taken_for_dead() {
+    for node in 0..INSTANCES {
+        let mut fleet = small_fleet(node as u64);
+        fleet.cut_off(node);
+        fleet.unlist(&[node]);
+        call(&mut fleet, Duration::from_secs(5), 4.0);
+
+        fleet.heal();
+        fleet.unlist(&[]);
+        call(&mut fleet, Duration::from_secs(3), 4.0);
+
+        check_rates(&fleet, RATE, BURST);
+    }
+}
+
+#[test]
+fn rate_holds_while_an_owner_is_paused_and_taken_for_dead() {
+    for node in 0..INSTANCES {
+        let mut fleet = small_fleet(node as u64);
+        fleet.pause(node, Duration::from_secs(4));
+        fleet.unlist(&[node]);
+        fleet.faults.blind.insert(node);
+
+        call(&mut fleet, Duration::from_secs(8), 4.0);
+
+        check_rates(&fleet, RATE, BURST);
+    }
+}
+
+#[test]
+fn rate_holds_while_a_zone_is_cut_off_and_the_platform_is_down() {
+    for seed in 0..4 {
+        let mut fleet = small_fleet(seed);
+        fleet.faults.blind.extend(0..INSTANCES);
+        for node in [0, 3, 6] {
+            fleet.cut_from_other_zones(node);
+        }
+        let ids = call(&mut fleet, Duration::from_secs(8), 0.5);
+
+        check_rates(&fleet, RATE, BURST);
+        let refused = refused(&fleet, &ids);
+        assert!(refused.values().sum::<usize>() < ids.len() / 10, "{refused:?} of {}", ids.len());
+    }
+}
+
 #[test]
 fn cold_limit_holds_under_any_faults_of_the_control_plane() {
     for seed in 0..40 {
@@ -159,9 +207,9 @@
                 let key = format!("key-{round}-{i}");
                 let id = RequestId(1_000_000 + round * 100 + i);
                 let [first, second] = [0, 1].map(|_| fleet.rng.random_range(0..INSTANCES));
-                fleet.send_as(first, "a", "high", true, id, Some((&key, false)));
+                fleet.write(first, "a", id, &key, false);
                 fleet.run(Duration::from_millis(30));
-                fleet.send_as(second, "a", "high", true, id, Some((&key, true)));
+                fleet.write(second, "a", id, &key, true);
             }
             fleet.run(Duration::from_millis(300));
         }
@@ -238,7 +286,7 @@
 #[test]
 fn withdrawn_key_ends_waiting_requests() {
     let mut fleet = small_fleet(7);
-    let ids: Vec<_> = (0..400).map(|i| fleet.request(i % INSTANCES, "a", "high", false)).collect();
+    let ids: Vec<_> = (0..400).map(|i| fleet.request(i % INSTANCES, "a", "high")).collect();
 
     fleet.cfg.version += 1;
     fleet.cfg.accounts.remove(0);
