Count what becomes of messages to instances; end idle connections

Cause: a connection whose other side is gone without a word was kept for ever, and a connection that had ended was awaited again until a timeout.

Change: an incoming connection that is idle for a minute is closed; an RPC system that has ended is dropped. The dump counts messages delivered, refused, dropped and unanswered, and failed connections. A batch's age counts from its first message.

Seen by hand with three daemons, one killed, restarted, stopped and continued: messages resume, file descriptors stay the same.

--- a/crates/daemon/src/driver.rs
+++ b/crates/daemon/src/driver.rs
@@ -61,7 +61,7 @@
             if self.cx.clock.now() >= due {
                 self.tick();
             }
-            self.peers.flush(self.cx.clock.now());
+            self.peers.flush();
             // Lets connections be served however much input there is.
             future::yield_now().await;
         }
@@ -109,13 +109,13 @@
     fn step(&mut self, event: Event) {
         let now = self.cx.clock.now();
         for effect in self.state.step(now, event) {
-            self.execute(effect);
+            self.execute(now, effect);
         }
     }
 
-    fn execute(&mut self, effect: Effect) {
+    fn execute(&mut self, now: Time, effect: Effect) {
         match effect {
-            Effect::Send { to, address, msg } => self.peers.send(to, address, msg),
+            Effect::Send { to, address, msg } => self.peers.send(now, to, address, msg),
             Effect::Request { no, order } => self.order(no, order),
             Effect::Install(catalog) => self.cx.shared.install(catalog),
             Effect::Watch { server, address } => self.watcher.watch(server, address),
@@ -152,7 +152,7 @@
             "version": env!("CARGO_PKG_VERSION"),
             "uptime_ms": u64::try_from(now.since(self.started).as_millis()).unwrap_or(u64::MAX),
             "requests": self.requests.len(),
-            "peers": self.peers.lanes(),
+            "peers": self.peers.stats(),
         });
         dump
     }
--- a/crates/daemon/src/peer.rs
+++ b/crates/daemon/src/peer.rs
@@ -9,11 +9,12 @@
 mod incoming;
 mod outgoing;
 mod sender;
+mod stats;
 mod writer;
 
 use capnp::message::ReaderOptions;
 
-pub use self::{incoming::serve, outgoing::Peers};
+pub use self::{incoming::serve, outgoing::Peers, stats::Stats};
 
 /// Bytes of a message of the RPC protocol: a configuration document of the largest size, with
 /// room for what stands around it.
--- a/crates/daemon/src/peer/connection.rs
+++ b/crates/daemon/src/peer/connection.rs
@@ -18,7 +18,8 @@
 use super::{
     outgoing::Batch,
     reader_options,
-    writer::{Deadlines, TimedWriter},
+    stats::Counters,
+    writer::{Deadlines, Pending, TimedWriter},
 };
 use crate::{Clock, deadline};
 
@@ -47,14 +48,49 @@
     me: Peer,
     clock: Clock,
     stream: TcpStream,
-    system: RpcSystem<Side>,
+    /// None after it has ended.
+    system: Option<RpcSystem<Side>>,
     peer: peer::Client,
     deadlines: Rc<Deadlines>,
+    counters: Rc<Counters>,
+}
+
+/// Messages that were sent and are not answered yet; counted as unanswered if that stays so.
+struct Sent {
+    count: usize,
+    is_answered: bool,
+    counters: Rc<Counters>,
+    _batch: Batch,
+    _pending: Pending,
+}
+
+impl Sent {
+    fn answered(mut self, taken: bool) {
+        self.is_answered = true;
+        if taken {
+            self.counters.delivered(self.count);
+        } else {
+            self.counters.refused(self.count);
+        }
+    }
+}
+
+impl Drop for Sent {
+    fn drop(&mut self) {
+        if !self.is_answered {
+            self.counters.unanswered(self.count);
+        }
+    }
 }
 
 impl Connection {
     /// Connects to an address.
-    pub(super) async fn open(me: Peer, address: SocketAddr, clock: Clock) -> io::Result<Self> {
+    pub(super) async fn open(
+        me: Peer,
+        address: SocketAddr,
+        clock: Clock,
+        counters: Rc<Counters>,
+    ) -> io::Result<Self> {
         let stream = TcpStream::connect(address).await?;
         stream.set_nodelay(true)?;
         let deadlines = Rc::new(Deadlines::default());
@@ -68,12 +104,15 @@
         let mut system = RpcSystem::new(Box::new(network), None);
         system.set_background_error_handler(|err| log::debug!("error of a connection: {err}"));
         let peer = system.bootstrap(Side::Server);
-        Ok(Self { me, clock, stream, system, peer, deadlines })
+        Ok(Self { me, clock, stream, system: Some(system), peer, deadlines, counters })
     }
 
     /// Drives the connection until it is of no use any more, and returns why.
     pub(super) async fn broken(&mut self) -> CallError {
-        match (&mut self.system).await {
+        let Some(system) = &mut self.system else { return CallError::Closed };
+        let ended = system.await;
+        self.system = None;
+        match ended {
             Ok(()) => CallError::Closed,
             Err(err) => CallError::Broken(err),
         }
@@ -87,34 +126,45 @@
         by: Time,
     ) -> impl Future<Output = Result<(), CallError>> + use<> {
         let clock = self.clock;
-        let pending = self.deadlines.add(by);
         let mut req = self.peer.deliver_request();
         wire::write(req.get().init_envelope(), self.me, batch.to, &batch.msgs);
+        let sent = Sent {
+            count: batch.msgs.len(),
+            is_answered: false,
+            counters: Rc::clone(&self.counters),
+            _batch: batch,
+            _pending: self.deadlines.add(by),
+        };
         let response = req.send();
         async move {
-            let answer = deadline::until(clock, by, response.promise).await;
-            drop((pending, batch));
-            match answer {
-                Some(Ok(_)) => Ok(()),
+            match deadline::until(clock, by, response.promise).await {
+                Some(Ok(_)) => sent.answered(true),
                 Some(Err(err)) if err.kind == ErrorKind::Disconnected => {
-                    Err(CallError::Broken(err))
+                    return Err(CallError::Broken(err));
                 }
                 Some(Err(err)) => {
                     log::debug!("an instance refused messages: {err}");
-                    Ok(())
+                    sent.answered(false);
                 }
-                None => Err(CallError::TimedOut),
+                None => return Err(CallError::TimedOut),
             }
+            Ok(())
         }
     }
 
     /// Closes the connection and lets the RPC system end, so that it leaves nothing behind.
-    pub(super) async fn close(mut self) {
-        // An error means that the socket is closed already.
-        let _ = self.stream.shutdown(Shutdown::Both);
-        let by = self.clock.now() + CLOSE_TIMEOUT;
-        if deadline::until(self.clock, by, self.broken()).await.is_none() {
-            log::warn!("a closed connection did not end");
+    pub(super) async fn close(self) {
+        if let Some(system) = self.system {
+            close(self.clock, &self.stream, system).await;
         }
     }
 }
+
+/// Shuts a connection's socket down and lets its RPC system end, so that it leaves nothing behind.
+pub(super) async fn close(clock: Clock, stream: &TcpStream, system: RpcSystem<Side>) {
+    // An error means that the socket is closed already.
+    let _ = stream.shutdown(Shutdown::Both);
+    if deadline::until(clock, clock.now() + CLOSE_TIMEOUT, system).await.is_none() {
+        log::warn!("a closed connection did not end");
+    }
+}
--- a/crates/daemon/src/peer/outgoing.rs
+++ b/crates/daemon/src/peer/outgoing.rs
@@ -7,7 +7,10 @@
 use async_io::Timer;
 use model::prelude::*;
 
-use super::sender;
+use super::{
+    sender,
+    stats::{Counters, Stats},
+};
 use crate::Clock;
 
 /// Envelopes that wait for one instance; the oldest ones make room for newer ones.
@@ -24,9 +27,12 @@
     executor: Rc<LocalExecutor<'static>>,
     /// Messages since the last [`Peers::flush`].
     batches: HashMap<Receiver, Vec<Msg>>,
+    /// When the first of them was made.
+    made: Option<Time>,
     lanes: HashMap<SocketAddr, Lane>,
     /// Held by every envelope that is not delivered yet.
     undelivered: Rc<()>,
+    counters: Rc<Counters>,
 }
 
 /// An instance, and where it is reached.
@@ -59,20 +65,30 @@
 impl Peers {
     /// Starts without connections.
     pub fn new(me: Peer, clock: Clock, executor: Rc<LocalExecutor<'static>>) -> Self {
-        let (batches, lanes) = Default::default();
-        Self { me, clock, executor, batches, lanes, undelivered: Rc::new(()) }
+        Self {
+            me,
+            clock,
+            executor,
+            batches: HashMap::new(),
+            made: None,
+            lanes: HashMap::new(),
+            undelivered: Rc::new(()),
+            counters: Rc::default(),
+        }
     }
 
     /// Takes a message, which goes out with the next [`Peers::flush`].
-    pub fn send(&mut self, to: InstanceId, address: SocketAddr, msg: Msg) {
+    pub fn send(&mut self, now: Time, to: InstanceId, address: SocketAddr, msg: Msg) {
+        self.made.get_or_insert(now);
         self.batches.entry(Receiver { to, address }).or_default().push(msg);
     }
 
     /// Sends what was taken since the last time, one envelope for each instance.
-    pub fn flush(&mut self, now: Time) {
+    pub fn flush(&mut self) {
+        let Some(made) = self.made.take() else { return };
         for (receiver, msgs) in std::mem::take(&mut self.batches) {
             for msgs in split(msgs) {
-                self.enqueue(now, receiver, msgs);
+                self.enqueue(made, receiver, msgs);
             }
         }
     }
@@ -84,18 +100,18 @@
         }
     }
 
-    /// Returns the number of addresses that messages were sent to lately.
-    pub fn lanes(&self) -> usize {
-        self.lanes.values().filter(|it| !it.queue.is_closed()).count()
+    /// Returns what became of the messages so far.
+    pub fn stats(&self) -> Stats {
+        let connections = self.lanes.values().filter(|it| !it.queue.is_closed()).count();
+        self.counters.stats(connections)
     }
 
-    fn enqueue(&mut self, now: Time, receiver: Receiver, msgs: Vec<Msg>) {
+    fn enqueue(&mut self, made: Time, receiver: Receiver, msgs: Vec<Msg>) {
         let _undelivered = Rc::clone(&self.undelivered);
-        let batch = Batch { to: receiver.to, msgs, made: now, _undelivered };
+        let batch = Batch { to: receiver.to, msgs, made, _undelivered };
         // The queue is open: a lane that has ended was replaced.
         if let Ok(Some(dropped)) = self.lane(receiver.address).queue.force_send(batch) {
-            let count = dropped.msgs.len();
-            log::debug!(address:% = receiver.address, count; "dropped messages of a full queue");
+            self.counters.dropped(dropped.msgs.len());
         }
     }
 
@@ -106,7 +122,8 @@
         }
         self.lanes.entry(address).or_insert_with(|| {
             let (queue, batches) = bounded(QUEUE);
-            let run = sender::run(self.me, address, self.clock, batches);
+            let counters = Rc::clone(&self.counters);
+            let run = sender::run(self.me, address, self.clock, batches, counters);
             Lane { queue, _task: self.executor.spawn(run) }
         })
     }
@@ -117,7 +134,7 @@
     let mut envelopes = Vec::new();
     let mut envelope = Vec::new();
     for msg in msgs {
-        let is_large = matches!(msg, Msg::ConfigDoc(_) | Msg::Handover(_));
+        let is_large = matches!(msg, Msg::ConfigDoc(_) | Msg::ListDoc(_) | Msg::Handover(_));
         envelope.push(msg);
         if is_large || envelope.len() == MAX_MESSAGES {
             envelopes.push(std::mem::take(&mut envelope));
--- a/crates/daemon/src/peer/sender.rs
+++ b/crates/daemon/src/peer/sender.rs
@@ -1,6 +1,6 @@
 //! Delivers the messages for one address.
 
-use std::net::SocketAddr;
+use std::{net::SocketAddr, rc::Rc};
 
 use async_channel::Receiver;
 use async_io::Timer;
@@ -12,6 +12,7 @@
     backoff::Backoff,
     connection::{CallError, Connection},
     outgoing::Batch,
+    stats::Counters,
 };
 use crate::{Clock, deadline};
 
@@ -27,9 +28,15 @@
 const IDLE_TIMEOUT: Duration = Duration::from_secs(30);
 
 /// Delivers batches until none came for a long time.
-pub(super) async fn run(me: Peer, address: SocketAddr, clock: Clock, batches: Receiver<Batch>) {
-    let mut sender =
-        Sender { me, address, clock, batches, first: None, backoff: Backoff::default() };
+pub(super) async fn run(
+    me: Peer,
+    address: SocketAddr,
+    clock: Clock,
+    batches: Receiver<Batch>,
+    counters: Rc<Counters>,
+) {
+    let (first, backoff) = Default::default();
+    let mut sender = Sender { me, address, clock, batches, counters, first, backoff };
     while sender.wait_for_batch().await {
         if !sender.use_connection().await {
             Timer::after(sender.backoff.pause()).await;
@@ -42,6 +49,7 @@
     address: SocketAddr,
     clock: Clock,
     batches: Receiver<Batch>,
+    counters: Rc<Counters>,
     /// The batch that a connection is made for.
     first: Option<Batch>,
     backoff: Backoff,
@@ -78,7 +86,7 @@
                 if is_fresh(&batch, self.clock) {
                     return Some(batch);
                 }
-                log::debug!(count = batch.msgs.len(); "dropped messages that waited for too long");
+                self.counters.dropped(batch.msgs.len());
             }
         };
         deadline::until(self.clock, idle_at, fresh).await.flatten()
@@ -87,7 +95,8 @@
     /// Connects and delivers until the connection fails or is idle; returns `false` if it failed.
     async fn use_connection(&mut self) -> bool {
         let by = self.clock.now() + CONNECT_TIMEOUT;
-        let connecting = Connection::open(self.me, self.address, self.clock);
+        let counters = Rc::clone(&self.counters);
+        let connecting = Connection::open(self.me, self.address, self.clock, counters);
         let result = match deadline::until(self.clock, by, connecting).await {
             Some(Ok(mut conn)) => {
                 let result = self.deliver(&mut conn).await;
@@ -98,6 +107,7 @@
             None => Err(CallError::TimedOut),
         };
         if let Err(err) = &result {
+            self.counters.failed();
             log::debug!(address:% = self.address; "lost the connection to an instance: {err}");
         }
         result.is_ok()
--- a/crates/daemon/src/process.rs
+++ b/crates/daemon/src/process.rs
@@ -126,7 +126,7 @@
 ) -> Result<(), RunError> {
     let control = move || {
         let executor = Rc::new(LocalExecutor::new());
-        let receive = peer::serve(setup.me.instance, listener, cx.link.clone());
+        let receive = peer::serve(setup.me.instance, listener, cx.link.clone(), cx.clock);
         let driver = Driver::new(cx, setup, Rc::clone(&executor));
         let receive = async { match receive.await {} };
         block_on(executor.run(driver.run(&inputs).or(receive)));
