Name the parts of HTTP as the field does; deadlines before the write leave a request not run

'Ask' and 'reply' stood for request and response; a deadline that passed before a byte was written was reported as a timeout, which the control state must take for 'may have run'. Change: RequestParts, ResponseParts, PendingRequest, RoutedRequest, AttemptOutcome; such a deadline is reported as a connection that was never established. One more test.

--- a/crates/daemon/src/admin.rs
+++ b/crates/daemon/src/admin.rs
@@ -9,7 +9,7 @@
 
 use crate::{
     Input, Traffic, deadline,
-    http::{Buffered, HeadError, read_ask},
+    http::{Buffered, HeadError, read_request},
 };
 
 /// Time for one request of an operator, from its connection to the end of the answer.
@@ -41,7 +41,7 @@
 
 async fn answer(cx: &Traffic, mut stream: TcpStream) -> std::io::Result<()> {
     let mut input = Buffered::new(stream.clone());
-    let (method, mut res) = match read_ask(&mut input).await {
+    let (method, mut res) = match read_request(&mut input).await {
         Ok(head) => {
             (head.req.method(), respond(cx, head.req.method(), head.req.url().path()).await)
         }
--- a/crates/daemon/src/forward.rs
+++ b/crates/daemon/src/forward.rs
@@ -14,7 +14,7 @@
 use crate::{
     Traffic, deadline,
     front::{Answer, AttemptFields, Outgoing},
-    http::{BodyError, Buffered, HeadError, ReplyHead, encode_request, read_reply},
+    http::{BodyError, Buffered, HeadError, ResponseParts, encode_request, read_response},
 };
 
 /// An attempt that is to be made.
@@ -85,6 +85,8 @@
             total: attempt.cx.clock.now().since(start),
             tokens,
         },
+        // Nothing was written, so the server cannot have run it.
+        Err(Fault::TimedOut) if !progress.written => AttemptEnd::ConnectFailed,
         Err(fault) => attempt.failed(fault),
     };
     let may_have_run = progress.written && end != AttemptEnd::ServerBusy;
@@ -123,7 +125,7 @@
         stream.write_all(&bytes).await?;
         self.cx.link.event(Event::Sent { no: self.no, attempt: self.order.attempt });
         let mut input = Buffered::new(stream);
-        let head = read_reply(&mut input, self.outgoing.method()).await?;
+        let head = read_response(&mut input, self.outgoing.method()).await?;
         progress.cold = header(&head.res, "x-cold").is_some_and(|it| it != "false" && it != "0");
         self.check_head(&head)?;
         let opened = relay::Opened::read(input, head).await?;
@@ -163,7 +165,7 @@
         }
     }
 
-    fn check_head(&self, head: &ReplyHead) -> Result<(), Fault> {
+    fn check_head(&self, head: &ResponseParts) -> Result<(), Fault> {
         let id = self.id.to_string();
         if header(&head.res, "x-request-id").is_some_and(|it| it != id) {
             log::warn!("request {id}: backend server {} answered another one", self.order.server);
--- a/crates/daemon/src/forward/relay.rs
+++ b/crates/daemon/src/forward/relay.rs
@@ -6,7 +6,7 @@
 use super::{Attempt, Fault, events::EventSplitter};
 use crate::{
     front::Answer,
-    http::{Buffered, Frames, Framing, ReplyHead},
+    http::{Buffered, Frames, Framing, ResponseParts},
 };
 
 /// Bytes of an answer that is kept in memory until it is whole; a longer one is passed on as it
@@ -32,7 +32,7 @@
 #[derive(Debug)]
 pub(super) struct Opened {
     input: Buffered<TcpStream>,
-    head: ReplyHead,
+    head: ResponseParts,
     frames: Frames,
     first: Option<Vec<u8>>,
 }
@@ -41,7 +41,7 @@
     /// Reads the first bytes of the body.
     pub(super) async fn read(
         mut input: Buffered<TcpStream>,
-        head: ReplyHead,
+        head: ResponseParts,
     ) -> Result<Self, Fault> {
         let mut frames = Frames::new(head.framing);
         let first = frames.next(&mut input).await?;
--- a/crates/daemon/src/front.rs
+++ b/crates/daemon/src/front.rs
@@ -1,12 +1,11 @@
 //! Serves callers over HTTP.
 //!
-//! A connection is served request by request: [`ask`] finds route, key, class and pool,
+//! A connection is served request by request: [`routing`] finds route, key, class and pool,
 //! [`exchange`] tells the control thread and follows its orders, and [`answer`] writes the answer
 //! as it comes.
 
 mod account_key;
 mod answer;
-mod ask;
 mod caller;
 mod connection;
 mod exchange;
@@ -14,6 +13,7 @@
 mod prefix;
 mod problem;
 mod report;
+mod routing;
 
 use std::sync::{
     Arc,
@@ -96,7 +96,7 @@
             if open.count <= open.front.cx.settings.limits.connections {
                 connection::serve(&open.front, stream).await;
             } else {
-                connection::turn_away(&open.front, stream).await;
+                connection::reject_connection(&open.front, stream).await;
             }
         });
     }
--- a/crates/daemon/src/front/connection.rs
+++ b/crates/daemon/src/front/connection.rs
@@ -10,14 +10,14 @@
 
 use super::{
     Answer, Front,
-    ask::{Arrival, Ask, Routed},
     caller::Caller,
     exchange::{self, Next},
     problem::Problem,
+    routing::{Arrival, PendingRequest, RoutedRequest},
 };
 use crate::{
     deadline,
-    http::{AskHead, BodyError, HeadError, read_ask, read_whole},
+    http::{BodyError, HeadError, RequestParts, read_request, read_whole},
 };
 
 /// Time for a request that was on its way when the process stopped listening.
@@ -52,7 +52,7 @@
 }
 
 /// Refuses a connection beyond the limit.
-pub(super) async fn turn_away(front: &Front, stream: TcpStream) {
+pub(super) async fn reject_connection(front: &Front, stream: TcpStream) {
     let caller = Caller::new(stream);
     let problem =
         Problem::from(Refusal::not_run(Reason::Capacity).retry_after(Duration::from_secs(1)));
@@ -76,7 +76,7 @@
     let arrival = Arrival { no, id, at: front.cx.clock.now() };
     let method = head.req.method();
     let close = head.close;
-    let routed = match read_request(front, caller, head, arrival).await {
+    let routed = match read_rest(front, caller, head, arrival).await {
         Ok(routed) => routed,
         Err(failure) => return refuse(front, caller, id, failure).await,
     };
@@ -101,9 +101,9 @@
     came.or(stopped).await
 }
 
-async fn read_head(front: &Front, caller: &mut Caller) -> Result<AskHead, Failure> {
+async fn read_head(front: &Front, caller: &mut Caller) -> Result<RequestParts, Failure> {
     let by = front.cx.clock.now() + Duration::from_millis(front.cx.settings.limits.head_ms);
-    let head = deadline::until(front.cx.clock, by, read_ask(&mut caller.input)).await;
+    let head = deadline::until(front.cx.clock, by, read_request(&mut caller.input)).await;
     let head = head.ok_or_else(|| Problem::from(Refusal::not_run(Reason::SlowCaller)))?;
     head.map_err(|err| match err {
         HeadError::Closed | HeadError::Broken(_) => Failure::Silent,
@@ -112,19 +112,23 @@
     })
 }
 
-async fn read_request(
+async fn read_rest(
     front: &Front,
     caller: &mut Caller,
-    head: AskHead,
+    head: RequestParts,
     arrival: Arrival,
-) -> Result<Routed, Failure> {
+) -> Result<RoutedRequest, Failure> {
     let catalog = front.cx.shared.catalog();
-    let ask = Ask::new(&catalog, &head.req)?;
+    let pending = PendingRequest::new(&catalog, &head.req)?;
     let body = read_body(front, caller, &head).await?;
-    Ok(ask.body(&catalog, arrival, body)?)
+    Ok(pending.body(&catalog, arrival, body)?)
 }
 
-async fn read_body(front: &Front, caller: &mut Caller, head: &AskHead) -> Result<Vec<u8>, Failure> {
+async fn read_body(
+    front: &Front,
+    caller: &mut Caller,
+    head: &RequestParts,
+) -> Result<Vec<u8>, Failure> {
     if !head.has_body() {
         return Ok(Vec::new());
     }
--- a/crates/daemon/src/front/exchange.rs
+++ b/crates/daemon/src/front/exchange.rs
@@ -8,8 +8,8 @@
 use model::prelude::*;
 
 use super::{
-    Answer, Front, ask::Routed, caller::Caller, outgoing::Outgoing, problem::Problem,
-    report::Report,
+    Answer, Front, caller::Caller, outgoing::Outgoing, problem::Problem, report::Report,
+    routing::RoutedRequest,
 };
 use crate::{
     Input,
@@ -31,10 +31,10 @@
 pub(super) async fn run(
     front: &Front,
     caller: &mut Caller,
-    routed: Routed,
+    routed: RoutedRequest,
     answer: Answer,
 ) -> Next {
-    let Routed { head, outgoing } = routed;
+    let RoutedRequest { head, outgoing } = routed;
     let (tx, orders) = async_channel::unbounded();
     let report = Report::new(front.cx.link.clone(), head.no);
     let mut exchange = Exchange {
@@ -64,7 +64,7 @@
 }
 
 /// What happened while an attempt ran.
-enum Happened {
+enum AttemptOutcome {
     Ended(Ended),
     CallerLeft,
     Preempted,
@@ -107,7 +107,7 @@
     async fn attempt(&mut self, order: &RunOrder, caller: &mut Caller) -> Option<Next> {
         self.report.running(order.attempt);
         match self.run_attempt(order, caller).await {
-            Happened::Ended(ended) => {
+            AttemptOutcome::Ended(ended) => {
                 self.may_have_run |= ended.may_have_run;
                 self.front.cx.metrics.attempt(ended.end);
                 self.report.ended(ended.end, ended.cold);
@@ -117,23 +117,23 @@
                     _ => None,
                 }
             }
-            Happened::CallerLeft => {
+            AttemptOutcome::CallerLeft => {
                 self.report.ended(AttemptEnd::CallerLeft, false);
                 Some(Next::Abort)
             }
-            Happened::Preempted => {
+            AttemptOutcome::Preempted => {
                 self.may_have_run = true;
                 self.report.ended(AttemptEnd::Preempted, false);
                 None
             }
-            Happened::Refused(refusal) => {
+            AttemptOutcome::Refused(refusal) => {
                 self.may_have_run = true;
                 Some(self.refuse(refusal).await)
             }
         }
     }
 
-    async fn run_attempt(&mut self, order: &RunOrder, caller: &mut Caller) -> Happened {
+    async fn run_attempt(&mut self, order: &RunOrder, caller: &mut Caller) -> AttemptOutcome {
         let started = self.answer.started();
         let attempt = Attempt {
             cx: &self.front.cx,
@@ -143,10 +143,10 @@
             outgoing: &self.outgoing,
             answer: &mut self.answer,
         };
-        let run = async { Happened::Ended(forward::run(attempt).await) };
+        let run = async { AttemptOutcome::Ended(forward::run(attempt).await) };
         let left = async {
             caller.left().await;
-            Happened::CallerLeft
+            AttemptOutcome::CallerLeft
         };
         let cancelled = cancelled(&self.orders, order.attempt, &started);
         run.or(cancelled).or(left).await
@@ -175,15 +175,15 @@
     orders: &Receiver<RequestOrder>,
     attempt: u32,
     started: &AtomicBool,
-) -> Happened {
+) -> AttemptOutcome {
     while let Ok(order) = orders.recv().await {
         match order {
             RequestOrder::Preempt { attempt: it } if it == attempt => {
                 if !started.load(Ordering::Relaxed) {
-                    return Happened::Preempted;
+                    return AttemptOutcome::Preempted;
                 }
             }
-            RequestOrder::Refuse(refusal) => return Happened::Refused(refusal),
+            RequestOrder::Refuse(refusal) => return AttemptOutcome::Refused(refusal),
             RequestOrder::Run(_) | RequestOrder::Preempt { .. } => {}
         }
     }
--- a/crates/daemon/src/front/ask.rs
+++ b/crates/daemon/src/front/routing.rs
@@ -14,7 +14,7 @@
 
 /// A request whose head was read and allowed; its body is still to come.
 #[derive(Debug)]
-pub(super) struct Ask {
+pub(super) struct PendingRequest {
     route: RouteSpec,
     class: ClassId,
     key: Option<AccountKey>,
@@ -26,7 +26,7 @@
 
 /// A request that was read whole.
 #[derive(Debug)]
-pub(super) struct Routed {
+pub(super) struct RoutedRequest {
     /// What the control state needs to know.
     pub(super) head: RequestHead,
     /// What backend servers get.
@@ -44,7 +44,7 @@
     pub(super) at: Time,
 }
 
-impl Ask {
+impl PendingRequest {
     /// Judges a request by its head.
     pub(super) fn new(catalog: &Catalog, req: &Request) -> Result<Self, Problem> {
         let key = AccountKey::of(req)?;
@@ -71,7 +71,7 @@
         catalog: &Catalog,
         arrival: Arrival,
         body: Vec<u8>,
-    ) -> Result<Routed, Problem> {
+    ) -> Result<RoutedRequest, Problem> {
         if self.key.as_ref().is_some_and(|it| it.is_in_body(&body)) {
             return Err(Problem::not_run(Reason::BadRequest, "the body contains the key"));
         }
@@ -88,7 +88,7 @@
             prefix: prefix_of(fields.as_ref(), &body),
             idempotency: self.idempotency(),
         };
-        Ok(Routed { head, outgoing: self.outgoing.body(body) })
+        Ok(RoutedRequest { head, outgoing: self.outgoing.body(body) })
     }
 
     fn idempotency(&self) -> Option<Idempotency> {
--- a/crates/daemon/src/http.rs
+++ b/crates/daemon/src/http.rs
@@ -14,6 +14,6 @@
 
 pub(crate) use body::{BodyError, Frames, read_whole};
 pub(crate) use buffered::Buffered;
-pub(crate) use client::{ReplyHead, encode_request, read_reply};
+pub(crate) use client::{ResponseParts, encode_request, read_response};
 pub(crate) use exchange::{Client, ExchangeError};
-pub(crate) use head::{AskHead, Framing, HeadError, read_ask};
+pub(crate) use head::{Framing, HeadError, RequestParts, read_request};
--- a/crates/daemon/src/http/client.rs
+++ b/crates/daemon/src/http/client.rs
@@ -16,7 +16,7 @@
 
 /// A response's head.
 #[derive(Debug)]
-pub(crate) struct ReplyHead {
+pub(crate) struct ResponseParts {
     /// The response without a body and without the header fields that frame it.
     pub(crate) res: Response,
     /// How the body is delimited.
@@ -31,10 +31,10 @@
 }
 
 /// Reads the head of the final response to a request with this method.
-pub(crate) async fn read_reply<R: AsyncRead + Unpin>(
+pub(crate) async fn read_response<R: AsyncRead + Unpin>(
     input: &mut Buffered<R>,
     method: Method,
-) -> Result<ReplyHead, HeadError> {
+) -> Result<ResponseParts, HeadError> {
     for _ in 0..MAX_INTERIM {
         let raw = read_raw(input).await?;
         if let Some(head) = parse(&raw, method).await? {
@@ -45,7 +45,7 @@
 }
 
 /// Parses a response's head; an interim response gives `None`.
-async fn parse(raw: &[u8], method: Method) -> Result<Option<ReplyHead>, HeadError> {
+async fn parse(raw: &[u8], method: Method) -> Result<Option<ResponseParts>, HeadError> {
     let mut headers = [httparse::EMPTY_HEADER; MAX_HEADERS];
     let mut parsed = httparse::Response::new(&mut headers);
     if parsed.parse(raw)?.is_partial() {
@@ -65,7 +65,7 @@
         framing => framing,
     };
     let res = decode(code, parsed.headers).await?;
-    Ok(Some(ReplyHead { res, framing }))
+    Ok(Some(ResponseParts { res, framing }))
 }
 
 /// Gives `async-h1` the head without what concerns this connection.
--- a/crates/daemon/src/http/exchange.rs
+++ b/crates/daemon/src/http/exchange.rs
@@ -7,7 +7,7 @@
 use http_types::{Request, Response};
 use thiserror::Error;
 
-use super::{BodyError, Buffered, HeadError, encode_request, read_reply, read_whole};
+use super::{BodyError, Buffered, HeadError, encode_request, read_response, read_whole};
 
 /// Bytes of a response's body.
 const MAX_BODY_BYTES: usize = 1 << 20;
@@ -68,7 +68,7 @@
         let method = req.method();
         let bytes = encode_request(req).await?;
         self.stream.write_all(&bytes).await?;
-        let head = read_reply(&mut self.input, method).await?;
+        let head = read_response(&mut self.input, method).await?;
         let body = read_whole(&mut self.input, head.framing, MAX_BODY_BYTES).await?;
         Ok(Reply { res: head.res, body })
     }
--- a/crates/daemon/src/http/head.rs
+++ b/crates/daemon/src/http/head.rs
@@ -55,7 +55,7 @@
 
 /// A request's head.
 #[derive(Debug)]
-pub(crate) struct AskHead {
+pub(crate) struct RequestParts {
     /// The request without a body and without the header fields that frame it.
     pub(crate) req: Request,
     /// How the body is delimited.
@@ -66,7 +66,7 @@
     pub(crate) close: bool,
 }
 
-impl AskHead {
+impl RequestParts {
     /// Returns whether a body follows.
     pub(crate) fn has_body(&self) -> bool {
         !matches!(self.framing, Framing::Absent | Framing::Length(0))
@@ -74,21 +74,21 @@
 }
 
 /// Reads a request's head.
-pub(crate) async fn read_ask<R: AsyncRead + Unpin>(
+pub(crate) async fn read_request<R: AsyncRead + Unpin>(
     input: &mut Buffered<R>,
-) -> Result<AskHead, HeadError> {
+) -> Result<RequestParts, HeadError> {
     let raw = read_raw(input).await?;
     let mut headers = [httparse::EMPTY_HEADER; MAX_HEADERS];
     let mut parsed = httparse::Request::new(&mut headers);
     if parsed.parse(&raw)?.is_partial() {
         return Err(HeadError::Malformed("the head is not well formed"));
     }
-    check_ask(&parsed)?;
+    check_request(&parsed)?;
     let framing = framing(parsed.headers)?;
     let expects_continue = has_token(parsed.headers, "expect", "100-continue");
     let close = has_token(parsed.headers, "connection", "close");
     let req = decode(&parsed).await?;
-    Ok(AskHead { req, framing, expects_continue, close })
+    Ok(RequestParts { req, framing, expects_continue, close })
 }
 
 /// Reads up to the empty line that ends a head. Empty lines before it are skipped.
@@ -133,7 +133,7 @@
     Ok(end)
 }
 
-fn check_ask(parsed: &httparse::Request<'_, '_>) -> Result<(), HeadError> {
+fn check_request(parsed: &httparse::Request<'_, '_>) -> Result<(), HeadError> {
     if parsed.version != Some(1) {
         return Err(HeadError::Malformed("the HTTP version is not supported"));
     }
--- a/crates/daemon/tests/traffic/forwarding.rs
+++ b/crates/daemon/tests/traffic/forwarding.rs
@@ -191,6 +191,18 @@
     assert_eq!(bench.ended(), AttemptEnd::ConnectFailed);
 }
 
+#[test]
+fn a_deadline_before_the_request_is_written_leaves_it_not_run() {
+    let backend = Backend::answering(whole("ok"));
+    let bench = bench_changed(backend.address, |head, order| order.first_byte_by = head.arrived);
+
+    let seen = call(bench.address, &post("/stock", "x"));
+
+    assert_eq!(seen.error().1, "not-run");
+    assert_eq!(bench.ended(), AttemptEnd::ConnectFailed);
+    assert!(backend.is_untouched());
+}
+
 #[test]
 fn deadlines_end_attempts() {
     let span = Duration::from_millis(150);
