--- a/crates/control/src/waiting.rs
+++ b/crates/control/src/waiting.rs
@@ -172,7 +172,8 @@
             req.is_some_and(|it| it.stage == Stage::Queue && it.grant.is_none())
         };
         let no = self.tickets.get(&id).copied().filter(|no| waits(self, no));
-        let is_late = now < self.suspect_until;
+        // A grant by this instance itself was made in this very step.
+        let is_late = from.instance != self.setup.me.instance && now < self.suspect_until;
         let (Some(no), false) = (no, is_late) else {
             self.return_grant(from.instance, &granted);
             if is_late && let Some(no) = no {
--- a/crates/fakes/src/builder.rs
+++ b/crates/fakes/src/builder.rs
@@ -124,7 +124,7 @@
         idempotent: bool,
     ) -> Self {
         self.config.routes.push(Route {
-            name: format!("{method} {path}"),
+            name: format!("{method}{}", path.replace('/', "-")).to_lowercase(),
             method: method.to_owned(),
             path: path.to_owned(),
             pool: pool.map(str::to_owned),
--- a/crates/fakes/src/client.rs
+++ b/crates/fakes/src/client.rs
@@ -165,7 +165,7 @@
     pub request_id: String,
     /// The header `x-outcome`.
     pub outcome: String,
-    /// The body's field `reason`, also within `error`.
+    /// The reason of a refusal, the field `type` of the body's `error`.
     pub reason: String,
     /// The header `retry-after`.
     pub retry_after: Option<String>,
@@ -296,8 +296,7 @@
 fn judge(call: &Call, reply: &mut Reply) -> End {
     if !(200..300).contains(&reply.status) {
         let body: Value = serde_json::from_slice(&reply.body).unwrap_or(Value::Null);
-        let reason = body["reason"].as_str().or(body["error"]["reason"].as_str());
-        reply.reason = reason.unwrap_or_default().to_owned();
+        reply.reason = body["error"]["type"].as_str().unwrap_or_default().to_owned();
         return End::Refused;
     }
     let nonce = call.nonce.as_deref();
