Give the restart test a port that nobody else takes

Change: a port below those for outgoing connections, as the fleets use.

Against faults put in by hand (no age limit, no deadline of calls, no check of the receiver) the tests of each failed.

Conclusion: the failure was the test's, not the daemon's.

--- a/crates/daemon/tests/peer.rs
+++ b/crates/daemon/tests/peer.rs
@@ -21,6 +21,7 @@
     Clock, Input, Link,
     peer::{self, Peers, Stats},
 };
+use fakes::free_port;
 use futures_lite::{AsyncReadExt as _, AsyncWriteExt as _, FutureExt as _, future};
 use model::{
     msg::{
@@ -254,8 +255,10 @@
 #[test]
 fn messages_flow_again_after_a_restart_and_old_ones_do_not_come() {
     run(|executor| async move {
-        let node = Node::start(&executor, "receiver").await;
-        let (address, mut outgoing) = (node.address, Outgoing::new(&executor));
+        // A port that no outgoing connection takes while nobody listens there.
+        let address = free_port();
+        let node = Node::start_at(&executor, "receiver", address).await;
+        let mut outgoing = Outgoing::new(&executor);
         outgoing.send(&node, numbered(1));
         assert_eq!(node.next().await.1, numbered(1));
         outgoing.drain().await;
