Make the test of requests on their way fail without its mechanism

Cause: with the grace after the end of listening taken out, the test still passed, because the request came at once. It comes 20 ms later now.

--- a/crates/daemon/tests/traffic/shutdown.rs
+++ b/crates/daemon/tests/traffic/shutdown.rs
@@ -1,6 +1,6 @@
 //! What callers see of a shutdown.
 
-use std::{io::Write as _, sync::mpsc};
+use std::{io::Write as _, sync::mpsc, thread, time::Duration};
 
 use crate::{
     backend::{Backend, whole},
@@ -8,6 +8,9 @@
     caller::{Caller, call, get},
 };
 
+/// Time that a request takes to come.
+const ON_ITS_WAY: Duration = Duration::from_millis(20);
+
 #[test]
 fn draining_closes_connections_after_their_answer() {
     let backend = Backend::answering(whole("ok"));
@@ -31,6 +34,7 @@
     let mut caller = Caller::connect(bench.address);
 
     bench.cx.shared.stop_listening();
+    thread::sleep(ON_ITS_WAY);
     caller.send(get("/look", ""));
 
     assert_eq!(caller.response().status, 200);
