Merge the envelopes that wait for a slow instance

Cause: in a fleet on a busy machine about 2 % of the messages were not acknowledged within the call's deadline. Steps of the reducer were not slow (the longest, the check of a configuration, took 15 ms of processor time in 91 ms) and the control loop had no gaps: the threads waited for a processor, and each envelope costs its receiver the same, however little is in it.

Change: what comes while calls are under way goes in as few envelopes as it fits, and fewer calls are under way at a time (8 instead of 16).

--- a/crates/daemon/src/peer/outgoing.rs
+++ b/crates/daemon/src/peer/outgoing.rs
@@ -55,6 +55,19 @@
     pub(super) _undelivered: Rc<()>,
 }
 
+impl Batch {
+    /// Takes the messages of a later batch if one envelope can carry both.
+    pub(super) fn merge(&mut self, later: Self) -> Result<(), Self> {
+        let fits = self.msgs.len() + later.msgs.len() <= MAX_MESSAGES;
+        let is_small = !self.msgs.iter().chain(&later.msgs).any(is_large);
+        if self.to != later.to || !fits || !is_small {
+            return Err(later);
+        }
+        self.msgs.extend(later.msgs);
+        Ok(())
+    }
+}
+
 /// The way to one address.
 struct Lane {
     queue: Sender<Batch>,
@@ -134,9 +147,9 @@
     let mut envelopes = Vec::new();
     let mut envelope = Vec::new();
     for msg in msgs {
-        let is_large = matches!(msg, Msg::ConfigDoc(_) | Msg::ListDoc(_) | Msg::Handover(_));
+        let ends = is_large(&msg);
         envelope.push(msg);
-        if is_large || envelope.len() == MAX_MESSAGES {
+        if ends || envelope.len() == MAX_MESSAGES {
             envelopes.push(std::mem::take(&mut envelope));
         }
     }
@@ -145,3 +158,7 @@
     }
     envelopes
 }
+
+fn is_large(msg: &Msg) -> bool {
+    matches!(msg, Msg::ConfigDoc(_) | Msg::ListDoc(_) | Msg::Handover(_))
+}
--- a/crates/daemon/src/peer/sender.rs
+++ b/crates/daemon/src/peer/sender.rs
@@ -22,8 +22,9 @@
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
 /// Time for an envelope to be acknowledged; the connection is closed after it.
 const CALL_TIMEOUT: Duration = Duration::from_millis(500);
-/// Envelopes that are not acknowledged yet; further ones wait.
-const MAX_CALLS: usize = 16;
+/// Envelopes that are not acknowledged yet. What comes meanwhile waits and goes in few envelopes,
+/// so that a slow receiver has less to do for each message.
+const MAX_CALLS: usize = 8;
 /// A connection that nothing was sent over for this time is closed.
 const IDLE_TIMEOUT: Duration = Duration::from_secs(30);
 
@@ -74,6 +75,17 @@
         self.first.is_some()
     }
 
+    /// Returns the next batch together with those that wait behind it, as far as they fit.
+    async fn next_envelope(&mut self) -> Option<Batch> {
+        let mut batch = self.next_batch().await?;
+        while self.first.is_none()
+            && let Ok(later) = self.batches.try_recv()
+        {
+            self.first = batch.merge(later).err();
+        }
+        Some(batch)
+    }
+
     /// Returns the next batch that is fresh, or `None` if none came for a long time.
     async fn next_batch(&mut self) -> Option<Batch> {
         let idle_at = self.clock.now() + IDLE_TIMEOUT;
@@ -129,7 +141,7 @@
                 if !may_send {
                     future::pending::<()>().await;
                 }
-                self.next_batch().await.map_or(Step::Idle, Step::Send)
+                self.next_envelope().await.map_or(Step::Idle, Step::Send)
             };
             match answered.or(broken).or(sending).await {
                 Step::Send(batch) => {
