Serve once the own shards are in use; doubt claims after two departures

Cause: the demo refused requests of accounts within their rate right after the start: readiness came before the shares were owned. Change: joining waits for takeovers, within a bound; trials wait for full shares.

--- a/crates/control/src/duties.rs
+++ b/crates/control/src/duties.rs
@@ -256,12 +256,24 @@
     pub(crate) fn forget_unlisted(&mut self, now: Time) {
         let listed: BTreeSet<_> = self.members.iter().map(|(id, _)| id).collect();
         let gone: Vec<_> = self.former.difference(&listed).copied().collect();
+        self.doubt_claims(now, gone.len());
         for instance in gone {
             self.instance_gone(now, instance, None);
         }
         self.former = listed;
     }
 
+    /// After two instances have left, nobody may be left who remembers a key.
+    fn doubt_claims(&mut self, now: Time, gone: usize) {
+        let recent = self.left_at.is_some_and(|at| now < at + once::RETENTION);
+        if gone + usize::from(recent) > 1 {
+            self.memory.doubt(now);
+        }
+        if gone > 0 {
+            self.left_at = Some(now);
+        }
+    }
+
     fn send_token(&mut self, replies: Vec<Reply<TokenMsg>>) {
         for reply in replies {
             self.send(reply.to, Msg::Token(reply.msg));
--- a/crates/control/src/state.rs
+++ b/crates/control/src/state.rs
@@ -51,6 +51,8 @@
     pub(crate) watched: BTreeSet<ServerId>,
     /// The instances of the last list.
     pub(crate) former: BTreeSet<InstanceId>,
+    /// When an instance left the list last.
+    pub(crate) left_at: Option<Time>,
     pub(crate) orders: Orders,
     pub(crate) wallet: Wallet,
     pub(crate) static_limits: StaticLimits,
@@ -134,6 +136,7 @@
             cells: BTreeMap::new(),
             watched: BTreeSet::new(),
             former: BTreeSet::new(),
+            left_at: None,
             orders: Orders::default(),
             wallet: Wallet::new(me),
             static_limits: StaticLimits::new(1),
@@ -273,7 +276,13 @@
         }
     }
 
-    /// Begins to serve once no other instance is known to have a newer configuration.
+    /// The time in which a fleet that starts all at once comes to own its shards.
+    fn settling_time(&self) -> Duration {
+        self.setup.times.takeover() + limit::SILENCE
+    }
+
+    /// Begins to serve once no other instance is known to have a newer configuration, and the
+    /// shards of this instance are in use: nobody else serves them while a fleet starts.
     fn join(&mut self, now: Time, asked_at: Option<Time>) {
         if self.docs.config.is_none() || self.members.list_version() == Version(0) {
             return;
@@ -283,8 +292,9 @@
             self.tell_all(now);
             return;
         };
-        let waited = now >= asked_at + JOIN_WAIT;
-        if waited || self.members.all_acked() {
+        let is_current = now >= asked_at + JOIN_WAIT || self.members.all_acked();
+        let is_settled = now >= asked_at + self.settling_time() || self.holdings.waiting() == 0;
+        if is_current && is_settled {
             self.phase = Phase::Serving;
             self.out.effects.push(Effect::Ready(true));
         }
--- a/crates/fakes/src/trial.rs
+++ b/crates/fakes/src/trial.rs
@@ -10,6 +10,7 @@
 use clap::ValueEnum;
 use config::{Policy, ServerState, ZoneState};
 use serde::Serialize;
+use serde_json::Value;
 
 use crate::{
     Deployment, Entry, Fleet, FleetError, excess, key_of,
@@ -116,6 +117,7 @@
         }
         let mut fleet = builder.start()?;
         fleet.wait_all_ready(START_LIMIT)?;
+        wait_full(&fleet)?;
         self.run_on(&mut fleet)
     }
 
@@ -254,3 +256,14 @@
 fn sleep_until(time: Instant) {
     thread::sleep(time.saturating_duration_since(Instant::now()));
 }
+
+/// Waits until the accounts have their whole burst, as in a fleet that has run for a while.
+fn wait_full(fleet: &Fleet) -> Result<(), FleetError> {
+    let is_full = |share: &Value| share["level"].as_f64() >= share["spec"]["burst"].as_f64();
+    for daemon in fleet.names() {
+        fleet.wait_dump(&daemon, "full shares", START_LIMIT, |dump| {
+            dump["shares"].as_array().is_some_and(|it| it.iter().all(is_full))
+        })?;
+    }
+    Ok(())
+}
--- a/crates/limit/src/lib.rs
+++ b/crates/limit/src/lib.rs
@@ -54,3 +54,7 @@
 /// From when an attempt's request was written to the backend server's connection to the report
 /// that its token was spent. By then the request has arrived at the server.
 pub const REPORT_DELAY: Duration = Duration::from_millis(100);
+
+/// For how long, and the clocks' margin, a new owner hands out nothing if it knows nothing of its
+/// predecessor's tokens: until they have expired and their attempts have arrived.
+pub const SILENCE: Duration = TOKEN_TTL.saturating_add(REPORT_DELAY);
