Lend tokens while requests wait for a backend server

Ruled out: a token only after the grant (an account over its rate would hold engines while it waits). Change: a token goes back after 50 ms in a queue; one is asked for again when the grant comes, and if none comes within 100 ms the request waits for one that it keeps. The summary of shares is computed for the present time.

--- a/crates/control/src/dump.rs
+++ b/crates/control/src/dump.rs
@@ -36,7 +36,7 @@
             "peers": peers.collect::<Vec<_>>(),
             "shards": self.holdings.active().collect::<Vec<_>>(),
             "shards_waiting": self.holdings.waiting(),
-            "shares": self.shares.summary(),
+            "shares": self.shares.summary(now),
             "cells": cells.collect::<Vec<_>>(),
             "requests": self.request_counts(),
         })
--- a/crates/control/src/entry.rs
+++ b/crates/control/src/entry.rs
@@ -6,7 +6,7 @@
 
 use crate::{
     Effect, Metric, Note, RequestHead, RequestOrder, RunOrder,
-    request::{Request, Stage},
+    request::{Request, Stage, TokenHold},
     state::{Phase, State},
 };
 
@@ -17,6 +17,12 @@
 /// over: it was admitted.
 const RETRY_WAIT: Duration = Duration::from_secs(1);
 
+/// How long a request keeps its token while it waits for a backend server.
+const LEND_TIME: Duration = Duration::from_millis(50);
+
+/// How long a granted backend server waits for a token.
+const BOUNCE_TIME: Duration = Duration::from_millis(100);
+
 /// The most attempts of a request.
 const MAX_ATTEMPTS: u32 = 4;
 
@@ -43,6 +49,7 @@
             tickets: Vec::new(),
             spread_at: None,
             grant: None,
+            token: TokenHold::None,
             maybe_ran: false,
             claimed: false,
             head,
@@ -163,20 +170,62 @@
     }
 
     fn token_ready(&mut self, now: Time, no: RequestNo) {
-        match self.requests.get(&no).map(|it| it.stage) {
-            Some(Stage::Token) => self.join_queue(now, no),
-            Some(Stage::Queue) => self.try_run(now, no),
+        let Some(req) = self.requests.get_mut(&no) else { return };
+        match (req.stage, req.token) {
+            (Stage::Token, TokenHold::Kept) => self.join_queue(now, no),
+            (Stage::Token, _) => {
+                req.token = TokenHold::Lent(now);
+                self.join_queue(now, no);
+            }
+            (Stage::Queue, _) => self.try_run(now, no),
             _ => {}
         }
     }
 
     fn token_dry(&mut self, now: Time, no: RequestNo, reason: Reason, retry_after: Duration) {
         let Some(req) = self.requests.get(&no) else { return };
-        if matches!(req.stage, Stage::Token | Stage::Queue) {
-            let execution = req.execution();
-            let retry_after = Some(retry_after);
-            self.refuse(now, no, Refusal { reason, execution, retry_after });
+        match (req.stage, req.token) {
+            (Stage::Queue, TokenHold::Asked(_)) => self.bounce(now, no),
+            (Stage::Token | Stage::Queue, _) => {
+                let execution = req.execution();
+                let retry_after = Some(retry_after);
+                self.refuse(now, no, Refusal { reason, execution, retry_after });
+            }
+            _ => {}
+        }
+    }
+
+    /// Gives the token back while the request waits for a backend server, so that it does not
+    /// keep other requests of the account waiting: the account's burst counts tokens in hand.
+    pub(crate) fn lend_back(&mut self, now: Time, no: RequestNo) {
+        let Some(req) = self.requests.get_mut(&no) else { return };
+        let TokenHold::Lent(since) = req.token else { return };
+        if req.stage == Stage::Queue && req.grant.is_none() && now >= since + LEND_TIME {
+            req.token = TokenHold::Returned;
+            let out = self.wallet.cancel(now, no);
+            self.wallet_out(now, out);
+        }
+    }
+
+    /// Asks for a token again, now that there is a backend server.
+    pub(crate) fn ask_again(&mut self, now: Time, no: RequestNo) {
+        let Some(req) = self.requests.get_mut(&no) else { return };
+        let Some(account) = req.account else { return };
+        req.token = TokenHold::Asked(now + BOUNCE_TIME);
+        let zones = self.token_zones();
+        let out = self.wallet.want(now, no, account, BOUNCE_TIME, &zones);
+        self.wallet_out(now, out);
+    }
+
+    /// Gives a backend server up for which no token came, and waits for a token that is kept.
+    pub(crate) fn bounce(&mut self, now: Time, no: RequestNo) {
+        self.release(now, no, AttemptEnd::Unused, false);
+        let out = self.wallet.cancel(now, no);
+        self.wallet_out(now, out);
+        if let Some(req) = self.requests.get_mut(&no) {
+            req.token = TokenHold::Kept;
         }
+        self.start_attempt(now, no);
     }
 
     /// Starts the attempt if the request has a backend server and a token that is valid.
@@ -185,6 +234,9 @@
         let (Stage::Queue, Some(granted)) = (req.stage, req.grant) else { return };
         let needs_token =
             req.account.is_some() && self.setup.policy != config::Policy::StaticLimits;
+        if needs_token && req.token == TokenHold::Returned {
+            return self.ask_again(now, no);
+        }
         let start_by = if needs_token {
             let Some(token_by) = self.wallet.spend(now, no) else { return };
             token_by.min(granted.start_by)
@@ -290,6 +342,7 @@
             return self.refuse(now, no, refusal);
         }
         let Some(req) = self.requests.get_mut(&no) else { return };
+        req.token = TokenHold::None;
         req.wait_by = req.wait_by.max(now + RETRY_WAIT).min(req.end_by);
         let metric = if is_free { Metric::Preempted } else { Metric::Retried };
         self.out.effects.push(Effect::Count(metric));
--- a/crates/control/src/request.rs
+++ b/crates/control/src/request.rs
@@ -29,6 +29,8 @@
     pub(crate) spread_at: Option<Time>,
     /// The backend server that is granted or in use.
     pub(crate) grant: Option<Granted>,
+    /// The token that the request holds.
+    pub(crate) token: TokenHold,
     /// Whether an attempt may have run at a backend server without a whole answer.
     pub(crate) maybe_ran: bool,
     /// Whether an idempotency key was claimed.
@@ -51,6 +53,21 @@
     },
 }
 
+/// A request's hold on a token.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum TokenHold {
+    /// None yet.
+    None,
+    /// Since this time; it goes back if no backend server comes soon.
+    Lent(Time),
+    /// It went back; another one is needed once there is a backend server.
+    Returned,
+    /// A backend server is granted, and a token is asked for until this time.
+    Asked(Time),
+    /// It stays with the request until an attempt is made.
+    Kept,
+}
+
 /// A place in the queue of a cell.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct Ticket {
--- a/crates/control/src/waiting.rs
+++ b/crates/control/src/waiting.rs
@@ -271,6 +271,7 @@
     }
 
     fn tick_waiting(&mut self, now: Time, no: RequestNo) {
+        self.lend_back(now, no);
         let Some(req) = self.requests.get(&no) else { return };
         if let Some(granted) = req.grant {
             if now >= granted.start_by {
--- a/crates/limit/src/share.rs
+++ b/crates/limit/src/share.rs
@@ -169,11 +169,13 @@
         [token, growth].into_iter().flatten().chain([deadline]).min()
     }
 
-    pub(crate) fn summary(&self) -> ShareSummary {
+    pub(crate) fn summary(&self, now: Time) -> ShareSummary {
+        let mut bucket = self.bucket.clone();
+        bucket.refill(now, self.growth.spec().rate, self.cap());
         ShareSummary {
             share: self.id,
             spec: self.growth.spec(),
-            level: self.bucket.level(),
+            level: bucket.level(),
             outstanding: self.leases.len(),
             waiting: self.queue.len(),
         }
--- a/crates/limit/src/shares.rs
+++ b/crates/limit/src/shares.rs
@@ -139,8 +139,8 @@
     }
 
     /// Returns the state of the owned shares in the order of their ids, for dumps.
-    pub fn summary(&self) -> Vec<ShareSummary> {
-        let mut summary: Vec<_> = self.open.values().map(Share::summary).collect();
+    pub fn summary(&self, now: Time) -> Vec<ShareSummary> {
+        let mut summary: Vec<_> = self.open.values().map(|it| it.summary(now)).collect();
         summary.sort_unstable_by_key(|it| it.share);
         summary
     }
