Be ready only when tokens flow and the control thread runs

Cause: the first requests after a fleet's start were refused as over-rate, because shares that nobody handed over give nothing for 1.3 s; /readyz stayed 200 while the control thread hung; callers got 404 before a configuration was known; late grants from other owners were renewed and given back again for 300 ms. Change: readiness waits for the shares' silence and for a recent step; 503 not-ready without a configuration; a late grant's ticket is renewed when grants can be trusted again; doc links.

--- a/crates/control/src/duties.rs
+++ b/crates/control/src/duties.rs
@@ -63,6 +63,9 @@
         let Some(spec) = self.catalog.accounts.get(&share.account) else { return };
         let zones = self.catalog.share_zones();
         let Some(part) = part_of(spec, share, &zones) else { return };
+        if start == ShareStart::Empty {
+            self.silent_until = now + self.silence();
+        }
         self.shares.open(now, share, part, start);
         self.out.log(Note::Took { shard: Shard::Share(share).to_string() });
     }
--- a/crates/control/src/state.rs
+++ b/crates/control/src/state.rs
@@ -66,6 +66,8 @@
     pub(crate) budget: RetryBudget,
     pub(crate) next_ticket: u64,
     pub(crate) suspect_until: Time,
+    /// Until when shares that nobody handed over give no tokens.
+    pub(crate) silent_until: Time,
     last_step: Time,
     next_tick: Time,
     pub(crate) out: Out,
@@ -150,6 +152,7 @@
             budget: RetryBudget::default(),
             next_ticket: 1,
             suspect_until: Time::default(),
+            silent_until: Time::default(),
             last_step: now,
             next_tick: now,
             out: Out::default(),
@@ -276,9 +279,14 @@
         }
     }
 
+    /// For how long a share that nobody handed over gives no tokens.
+    pub(crate) fn silence(&self) -> Duration {
+        limit::SILENCE + self.setup.times.margin
+    }
+
     /// The time in which a fleet that starts all at once comes to own its shards.
     fn settling_time(&self) -> Duration {
-        self.setup.times.takeover() + limit::SILENCE
+        self.setup.times.takeover() + self.silence() + TICK
     }
 
     /// Begins to serve once no other instance is known to have a newer configuration, and the
@@ -293,7 +301,8 @@
             return;
         };
         let is_current = now >= asked_at + JOIN_WAIT || self.members.all_acked();
-        let is_settled = now >= asked_at + self.settling_time() || self.holdings.waiting() == 0;
+        let is_owner = self.holdings.waiting() == 0 && now >= self.silent_until;
+        let is_settled = is_owner || now >= asked_at + self.settling_time();
         if is_current && is_settled {
             self.phase = Phase::Serving;
             self.out.effects.push(Effect::Ready(true));
--- a/crates/control/src/waiting.rs
+++ b/crates/control/src/waiting.rs
@@ -177,7 +177,7 @@
         let (Some(no), false) = (no, is_late) else {
             self.return_grant(from.instance, &granted);
             if is_late && let Some(no) = no {
-                self.renew_ticket(now, no, id);
+                self.renew_ticket(no, id);
             }
             return;
         };
@@ -199,13 +199,18 @@
         self.send(owner, Msg::Cell(msg));
     }
 
-    /// Asks a cell again under a new name, since the old one has had its answer.
-    fn renew_ticket(&mut self, now: Time, no: RequestNo, id: TicketId) {
-        self.tickets.remove(&id);
+    /// Asks a cell again under a new name, since the old one has had its answer, once grants can
+    /// be trusted again.
+    fn renew_ticket(&mut self, no: RequestNo, old: TicketId) {
+        self.tickets.remove(&old);
         let Some(req) = self.requests.get_mut(&no) else { return };
-        let Some(at) = req.tickets.iter().position(|it| it.id == id) else { return };
-        let cell = req.tickets.remove(at).cell;
-        self.ask_cell(now, no, cell);
+        let Some(ticket) = req.tickets.iter_mut().find(|it| it.id == old) else { return };
+        let id = TicketId(self.next_ticket);
+        self.next_ticket += 1;
+        let (reason, retry_after) = (Reason::NoOwner, ASK_AGAIN);
+        let state = TicketState::Refused { reason, retry_after };
+        *ticket = Ticket { id, state, again_at: self.suspect_until, ..*ticket };
+        self.tickets.insert(id, no);
     }
 
     fn preempt(&mut self, now: Time, grant: GrantId) {
@@ -285,7 +290,7 @@
         let Some(req) = self.requests.get(&no) else { return };
         let due = req.tickets.iter().filter(|it| {
             let moved = it.owner != self.members.owner(Shard::Cell(it.cell));
-            it.is_open() && (moved || now >= it.again_at)
+            it.is_open() && now >= self.suspect_until && (moved || now >= it.again_at)
         });
         let due: Vec<_> = due.map(|it| it.id).collect();
         for id in due {
--- a/crates/daemon/src/admin.rs
+++ b/crates/daemon/src/admin.rs
@@ -59,7 +59,7 @@
     match (method, path) {
         (Method::Get | Method::Head, "/dump") => dump(cx).await,
         (Method::Get | Method::Head, "/healthz") => plain(StatusCode::Ok, "ok"),
-        (Method::Get | Method::Head, "/readyz") if cx.shared.is_ready() => {
+        (Method::Get | Method::Head, "/readyz") if cx.shared.is_ready(cx.clock.now()) => {
             plain(StatusCode::Ok, "ready")
         }
         (Method::Get | Method::Head, "/readyz") => {
--- a/crates/daemon/src/driver.rs
+++ b/crates/daemon/src/driver.rs
@@ -108,6 +108,7 @@
 
     fn step(&mut self, event: Event) {
         let now = self.cx.clock.now();
+        self.cx.shared.stepped(now);
         for effect in self.state.step(now, event) {
             self.execute(now, effect);
         }
--- a/crates/daemon/src/front.rs
+++ b/crates/daemon/src/front.rs
@@ -1,7 +1,7 @@
 //! Serves callers over HTTP.
 //!
-//! A connection is served request by request: [`routing`] finds route, key, class and pool,
-//! [`exchange`] tells the control thread and follows its orders, and [`answer`] writes the answer
+//! A connection is served request by request: `routing` finds route, key, class and pool,
+//! `exchange` tells the control thread and follows its orders, and `answer` writes the answer
 //! as it comes.
 
 mod account_key;
--- a/crates/daemon/src/front/routing.rs
+++ b/crates/daemon/src/front/routing.rs
@@ -105,6 +105,7 @@
     match catalog.route(req.method().as_ref(), path) {
         Some(route) => Ok(route),
         None if catalog.has_path(path) => Err(Problem::wrong_method()),
+        None if catalog.version == Version(0) => Err(Refusal::not_run(Reason::NotReady).into()),
         None => Err(Refusal::not_run(Reason::NoRoute).into()),
     }
 }
--- a/crates/daemon/src/link.rs
+++ b/crates/daemon/src/link.rs
@@ -4,13 +4,17 @@
     convert::Infallible,
     sync::{
         Arc, RwLock,
-        atomic::{AtomicBool, Ordering},
+        atomic::{AtomicBool, AtomicU64, Ordering},
     },
 };
 
 use async_channel::{Receiver, Sender};
 use config::Catalog;
 use control::{Event, RequestHead, RequestOrder};
+use model::prelude::*;
+
+/// A control thread that took no event for this time hangs.
+const STALL: Duration = Duration::from_secs(1);
 
 /// What other threads tell the control thread.
 #[derive(Debug)]
@@ -61,6 +65,8 @@
 pub struct Shared {
     catalog: RwLock<Arc<Catalog>>,
     ready: AtomicBool,
+    /// When the control thread took its last event, in nanoseconds of the process's clock.
+    stepped_at: AtomicU64,
     draining: AtomicBool,
     listening: Signal,
 }
@@ -82,9 +88,16 @@
         }
     }
 
-    /// Returns whether the balancer should send callers here.
-    pub fn is_ready(&self) -> bool {
-        self.ready.load(Ordering::Relaxed)
+    /// Returns whether the balancer should send callers here: the control state says so, and the
+    /// control thread runs.
+    pub fn is_ready(&self, now: Time) -> bool {
+        let stepped_at = Time { nanos: self.stepped_at.load(Ordering::Relaxed) };
+        self.ready.load(Ordering::Relaxed) && now.since(stepped_at) < STALL
+    }
+
+    /// Notes that the control thread runs.
+    pub fn stepped(&self, now: Time) {
+        self.stepped_at.store(now.nanos, Ordering::Relaxed);
     }
 
     /// Sets whether the balancer should send callers here.
