Serve on when all backend servers of a cell are down or hang

Cause: a cell never ejects more than half of its servers, so a zone whose servers were all dead kept granting them; a retry asked the own zone's cell first again and got the same servers, until the retry budget was used up. Ruled out: ejecting more than half; a burst of failures under load would then close a cell that works.

Change, sched: a server is down when two load reads in a row find no connection, when four in a row get no answer and no attempt completed between, or when two attempts in a row find no connection while no load reads are answered (one instance that cannot connect does not take a server from the others). It gets nothing but a probe after 1, 2, 4 .. 32 s, and returns at the next load read or completed attempt. A cell refuses with no-server at once if a request can count on no server but those that failed it; a retry neither waits for an ejection nor falls back meanwhile. Idempotent attempts are asked back from a server that load reads have shown to be down for 2 s; those whose answer has begun go on at their holder. Change, control: a retry asks all cells at once; if all refuse, the servers that failed the request are allowed again; attempts that found no connection take nothing from the retry budget. Change, daemon: connections are closed with their next answer from the signal to stop on.

--- a/crates/control/src/entry.rs
+++ b/crates/control/src/entry.rs
@@ -338,7 +338,9 @@
             Refusal { reason: failure(end), execution: req.execution(), retry_after: None };
         let in_time = now + RETRY_WAIT < req.end_by && req.attempt < MAX_ATTEMPTS;
         let is_free = matches!(end, AttemptEnd::Unused | AttemptEnd::Preempted);
-        if !is_safe || !in_time || !is_free && !self.budget.withdraw() {
+        // An attempt that found no connection was no work for any server.
+        let is_light = is_free || end == AttemptEnd::ConnectFailed;
+        if !is_safe || !in_time || !is_light && !self.budget.withdraw() {
             return self.refuse(now, no, refusal);
         }
         let Some(req) = self.requests.get_mut(&no) else { return };
--- a/crates/control/src/waiting.rs
+++ b/crates/control/src/waiting.rs
@@ -29,19 +29,20 @@
 
 impl State {
     /// Asks for a backend server: the own availability zone first, the others if that one has none
-    /// at once. A request waits in several queues, so that none of them serves a lower tier while
-    /// it waits; the first grant wins.
+    /// at once or an attempt failed already. A request waits in several queues, so that none of
+    /// them serves a lower tier while it waits; the first grant wins.
     pub(crate) fn join_queue(&mut self, now: Time, no: RequestNo) {
         let Some(req) = self.requests.get_mut(&no) else { return };
         req.stage = Stage::Queue;
+        let is_retry = req.attempt > 0;
         let cells = self.catalog.open_cells(req.head.pool);
         let own = cells.iter().find(|it| it.zone == self.setup.zone).copied();
         let Some(home) = own.or_else(|| self.least_loaded(cells)) else {
             return self.refuse(now, no, Refusal::not_run(Reason::NoServer));
         };
-        let is_crowded = self.loads.get(&home).is_some_and(|it| it.free == 0);
+        let is_urgent = is_retry || self.loads.get(&home).is_some_and(|it| it.free == 0);
         self.ask_cell(now, no, home);
-        if is_crowded {
+        if is_urgent {
             return self.spread(now, no);
         }
         if let Some(req) = self.requests.get_mut(&no) {
@@ -158,9 +159,18 @@
 
     /// Refuses a request once no cell can give it a backend server.
     fn conclude(&mut self, now: Time, no: RequestNo) {
-        let Some(req) = self.requests.get(&no) else { return };
-        let is_over = now >= req.wait_by || !req.tickets.iter().any(Ticket::is_open);
-        if req.stage == Stage::Queue && req.grant.is_none() && is_over {
+        let Some(req) = self.requests.get_mut(&no) else { return };
+        if req.stage != Stage::Queue || req.grant.is_some() {
+            return;
+        }
+        let (is_late, is_refused) = (now >= req.wait_by, !req.tickets.iter().any(Ticket::is_open));
+        if !is_late && is_refused && !req.avoid.is_empty() {
+            // All cells refused; a server that failed the request is better than none.
+            req.avoid.clear();
+            self.cancel_tickets(no, None);
+            return self.join_queue(now, no);
+        }
+        if is_late || is_refused {
             let refusal = req.verdict();
             self.refuse(now, no, refusal);
         }
--- a/crates/control/tests/reducer/fleet.rs
+++ b/crates/control/tests/reducer/fleet.rs
@@ -80,7 +80,19 @@
     pub(crate) blind: BTreeSet<usize>,
 }
 
+/// What a backend server does with connections.
+#[derive(Clone, Copy, PartialEq, Debug)]
+pub(crate) enum Health {
+    /// It answers.
+    Up,
+    /// It refuses them.
+    Stopped,
+    /// It accepts them and does not answer.
+    Hanging,
+}
+
 struct Backend {
+    health: Health,
     incarnation: u64,
     running: u32,
     cold: bool,
@@ -100,6 +112,8 @@
     nodes: Vec<Node>,
     backends: BTreeMap<ServerId, Backend>,
     heads: BTreeMap<(usize, u64, RequestNo), RequestHead>,
+    /// Attempts that no backend server will answer.
+    stuck: BTreeSet<(usize, RequestNo, u32)>,
     queue: BinaryHeap<Reverse<(Time, u64)>>,
     actions: BTreeMap<u64, Action>,
     next_seq: u64,
@@ -176,7 +190,8 @@
         let list = InstanceList { version: 1, instances: instances.collect() };
         let now = Time::from_millis(1_000_000);
         let backends = cfg.servers.iter().map(|it| {
-            let backend = Backend { incarnation: 1, running: 0, cold: true, completed: 0 };
+            let health = Health::Up;
+            let backend = Backend { health, incarnation: 1, running: 0, cold: true, completed: 0 };
             (ServerId::of(&it.name), backend)
         });
         let mut fleet = Self {
@@ -192,6 +207,7 @@
             installed: Vec::new(),
             nodes: Vec::new(),
             heads: BTreeMap::new(),
+            stuck: BTreeSet::new(),
             queue: BinaryHeap::new(),
             actions: BTreeMap::new(),
             next_seq: 0,
@@ -288,6 +304,14 @@
         backend.completed = 0;
     }
 
+    /// Changes what a backend server does; one that is up again is a new run.
+    pub(crate) fn set_health(&mut self, server: &str, health: Health) {
+        if health == Health::Up {
+            self.chill(server);
+        }
+        self.backends.get_mut(&ServerId::of(server)).unwrap().health = health;
+    }
+
     /// Cuts all links of an instance, to others and to the platform.
     pub(crate) fn cut_off(&mut self, node: usize) {
         for other in 0..self.nodes.len() {
@@ -445,6 +469,9 @@
                     self.push(self.now, Action::Step { node, run, event });
                 }
             }
+            Effect::Request { no, order: RequestOrder::Preempt { attempt } } => {
+                self.preempt(node, no, attempt);
+            }
             Effect::Request { no, order: RequestOrder::Refuse(refusal) } => {
                 if let Some(head) = self.heads.remove(&(node, run, no)) {
                     self.answers.insert(head.id, Answer::Refused(refusal));
@@ -466,6 +493,16 @@
         }
     }
 
+    /// Ends an attempt that gets no answer; others go on.
+    fn preempt(&mut self, node: usize, no: RequestNo, attempt: u32) {
+        if !self.stuck.remove(&(node, no, attempt)) {
+            return;
+        }
+        let run = self.nodes[node].run;
+        let event = ended(no, attempt, AttemptEnd::Preempted, false);
+        self.push(self.now, Action::Step { node, run, event });
+    }
+
     fn delay(&mut self) -> Duration {
         let max = self.faults.delay_ms.max(MAX_DELAY_MS);
         Duration::from_micros(self.rng.random_range(100..max * 1_000))
@@ -517,6 +554,10 @@
 
     fn arrive(&mut self, node: usize, no: RequestNo, attempt: u32, server: ServerId) {
         let run = self.nodes[node].run;
+        let health = self.backends[&server].health;
+        if health == Health::Stopped {
+            return self.step(node, ended(no, attempt, AttemptEnd::ConnectFailed, false));
+        }
         let Some(head) = self.heads.get(&(node, run, no)) else { return };
         let request = head.id;
         let key = head.key.unwrap();
@@ -527,7 +568,11 @@
         let running = backend.running;
         let at = self.now;
         self.arrivals.push(Arrival { at, server, account, request, running });
-        self.push(at + SERVICE, Action::Finish { node, run, no, attempt, server });
+        if health == Health::Hanging {
+            self.stuck.insert((node, no, attempt));
+        } else {
+            self.push(at + SERVICE, Action::Finish { node, run, no, attempt, server });
+        }
         self.step(node, Event::Sent { no, attempt });
     }
 
@@ -558,7 +603,11 @@
             queued: 0,
             cold: backend.cold,
         };
-        let report = Ok::<_, LoadError>(report);
+        let report = match backend.health {
+            Health::Up => Ok(report),
+            Health::Stopped => Err(LoadError::Disconnected),
+            Health::Hanging => Err(LoadError::TimedOut),
+        };
         self.step(node, Event::Load { server, report });
     }
 }
--- a/crates/control/tests/reducer/main.rs
+++ b/crates/control/tests/reducer/main.rs
@@ -4,10 +4,10 @@
 
 mod fleet;
 
-use std::{collections::BTreeMap, time::Duration};
+use std::{collections::BTreeMap, sync::mpsc, thread, time::Duration};
 
 use config::ZoneState;
-use fleet::{Answer, Fleet, ZONES, account, check_rates, config, server};
+use fleet::{Answer, Fleet, Health, ZONES, account, check_rates, config, server};
 use model::prelude::*;
 use rand::RngExt as _;
 
@@ -318,3 +318,63 @@
     assert_eq!(refused(&fleet, &ids), BTreeMap::new(), "of {}", ids.len());
     check_rates(&fleet, RATE, BURST);
 }
+
+#[test]
+fn stopped_servers_of_a_zone_cost_no_request() {
+    let mut fleet = small_fleet(9);
+    for server in ["s0", "s3"] {
+        fleet.set_health(server, Health::Stopped);
+    }
+    let mut ids = call(&mut fleet, Duration::from_secs(3), 0.8);
+
+    for server in ["s0", "s3"] {
+        fleet.set_health(server, Health::Up);
+    }
+    let started_at = fleet.now;
+    ids.extend(call(&mut fleet, Duration::from_secs(3), 0.8));
+    fleet.run(Duration::from_secs(3));
+
+    assert_eq!(refused(&fleet, &ids), BTreeMap::new(), "of {}", ids.len());
+    let is_back = |name| {
+        let id = ServerId::of(name);
+        fleet.arrivals.iter().any(|it| it.server == id && it.at > started_at)
+    };
+    assert!(is_back("s0") && is_back("s3"));
+}
+
+#[test]
+fn idempotent_requests_leave_a_server_that_does_not_answer() {
+    let mut fleet = small_fleet(10);
+    fleet.set_health("s0", Health::Hanging);
+
+    let ids = call(&mut fleet, Duration::from_secs(3), 0.5);
+    fleet.run(Duration::from_secs(3));
+
+    let id = ServerId::of("s0");
+    assert!(fleet.arrivals.iter().any(|it| it.server == id), "nothing went to the server");
+    assert_eq!(refused(&fleet, &ids), BTreeMap::new(), "of {}", ids.len());
+}
+
+/// Far more than the test needs: it fails by time only if a step never returns.
+const STEP_LIMIT: Duration = Duration::from_secs(60);
+
+#[test]
+fn instance_that_paused_serves_what_it_grants_itself() {
+    let (tx, rx) = mpsc::channel();
+
+    thread::spawn(move || {
+        let mut fleet = small_fleet(11);
+        let mut ids = Vec::new();
+        for node in 0..INSTANCES {
+            // Long enough to mistrust grants of others, shorter than the lease.
+            fleet.pause(node, Duration::from_millis(450));
+            fleet.run(Duration::from_millis(449));
+            ids.push(fleet.request(node, "a", "high"));
+            fleet.run(Duration::from_secs(3));
+        }
+        tx.send(refused(&fleet, &ids)).unwrap();
+    });
+
+    let refused = rx.recv_timeout(STEP_LIMIT);
+    assert_eq!(refused, Ok(BTreeMap::new()));
+}
--- a/crates/daemon/src/process.rs
+++ b/crates/daemon/src/process.rs
@@ -67,7 +67,7 @@
     cx.pool.detach(admin::serve(cx.clone(), listeners.operators));
     cx.pool.detach(platform::read_config(cx.clone()));
     cx.pool.detach(platform::read_instances(cx.clone()));
-    cx.pool.detach(watch_signals(cx.link.clone(), signals));
+    cx.pool.detach(watch_signals(cx.clone(), signals));
     run_control(cx.clone(), setup, listeners.peers, inputs)?;
     close_front(&cx, front);
     log::info!("stopped");
@@ -105,12 +105,13 @@
 }
 
 /// Asks the control state to shut down at the first signal; later ones change nothing.
-async fn watch_signals(link: Link, mut signals: Signals) {
+async fn watch_signals(cx: Traffic, mut signals: Signals) {
     while let Some(signal) = signals.next().await {
         match signal {
             Ok(signal) => {
                 log::info!(signal:? = signal; "asked to stop");
-                link.event(Event::Shutdown);
+                cx.shared.drain();
+                cx.link.event(Event::Shutdown);
             }
             Err(err) => log::error!("cannot receive signals: {err}"),
         }
--- a/crates/sched/src/cell.rs
+++ b/crates/sched/src/cell.rs
@@ -53,6 +53,9 @@
 /// Time for a holder to give a preempted grant back before it is asked again.
 const PREEMPT_RETRY: Duration = Duration::from_millis(500);
 
+/// Idempotent attempts are asked back from a server that is down for this time.
+const UNANSWERED_WAIT: Duration = Duration::from_secs(2);
+
 /// How long answers to requests that wait no more are remembered, for messages that come twice or
 /// late.
 const MEMORY: Duration = Duration::from_secs(10);
@@ -87,6 +90,8 @@
     dead: Recent<Peer, ()>,
     reclaim: Option<Reclaim>,
     preempt_checks: BTreeSet<(Time, WaiterKey)>,
+    /// When attempts may be asked back again from servers that are down.
+    unanswered_check: Time,
     next_grant: u64,
 }
 
@@ -133,6 +138,7 @@
             dead: Recent::new(MEMORY, MEMORY_SIZE),
             reclaim,
             preempt_checks: BTreeSet::new(),
+            unanswered_check: now,
             next_grant: xxh3_64(&now.nanos.to_be_bytes()),
         };
         if let Start::From(state) = start {
@@ -225,7 +231,7 @@
         if let Some(it) = self.servers.get_mut(server) {
             let restarted = match report {
                 Ok(report) => it.report(now, &report),
-                Err(err) => it.report_failed(err),
+                Err(err) => it.report_failed(now, err),
             };
             if restarted {
                 self.prefixes.forget(server);
@@ -314,6 +320,7 @@
             server: it.plan.id,
             open: it.plan.open,
             ejected: it.is_ejected(now),
+            down: it.is_down(),
             running: it.running,
             limit: it.limit(now),
             ramp: it.ramp(),
@@ -341,11 +348,12 @@
         self.end_reclaim(now);
         self.free_silent(now);
         self.expire(now, out);
-        if !self.servers.any_open() {
+        if !self.servers.any_usable(now, &[]) {
             self.refuse_all(now, out);
         }
         self.dispatch(now, out);
         self.check_preemptions(now, out);
+        self.preempt_unanswered(now, out);
     }
 
     /// Frees the grants of runs that ended without anybody's notice.
--- a/crates/sched/src/cell/admission.rs
+++ b/crates/sched/src/cell/admission.rs
@@ -58,7 +58,7 @@
         if self.is_tiered() {
             self.starvation.demand(now, class, waiting);
         }
-        if !self.servers.any_open() {
+        if !self.servers.any_usable(now, &waiter.req.avoid) {
             return Err(Reason::NoServer);
         }
         if !waiting {
--- a/crates/sched/src/cell/dispatch.rs
+++ b/crates/sched/src/cell/dispatch.rs
@@ -20,12 +20,23 @@
         }
         while self.queue.len() > 0
             && let Some((key, starving)) = self.next_waiter(now)
-            && let Some(server) = self.choose(now, key)
         {
+            if !self.is_servable(now, key) {
+                self.refuse(now, key, Reason::NoServer, out);
+                continue;
+            }
+            let Some(server) = self.choose(now, key) else { return };
             self.grant(now, key, server, starving, out);
         }
     }
 
+    /// Returns whether a server is left that did not fail the request; else other cells serve it
+    /// better.
+    fn is_servable(&self, now: Time, key: WaiterKey) -> bool {
+        let waiter = self.queue.get(key);
+        waiter.is_some_and(|it| self.servers.any_usable(now, &it.req.avoid))
+    }
+
     /// Returns the request to serve next, and whether it goes ahead of a higher tier because its
     /// class starves.
     pub(super) fn next_waiter(&self, now: Time) -> Option<(WaiterKey, bool)> {
@@ -173,6 +184,7 @@
         let Some(server) = self.servers.get_mut(grant.held.server) else { return };
         match outcome.end {
             AttemptEnd::Completed { total, tokens, .. } => {
+                server.answered(grant.since);
                 if !outcome.cold {
                     server.completed(now, grant.epoch);
                 }
@@ -181,10 +193,15 @@
                 }
                 self.forecast.learn(grant.held.class, total, tokens);
             }
-            AttemptEnd::ConnectFailed | AttemptEnd::Broken { .. } | AttemptEnd::TimedOut { .. } => {
+            AttemptEnd::ConnectFailed => {
+                server.connect_failed(now);
                 server.failed();
             }
-            AttemptEnd::ServerBusy => server.busy(),
+            AttemptEnd::Broken { .. } | AttemptEnd::TimedOut { .. } => server.failed(),
+            AttemptEnd::ServerBusy => {
+                server.answered(grant.since);
+                server.busy();
+            }
             AttemptEnd::CallerLeft | AttemptEnd::Preempted | AttemptEnd::Unused => {}
         }
     }
--- a/crates/sched/src/cell/preemption.rs
+++ b/crates/sched/src/cell/preemption.rs
@@ -7,10 +7,12 @@
     prelude::*,
 };
 
-use super::{Cell, PREEMPT_RETRY};
+use super::{Cell, PREEMPT_RETRY, UNANSWERED_WAIT};
 use crate::{
     Replies,
+    grants::Grant,
     queue::{Waiter, WaiterKey},
+    server::Server,
 };
 
 impl Cell {
@@ -65,4 +67,25 @@
             .min()
             .map(|it| it.2)
     }
+
+    /// Asks idempotent attempts back from servers that went down under them and stay down, so that
+    /// they run elsewhere. The holder keeps those whose answer has begun.
+    pub(super) fn preempt_unanswered(&mut self, now: Time, out: &mut Replies) {
+        if self.reclaim.is_some() || now < self.unanswered_check {
+            return;
+        }
+        self.unanswered_check = now + PREEMPT_RETRY;
+        let stuck = self.grants.iter().filter(|it| it.held.idempotent && self.is_stuck(now, it));
+        let mut stuck: Vec<_> = stuck.map(|it| (it.held.grant, it.holder.instance)).collect();
+        stuck.sort_unstable();
+        for (grant, to) in stuck {
+            out.push(Reply { to, msg: CellMsg::Preempt { cell: self.id, grant } });
+        }
+    }
+
+    fn is_stuck(&self, now: Time, grant: &Grant) -> bool {
+        let since = self.servers.get(grant.held.server).and_then(Server::unanswered_since);
+        // What was granted later is a probe.
+        since.is_some_and(|it| now.since(it) >= UNANSWERED_WAIT && grant.since < it)
+    }
 }
--- a/crates/sched/src/dump.rs
+++ b/crates/sched/src/dump.rs
@@ -29,6 +29,8 @@
     pub open: bool,
     /// Whether it is ejected for failures or slowness.
     pub ejected: bool,
+    /// Whether it cannot be reached, and gets nothing but probes.
+    pub down: bool,
     /// Grants that are not given back.
     pub running: u32,
     /// Attempts that it may run at a time now.
--- a/crates/sched/src/lib.rs
+++ b/crates/sched/src/lib.rs
@@ -8,6 +8,7 @@
 //! * `queue`: the waiting requests by tier, client account and class, over `fair`,
 //! * `starvation`: the share of dispatches that no class falls below,
 //! * `server` and `servers`: cold start, ejection, load, and the choice of a backend server,
+//! * `reach`: which backend servers are down,
 //! * `grants`: which instance holds the right to which attempt,
 //! * `forecast`: learned service times and output lengths, and expected waits,
 //! * `prefix` and `recent`: bounded memories.
@@ -19,6 +20,7 @@
 mod grants;
 mod prefix;
 mod queue;
+mod reach;
 mod recent;
 mod server;
 mod servers;
--- a/crates/sched/src/server.rs
+++ b/crates/sched/src/server.rs
@@ -4,7 +4,7 @@
 
 use model::prelude::*;
 
-use crate::start::ServerPlan;
+use crate::{reach::Reach, start::ServerPlan};
 
 /// How old a sign that a server still is the same run may be for work above the cold limit.
 pub const EVIDENCE_WINDOW: Duration = Duration::from_secs(1);
@@ -51,6 +51,7 @@
     failures: u32,
     ejection: Ejection,
     slowness: Slowness,
+    reach: Reach,
 }
 
 /// How far the cold start has come.
@@ -104,6 +105,7 @@
             failures: 0,
             ejection: Ejection::default(),
             slowness: Slowness::default(),
+            reach: Reach::default(),
         }
     }
 
@@ -134,10 +136,13 @@
 
     /// Returns how many attempts the server may run now.
     pub(crate) fn limit(&self, now: Time) -> u32 {
-        if !self.plan.open || self.is_ejected(now) && !self.ejection.slow {
+        if !self.plan.open || self.is_shut_out(now) {
             return 0;
         }
         let cold_limit = self.plan.cold_limit.min(self.plan.limit);
+        if self.reach.is_down() {
+            return if self.reach.is_probe_due(now) { cold_limit.min(1) } else { 0 };
+        }
         if !self.is_proved(now) || self.is_ejected(now) {
             return cold_limit.saturating_sub(self.foreign(now));
         }
@@ -155,11 +160,31 @@
         f64::from(self.running) / f64::from(self.limit(now).max(1))
     }
 
+    /// Returns whether the server is down: it gets nothing but probes, however many others are.
+    pub(crate) fn is_down(&self) -> bool {
+        self.reach.is_down()
+    }
+
+    /// Returns since when load reads show that the server is down.
+    pub(crate) fn unanswered_since(&self) -> Option<Time> {
+        self.reach.unanswered_since()
+    }
+
+    /// Returns whether a request may count on the server, now or once it is free.
+    pub(crate) fn is_usable(&self, now: Time) -> bool {
+        self.plan.open && (!self.is_down() || self.free(now) > 0)
+    }
+
     /// Returns whether the server is ejected.
     pub(crate) fn is_ejected(&self, now: Time) -> bool {
         now < self.ejection.until
     }
 
+    /// Returns whether the server is ejected for failures, and so gets nothing.
+    pub(crate) fn is_shut_out(&self, now: Time) -> bool {
+        self.is_ejected(now) && !self.ejection.slow
+    }
+
     /// Returns the service time against what is expected, once it can be told.
     pub(crate) fn slowness(&self) -> Option<f64> {
         (self.slowness.samples >= MIN_SLOWNESS_SAMPLES).then_some(self.slowness.ratio)
@@ -211,6 +236,26 @@
         self.failures += 1;
     }
 
+    /// Takes an attempt that found no connection.
+    pub(crate) fn connect_failed(&mut self, now: Time) {
+        self.reach.connect_failed(now);
+    }
+
+    /// Takes an attempt that the server answered, which was granted at `since`.
+    pub(crate) fn answered(&mut self, since: Time) {
+        if self.reach.attempt_answered(since) {
+            self.readmit();
+        }
+    }
+
+    /// Forgets the failures of a server that was down.
+    fn readmit(&mut self) {
+        self.failures = 0;
+        if !self.ejection.slow {
+            self.ejection = Ejection::default();
+        }
+    }
+
     /// Takes the server's word that it has too much work.
     pub(crate) fn busy(&mut self) {
         self.failed();
@@ -259,6 +304,7 @@
         let restarted = self.incarnation.is_some_and(|it| it != report.incarnation);
         self.incarnation = Some(report.incarnation);
         self.timed_out = 0;
+        self.poll_answered(now);
         if restarted {
             self.turn_cold();
         }
@@ -277,11 +323,20 @@
     }
 
     /// Takes a failure to read the load; returns whether the server counts as cold now.
-    pub(crate) fn report_failed(&mut self, err: LoadError) -> bool {
+    pub(crate) fn report_failed(&mut self, now: Time, err: LoadError) -> bool {
         match err {
-            LoadError::Disconnected => self.incarnation = None,
-            LoadError::TimedOut => self.timed_out += 1,
-            LoadError::Malformed => return false,
+            LoadError::Disconnected => {
+                self.incarnation = None;
+                self.reach.poll_refused(now);
+            }
+            LoadError::TimedOut => {
+                self.timed_out += 1;
+                self.reach.poll_silent(now);
+            }
+            LoadError::Malformed => {
+                self.poll_answered(now);
+                return false;
+            }
         }
         if err == LoadError::TimedOut && self.timed_out < MAX_TIMED_OUT {
             return false;
@@ -291,6 +346,12 @@
         true
     }
 
+    fn poll_answered(&mut self, now: Time) {
+        if self.reach.poll_answered(now) {
+            self.readmit();
+        }
+    }
+
     /// Returns whether the server's load is known from its reports.
     fn reports(&self, now: Time) -> bool {
         self.report.is_some_and(|it| now.since(it.at) < REPORT_WINDOW)
--- a/crates/sched/src/servers.rs
+++ b/crates/sched/src/servers.rs
@@ -81,9 +81,12 @@
         self.servers.values()
     }
 
-    /// Returns whether any server takes new work at all.
-    pub(crate) fn any_open(&self) -> bool {
-        self.iter().any(|it| it.plan.open)
+    /// Returns whether a request may count on any server but those that it avoids. One that failed
+    /// already does not wait for the end of an ejection.
+    pub(crate) fn any_usable(&self, now: Time, avoid: &[ServerId]) -> bool {
+        let is_retry = !avoid.is_empty();
+        let mut usable = self.iter().filter(|it| it.is_usable(now) && !avoid.contains(&it.plan.id));
+        usable.any(|it| !(is_retry && it.is_shut_out(now)))
     }
 
     /// Returns how many attempts may start now.
@@ -123,7 +126,7 @@
     }
 
     /// Ejects a server that fails or is much slower than the others, if no more than half of the
-    /// open servers are ejected with it.
+    /// open servers are ejected with it. Servers that are down get no work without that.
     pub(crate) fn judge(&mut self, now: Time, id: ServerId) {
         let Some(server) = self.get(id) else { return };
         let (failing, slow) = (server.is_failing(), self.is_slow(server));
--- a/crates/sched/tests/rules.rs
+++ b/crates/sched/tests/rules.rs
@@ -12,7 +12,8 @@
     prelude::*,
 };
 use sched::{
-    Cell, HELD_GRACE, HOLDER_SILENCE, MIN_SHARE, RECLAIM_WAIT, STARVATION_WINDOW, ServerPlan, Start,
+    Cell, HELD_GRACE, HOLDER_SILENCE, MIN_SHARE, RECLAIM_WAIT, Replies, STARVATION_WINDOW,
+    ServerPlan, Start,
 };
 
 /// Ends the running attempt again and again; returns the tickets in the order of their grants.
@@ -253,6 +254,128 @@
     assert_eq!(bench.fill(&request(1, 1)), 4);
 }
 
+fn lose(bench: &mut Bench, server: u64, err: LoadError, times: u32) -> Replies {
+    let mut out = Vec::new();
+    for _ in 0..times {
+        out.extend(bench.pass(250));
+        out.extend(bench.cell.load(bench.now, ServerId(server), Err(err)));
+    }
+    out
+}
+
+#[test]
+fn server_without_connections_gets_nothing_until_it_reports_again() {
+    let mut bench = Bench::warm(Policy::Tiered, 4);
+    let running = bench.run(request(1, 1));
+    bench.fill(&request(1, 1));
+    let (queued, _) = bench.acquire(request(1, 1));
+
+    let lost = lose(&mut bench, 1, LoadError::Disconnected, 2);
+    let free = bench.cell.summary(bench.now).free;
+    let (late, refusal) = bench.acquire(request(1, 1));
+    bench.release(running, AttemptEnd::Broken { answered: false }, false);
+    bench.cell.load(bench.now, ServerId(1), Ok(report(2, false)));
+
+    assert_eq!(refused(&lost), [(queued, Reason::NoServer)]);
+    assert_eq!(free, 0);
+    assert_eq!(refused(&refusal), [(late, Reason::NoServer)]);
+    assert!(bench.cell.summary(bench.now).free > 0);
+}
+
+#[test]
+fn servers_that_refuse_attempts_are_down_and_probed_ever_less() {
+    let mut bench = Bench::new(Policy::Tiered, &[plan(1, 4, 4), plan(2, 4, 4)]);
+    for _ in 0..4 {
+        let granted = bench.run(request(1, 1));
+        bench.release(granted, AttemptEnd::ConnectFailed, false);
+    }
+    let mut probes = [0, 0];
+
+    for (half, probes) in probes.iter_mut().enumerate() {
+        for _ in 0..80 {
+            bench.pass(100);
+            let (_, replies) = bench.acquire(request(1, 1));
+            assert_eq!(refused(&replies).len() + grants(&replies).len(), 1, "{half}: {replies:?}");
+            for granted in grants(&replies) {
+                *probes += 1;
+                bench.release(granted, AttemptEnd::ConnectFailed, false);
+            }
+        }
+    }
+    bench.pass(16_000);
+    let probe = bench.run(request(1, 1));
+    bench.release(probe, completed(10), false);
+
+    // Two servers after 1, 3 and 7 s, then not before 15 s.
+    assert_eq!(probes, [6, 2]);
+    assert!(bench.fill(&request(1, 1)) >= 4);
+}
+
+#[test]
+fn one_instance_without_connection_does_not_take_a_server_that_reports() {
+    let mut bench = Bench::warm(Policy::Tiered, 4);
+
+    for _ in 0..10 {
+        let granted = bench.run(request(1, 1));
+        bench.release(granted, AttemptEnd::ConnectFailed, false);
+    }
+
+    assert_eq!(refused(&bench.acquire(request(1, 1)).1), []);
+}
+
+#[test]
+fn server_that_does_not_answer_gives_idempotent_work_back() {
+    let mut bench = Bench::warm(Policy::Tiered, 4);
+    let running = bench.run(request(1, 1));
+    bench.run(Acquire { idempotent: false, ..request(1, 1) });
+
+    let early = lose(&mut bench, 1, LoadError::TimedOut, 4);
+    let (late, refusal) = bench.acquire(request(1, 1));
+    let asked = bench.pass(2_000);
+
+    assert_eq!(preempted(&early), []);
+    assert_eq!(refused(&refusal), [(late, Reason::NoServer)]);
+    assert_eq!(preempted(&asked), [running.grant]);
+}
+
+#[test]
+fn server_that_completes_work_is_not_down_for_late_reports() {
+    let mut bench = Bench::warm(Policy::Tiered, 4);
+
+    for _ in 0..4 {
+        let granted = bench.run(request(1, 1));
+        lose(&mut bench, 1, LoadError::TimedOut, 3);
+        bench.release(granted, completed(750), false);
+    }
+
+    bench.run(request(1, 1));
+}
+
+#[test]
+fn cell_refuses_a_request_that_all_its_servers_failed() {
+    let mut bench = Bench::new(Policy::Tiered, &[plan(1, 4, 4), plan(2, 4, 4)]);
+    let avoid = vec![ServerId(1), ServerId(2)];
+
+    let (ticket, replies) = bench.acquire(Acquire { avoid, ..request(1, 1) });
+
+    assert_eq!(refused(&replies), [(ticket, Reason::NoServer)]);
+}
+
+#[test]
+fn retry_does_not_go_back_while_the_other_server_is_ejected() {
+    let mut bench = Bench::new(Policy::Tiered, &[plan(1, 4, 4), plan(2, 4, 4)]);
+    let avoid = vec![ServerId(2)];
+    for _ in 0..3 {
+        let granted = bench.run(Acquire { avoid: avoid.clone(), ..request(1, 1) });
+        bench.release(granted, AttemptEnd::Broken { answered: false }, false);
+    }
+
+    let (ticket, replies) = bench.acquire(Acquire { avoid, ..request(1, 1) });
+
+    assert_eq!(refused(&replies), [(ticket, Reason::NoServer)]);
+    assert_eq!(bench.run(request(1, 1)).server, ServerId(2));
+}
+
 #[test]
 fn slow_server_gets_less_work() {
     let mut bench = Bench::new(Policy::Tiered, &[plan(1, 9, 1), plan(2, 9, 1), plan(3, 9, 1)]);
