--- a/crates/control/src/duties.rs
+++ b/crates/control/src/duties.rs
@@ -28,7 +28,7 @@
     /// Compares what is owned with the list and the configuration, after either changed.
     pub(crate) fn refresh_shards(&mut self, now: Time) {
         let shards = self.shards();
-        let shifts = self.holdings.refresh(now, &self.members, shards);
+        let shifts = self.holdings.refresh(&self.members, shards);
         self.shift(now, shifts);
         self.follow_ownership(now);
     }
--- a/crates/control/src/fleet.rs
+++ b/crates/control/src/fleet.rs
@@ -25,14 +25,14 @@
     pub(crate) fn list_read(&mut self, now: Time, asked_at: Time, list: &InstanceList) {
         self.docs.list_down = false;
         let version = Version(list.version);
-        let is_new = self.members.list_read(asked_at, version, listed(list));
+        let is_new = self.members.list_read(now, asked_at, version, listed(list));
         self.list_taken(now, is_new, list);
     }
 
     /// Takes a list from another instance: it names instances, but permits nothing.
     pub(crate) fn list_heard(&mut self, now: Time, text: &str) {
         let Ok(list) = InstanceList::parse(text) else { return };
-        let is_new = self.members.list_known(Version(list.version), listed(&list));
+        let is_new = self.members.list_known(now, Version(list.version), listed(&list));
         self.list_taken(now, is_new, &list);
     }
 
--- a/crates/own/src/holdings.rs
+++ b/crates/own/src/holdings.rs
@@ -71,7 +71,6 @@
     /// Compares with what the list says, after the list or the set of shards changed.
     pub fn refresh(
         &mut self,
-        now: Time,
         members: &Members,
         shards: impl IntoIterator<Item = Shard>,
     ) -> Vec<Shift> {
@@ -82,7 +81,7 @@
             let owner = members.owner(shard);
             match (former.remove(&shard), owner) {
                 (None, Some(owner)) if owner == me => {
-                    self.holds.insert(shard, waiting(now, members));
+                    self.holds.insert(shard, waiting(members));
                 }
                 (Some(Hold::Ceding { .. }), Some(owner)) if owner == me => {
                     self.holds.insert(shard, Hold::Active);
@@ -158,11 +157,13 @@
             return Vec::new();
         }
         let active: Vec<_> = self.active().collect();
-        self.holds.values_mut().for_each(|hold| *hold = waiting(now, members));
+        self.holds.values_mut().for_each(|hold| *hold = waiting(members));
         active.into_iter().map(Shift::Drop).collect()
     }
 }
 
-fn waiting(now: Time, members: &Members) -> Hold {
-    Hold::Waiting { until: now + members.times().takeover(), list: members.list_version() }
+/// A shard that comes up under a list that has been in use for long, such as that of a new client
+/// account, need not wait: nobody else can own it by an earlier list.
+fn waiting(members: &Members) -> Hold {
+    Hold::Waiting { until: members.sole_from(), list: members.list_version() }
 }
--- a/crates/own/src/members.rs
+++ b/crates/own/src/members.rs
@@ -96,6 +96,8 @@
     zone: ZoneId,
     times: Times,
     list: Version,
+    /// When this version of the list was seen first.
+    list_since: Time,
     /// The highest version of the list that any instance said it has.
     newest_list: Version,
     /// When the last read that showed this instance began.
@@ -114,6 +116,7 @@
             zone,
             times,
             list: Version(0),
+            list_since: Time::default(),
             newest_list: Version(0),
             read_at: None,
             leaving: false,
@@ -143,6 +146,11 @@
         self.list
     }
 
+    /// When every permit that relied on a read of an earlier list has ended.
+    pub fn sole_from(&self) -> Time {
+        self.list_since + self.times.takeover()
+    }
+
     /// Whether this instance is shutting down.
     pub fn is_leaving(&self) -> bool {
         self.leaving
@@ -173,8 +181,14 @@
 
     /// Takes a list that was read from the platform; the read began at `asked_at`. Returns whether
     /// the list is new.
-    pub fn list_read(&mut self, asked_at: Time, version: Version, list: Vec<Listed>) -> bool {
-        let is_new = self.list_known(version, list);
+    pub fn list_read(
+        &mut self,
+        now: Time,
+        asked_at: Time,
+        version: Version,
+        list: Vec<Listed>,
+    ) -> bool {
+        let is_new = self.list_known(now, version, list);
         let is_current = version >= self.newest_list && version == self.list;
         let shows_me = self.members.contains_key(&self.me.instance);
         if is_current && shows_me {
@@ -184,11 +198,12 @@
     }
 
     /// Takes a list from wherever it came. Returns whether it is newer than the one in use.
-    pub fn list_known(&mut self, version: Version, list: Vec<Listed>) -> bool {
+    pub fn list_known(&mut self, now: Time, version: Version, list: Vec<Listed>) -> bool {
         if version <= self.list {
             return false;
         }
         self.list = version;
+        self.list_since = now;
         self.newest_list = self.newest_list.max(version);
         let mut former = std::mem::take(&mut self.members);
         for listed in list {
@@ -213,8 +228,10 @@
         }
         let restarted = member.incarnation.is_some();
         member.incarnation = Some(from.incarnation);
-        member.acked = None;
-        member.sent.clear();
+        if restarted {
+            member.acked = None;
+            member.sent.clear();
+        }
         let owners_changed = restarted && member.left.take().is_some() && member.leaving;
         if owners_changed {
             member.leaving = false;
