Keep a grant whose message comes twice

Cause: an instance that heard nothing for 150 ms asks a cell again, and the owner answers again. The second copy of the grant found no ticket any more and was given back as unused, so the owner freed the place of an attempt that ran, and gave it to another request: a cold backend server got one more request than its cold limit, in any cut or delay over 150 ms.

Found by the process tests of cold starts: before, with the fleet of 5 daemons under 20 callers, 'zones split', 'owner cut off', 'owner paused' and both 'cold without a word' failed in one or more of three runs with '3 requests ran at the cold server, which bears 2'. Ruled out: the fake engine's own count (the two others had run for 20 to 217 ms). Change: a grant that is in use is kept when it comes again. After: all 7 pass in one run.

--- a/crates/control/src/waiting.rs
+++ b/crates/control/src/waiting.rs
@@ -177,6 +177,11 @@
     }
 
     fn granted(&mut self, now: Time, from: Peer, id: TicketId, granted: Granted) {
+        // A question that was asked again is answered twice; to give the copy back would free the
+        // place of the attempt that runs.
+        if self.held.contains_key(&granted.grant) {
+            return;
+        }
         let waits = |state: &Self, no: &RequestNo| {
             let req = state.requests.get(no);
             req.is_some_and(|it| it.stage == Stage::Queue && it.grant.is_none())
