Serve the last request of a kept connection at shutdown

Cause: an answer that began before SIGTERM and ended after the end of listening does not tell the caller to close, so the caller sends one more request on the connection. The traffic side waits 200 ms for it, but the control state refused it as not ready, and could end the process between the two.

Change: requests that come while the process drains are served, whenever they come, and the process ends after 500 ms without any.

--- a/crates/control/src/entry.rs
+++ b/crates/control/src/entry.rs
@@ -61,8 +61,8 @@
     }
 
     fn admit(&self, head: &RequestHead) -> Result<Option<AccountId>, Refusal> {
-        let is_open =
-            matches!(self.phase, Phase::Serving | Phase::Draining { listening: true, .. });
+        // What comes after the end of listening came on a connection that a caller had kept open.
+        let is_open = matches!(self.phase, Phase::Serving | Phase::Draining { .. });
         if !is_open {
             return Err(Refusal::not_run(Reason::NotReady).retry_after(RETRY_WAIT));
         }
--- a/crates/control/src/state.rs
+++ b/crates/control/src/state.rs
@@ -30,6 +30,10 @@
 /// process for as long as the pause.
 const PAUSE_ECHO: Duration = Duration::from_millis(300);
 
+/// An instance that shuts down ends after this time without requests: a caller may send one more
+/// on a connection whose last answer began before the shutdown.
+const EXIT_QUIET: Duration = Duration::from_millis(500);
+
 /// How long an instance that starts waits for the others to tell a newer configuration.
 const JOIN_WAIT: Duration = Duration::from_millis(1_500);
 
@@ -85,12 +89,14 @@
     Serving,
     /// Requests are served to their end; new ones come until the balancer has noticed.
     Draining {
-        /// When no new requests are taken any more.
+        /// When no new connections are accepted any more.
         listen_until: Time,
         /// When the process ends, whatever is left.
         until: Time,
         /// Whether connections are still accepted.
         listening: bool,
+        /// When there was a request last, or connections were still accepted.
+        busy_at: Time,
     },
     /// The process ends.
     Ended,
@@ -252,7 +258,7 @@
         }
         let until = now + self.setup.drain_grace + self.setup.drain;
         let listen_until = now + self.setup.drain_grace;
-        self.phase = Phase::Draining { listen_until, until, listening: true };
+        self.phase = Phase::Draining { listen_until, until, listening: true, busy_at: now };
         self.out.effects.push(Effect::Ready(false));
         self.out.log(Note::ShuttingDown { requests: self.requests.len() });
         self.members.leave();
@@ -265,13 +271,15 @@
         match self.phase {
             Phase::Joining { asked_at } => self.join(now, asked_at),
             Phase::Serving | Phase::Ended => {}
-            Phase::Draining { listen_until, until, listening } => {
-                if listening && now >= listen_until {
-                    self.phase = Phase::Draining { listen_until, until, listening: false };
+            Phase::Draining { listen_until, until, listening, busy_at } => {
+                let is_busy = !self.requests.is_empty() || !self.wallet.is_empty();
+                let busy_at = if is_busy || listening { now } else { busy_at };
+                let listens = listening && now < listen_until;
+                self.phase = Phase::Draining { listen_until, until, listening: listens, busy_at };
+                if listening && !listens {
                     self.out.effects.push(Effect::StopListening);
                 }
-                let is_idle = self.requests.is_empty() && self.wallet.is_empty();
-                if now >= until || !listening && is_idle {
+                if now >= until || !listening && now >= busy_at + EXIT_QUIET {
                     self.phase = Phase::Ended;
                     self.out.effects.push(Effect::Exit);
                 }
