--- a/crates/fakes/tests/proofs_a/shutdown.rs
+++ b/crates/fakes/tests/proofs_a/shutdown.rs
@@ -3,9 +3,9 @@
 use std::{sync::Arc, time::Duration};
 
 use config::{Limits, Ownership};
-use fakes::{Call, FleetBuilder, key_of};
+use fakes::{Call, FleetBuilder, Knobs, key_of};
 
-use crate::support::{Cell, LIMIT, Load, completion, failures, start, unlimited};
+use crate::support::{Cell, LIMIT, Load, completion, failures, start, unlimited, wait_serving};
 
 const CELLS: [Cell; 6] = [
     Cell { pool: "m", zone: "a" },
@@ -38,12 +38,13 @@
     }
 }
 
-#[test]
-fn every_daemon_in_turn_shuts_down_without_a_cut_or_refused_request() {
+/// Shuts down every daemon in turn under load, starts it again, and checks that no caller noticed.
+fn shut_down_in_turn(builder: FleetBuilder, cells: &[Cell]) {
     let limits = Limits { drain_grace_ms: 1_000, drain_ms: 10_000, ..Limits::default() };
-    let builder =
-        FleetBuilder::small(2).configure(unlimited).limits(limits).ownership(OWNERSHIP).proxied();
-    let mut fleet = start(builder, &CELLS);
+    let builder = builder.configure(unlimited).limits(limits).ownership(OWNERSHIP).proxied();
+    let mut fleet = start(builder, cells);
+    wait_serving(&fleet, &call(0));
+    wait_serving(&fleet, &call(1));
     let balancer = Arc::new(fleet.balancer());
     let load = Load::start(18, move |no| balancer.pick(no), call);
 
@@ -64,3 +65,27 @@
     // The target of the classes with the highest tier.
     assert!(slow < Some(Duration::from_secs(2)), "the slowest answer began after {slow:?}");
 }
+
+#[test]
+fn every_daemon_in_turn_shuts_down_without_a_cut_or_refused_request() {
+    shut_down_in_turn(FleetBuilder::small(2), &CELLS);
+}
+
+/// With one availability zone only, no other cell or share can fill a gap.
+#[test]
+fn a_daemon_that_shuts_down_hands_over_without_a_gap() {
+    let knobs = Knobs::default().tokens_per_s(50.0);
+    let builder = FleetBuilder::new()
+        .zone("a", 3)
+        .class("high", 0, 2_000)
+        .class("low", 1, 2_000)
+        .class("plain", 0, 2_000)
+        .completions("/v1/completions", &["high", "low"])
+        .route("POST", "/s/write", Some("s"), &["plain"], false)
+        .account("one", 1.0, 1)
+        .account("two", 1.0, 1)
+        .engine("m", "a", 8, knobs.clone())
+        .engine("m", "a", 8, knobs)
+        .service("s", "a", 32, Knobs::service(Duration::from_millis(5)));
+    shut_down_in_turn(builder, &[CELLS[0], CELLS[3]]);
+}
