Look at waiting requests in an interval, at owners when they changed

Cause: a tick hashed over all instances of a zone for each ticket of each waiting request, and each wake looked at all of them; each event looked at all owned shards.

Change: Members counts an epoch of owners, and tickets' owners are looked up again only when it changed. Requests that ask other zones are indexed by time; the rest is scanned every 100 ms, the interval of the idle tick before. Holdings keeps the shards that move apart.

--- a/crates/control/src/entry.rs
+++ b/crates/control/src/entry.rs
@@ -47,7 +47,6 @@
             attempt: 0,
             avoid: Vec::new(),
             tickets: Vec::new(),
-            spread_at: None,
             grant: None,
             token: TokenHold::None,
             maybe_ran: false,
@@ -400,6 +399,7 @@
         self.leave_queue(now, no);
         let out = self.wallet.cancel(now, no);
         self.wallet_out(now, out);
+        self.spreads.clear(no);
         let Some(req) = self.requests.remove(&no) else { return };
         self.settle_claim(now, &req);
         let outcome = outcome.to_owned();
--- a/crates/control/src/request.rs
+++ b/crates/control/src/request.rs
@@ -25,8 +25,6 @@
     pub(crate) avoid: Vec<ServerId>,
     /// Places in the queues of cells.
     pub(crate) tickets: Vec<Ticket>,
-    /// When the cells of other availability zones are asked as well.
-    pub(crate) spread_at: Option<Time>,
     /// The backend server that is granted or in use.
     pub(crate) grant: Option<Granted>,
     /// The token that the request holds.
--- a/crates/control/src/state.rs
+++ b/crates/control/src/state.rs
@@ -7,7 +7,7 @@
 
 use config::Catalog;
 use limit::{Shares, StaticLimits, Timing, Wallet};
-use model::{msg::CellLoad, prelude::*};
+use model::{msg::CellLoad, prelude::*, wakes::Wakes};
 use once::{Claims, Memory};
 use own::{Holdings, Members};
 use rand_chacha::{ChaCha8Rng, rand_core::SeedableRng};
@@ -72,6 +72,12 @@
     pub(crate) suspect_until: Time,
     /// Until when shares that nobody handed over give no tokens.
     pub(crate) silent_until: Time,
+    /// The [`Members::owners_epoch`] for which the owners of all tickets were looked up.
+    pub(crate) tickets_epoch: u64,
+    /// When requests ask the cells of other availability zones.
+    pub(crate) spreads: Wakes<RequestNo>,
+    /// When all waiting requests are looked at again.
+    pub(crate) next_scan: Time,
     last_step: Time,
     next_tick: Time,
     pub(crate) out: Out,
@@ -159,6 +165,9 @@
             next_ticket: 1,
             suspect_until: Time::default(),
             silent_until: Time::default(),
+            tickets_epoch: 0,
+            spreads: Wakes::default(),
+            next_scan: now,
             last_step: now,
             next_tick: now,
             out: Out::default(),
@@ -179,8 +188,10 @@
     pub fn next_wake(&self, now: Time) -> Time {
         let cells = self.cells.values().filter_map(|it| it.next_wake(now));
         let due = [self.shares.next_wake(), self.wallet.next_wake(), self.claims.next_wake()];
-        let due = due.into_iter().flatten().chain(cells).chain([self.next_spread()]);
-        due.chain([self.members.next_wake(), self.next_tick]).min().unwrap_or(self.next_tick)
+        let due = due.into_iter().flatten().chain(cells).chain(self.spreads.next());
+        due.chain([self.members.next_wake(), self.next_tick, self.next_scan])
+            .min()
+            .unwrap_or(self.next_tick)
     }
 
     /// A process that was stopped must not act on what it knew before.
--- a/crates/control/src/waiting.rs
+++ b/crates/control/src/waiting.rs
@@ -21,6 +21,9 @@
 /// A place in a queue is confirmed after this time, in case the owner lost it.
 const CONFIRM: Duration = Duration::from_secs(1);
 
+/// Time between two looks at all waiting requests.
+const SCAN_INTERVAL: Duration = Duration::from_millis(100);
+
 /// Time between two lists of held grants.
 const REPORT_INTERVAL: Duration = Duration::from_secs(1);
 
@@ -45,9 +48,7 @@
         if is_urgent {
             return self.spread(now, no);
         }
-        if let Some(req) = self.requests.get_mut(&no) {
-            req.spread_at = Some(now + SPREAD_DELAY);
-        }
+        self.spreads.set(no, Some(now + SPREAD_DELAY));
     }
 
     fn least_loaded(&self, cells: &[CellId]) -> Option<CellId> {
@@ -60,8 +61,8 @@
 
     /// Asks the cells that were not asked yet.
     fn spread(&mut self, now: Time, no: RequestNo) {
-        let Some(req) = self.requests.get_mut(&no) else { return };
-        req.spread_at = None;
+        self.spreads.clear(no);
+        let Some(req) = self.requests.get(&no) else { return };
         let asked: Vec<_> = req.tickets.iter().map(|it| it.cell).collect();
         let cells = self.catalog.open_cells(req.head.pool).to_vec();
         for cell in cells.into_iter().filter(|it| !asked.contains(it)) {
@@ -130,7 +131,7 @@
 
     fn queued(&mut self, now: Time, id: TicketId) {
         let Some(no) = self.set_ticket(id, TicketState::Queued, now + CONFIRM) else { return };
-        if self.requests.get(&no).is_some_and(|it| it.spread_at.is_some()) {
+        if self.spreads.contains(no) {
             self.spread(now, no);
         }
     }
@@ -138,7 +139,7 @@
     fn refused(&mut self, now: Time, id: TicketId, reason: Reason, retry_after: Duration) {
         let state = TicketState::Refused { reason, retry_after };
         let Some(no) = self.set_ticket(id, state, now + ASK_AGAIN) else { return };
-        if self.requests.get(&no).is_some_and(|it| it.spread_at.is_some()) {
+        if self.spreads.contains(no) {
             self.spread(now, no);
         }
         self.conclude(now, no);
@@ -199,7 +200,7 @@
         let Some(req) = self.requests.get_mut(&no) else { return };
         let held = req.held(&granted);
         req.grant = Some(granted);
-        req.spread_at = None;
+        self.spreads.clear(no);
         self.held.insert(granted.grant, no);
         self.holding.add(granted.cell, held);
         self.cancel_tickets(no, Some(id));
@@ -281,16 +282,35 @@
     }
 
     pub(crate) fn tick_queue(&mut self, now: Time) {
+        while let Some(no) = self.spreads.pop_due(now) {
+            self.spread(now, no);
+            self.conclude(now, no);
+        }
+        self.scan_waiting(now);
+        self.report_held(now);
+    }
+
+    /// Looks at all waiting requests, in the interval of the tickets' deadlines or when owners
+    /// changed, not at each wake: it takes time proportional to their number.
+    fn scan_waiting(&mut self, now: Time) {
+        let epoch = self.members.owners_epoch();
+        let owners_changed = self.tickets_epoch != epoch;
+        if now >= self.suspect_until {
+            self.tickets_epoch = epoch;
+        }
+        if now < self.next_scan && !owners_changed {
+            return;
+        }
+        self.next_scan = now + SCAN_INTERVAL;
         let waiting = self.requests.iter().filter(|(_, it)| it.stage == Stage::Queue);
         let mut waiting: Vec<_> = waiting.map(|(no, _)| *no).collect();
         waiting.sort_unstable();
         for no in waiting {
-            self.tick_waiting(now, no);
+            self.tick_waiting(now, no, owners_changed);
         }
-        self.report_held(now);
     }
 
-    fn tick_waiting(&mut self, now: Time, no: RequestNo) {
+    fn tick_waiting(&mut self, now: Time, no: RequestNo, owners_changed: bool) {
         self.lend_back(now, no);
         let Some(req) = self.requests.get(&no) else { return };
         if let Some(granted) = req.grant {
@@ -299,12 +319,8 @@
             }
             return;
         }
-        if req.spread_at.is_some_and(|at| now >= at) {
-            self.spread(now, no);
-        }
-        let Some(req) = self.requests.get(&no) else { return };
         let due = req.tickets.iter().filter(|it| {
-            let moved = it.owner != self.members.owner(Shard::Cell(it.cell));
+            let moved = owners_changed && it.owner != self.members.owner(Shard::Cell(it.cell));
             it.is_open() && now >= self.suspect_until && (moved || now >= it.again_at)
         });
         let due: Vec<_> = due.map(|it| it.id).collect();
@@ -331,10 +347,4 @@
             }
         }
     }
-
-    /// When a request asks the cells of other availability zones.
-    pub(crate) fn next_spread(&self) -> Time {
-        let spreads = self.requests.values().filter_map(|it| it.spread_at);
-        spreads.min().unwrap_or(Time { nanos: u64::MAX })
-    }
 }
--- a/crates/model/src/wakes.rs
+++ b/crates/model/src/wakes.rs
@@ -47,6 +47,11 @@
         }
     }
 
+    /// Returns whether a key has a time set.
+    pub fn contains(&self, key: K) -> bool {
+        self.by_key.contains_key(&key)
+    }
+
     /// Returns the earliest time.
     pub fn next(&self) -> Option<Time> {
         self.by_time.first().map(|(at, _)| *at)
--- a/crates/own/src/holdings.rs
+++ b/crates/own/src/holdings.rs
@@ -1,6 +1,6 @@
 //! The shards that this instance owns.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
 use model::prelude::*;
 use serde::Serialize;
@@ -11,6 +11,8 @@
 #[derive(Clone, Debug, Default)]
 pub struct Holdings {
     holds: BTreeMap<Shard, Hold>,
+    /// Shards whose takeover or cession is under way; only they need attention at each event.
+    moving: BTreeSet<Shard>,
     /// The list's version when the permit was lost; none while it is held.
     lapsed: Option<Version>,
 }
@@ -98,6 +100,7 @@
         }
         let gone = former.into_iter().filter(|(_, hold)| !matches!(hold, Hold::Waiting { .. }));
         shifts.extend(gone.map(|(shard, _)| Shift::Drop(shard)));
+        self.note_moving();
         shifts
     }
 
@@ -107,23 +110,23 @@
         if self.lapsed.is_some() {
             return shifts;
         }
-        let mut ceded = Vec::new();
-        for (shard, hold) in &mut self.holds {
-            match *hold {
-                Hold::Waiting { until, list } if now >= until && members.confirmed(list) => {
-                    *hold = Hold::Active;
-                    shifts.push(Shift::Take(*shard));
+        let moving = std::mem::take(&mut self.moving);
+        for shard in moving {
+            match self.holds.get(&shard).copied() {
+                Some(Hold::Waiting { until, list }) if now >= until && members.confirmed(list) => {
+                    self.holds.insert(shard, Hold::Active);
+                    shifts.push(Shift::Take(shard));
+                }
+                Some(Hold::Ceding { to }) if members.is_leaving() || members.is_heard(now, to) => {
+                    self.holds.remove(&shard);
+                    shifts.push(Shift::Cede { shard, to });
                 }
-                Hold::Ceding { to } if members.is_leaving() || members.is_heard(now, to) => {
-                    ceded.push(*shard);
-                    shifts.push(Shift::Cede { shard: *shard, to });
+                Some(Hold::Waiting { .. } | Hold::Ceding { .. }) => {
+                    self.moving.insert(shard);
                 }
-                Hold::Waiting { .. } | Hold::Active | Hold::Ceding { .. } => {}
+                Some(Hold::Active) | None => {}
             }
         }
-        for shard in ceded {
-            self.holds.remove(&shard);
-        }
         shifts
     }
 
@@ -133,12 +136,18 @@
         match self.holds.get_mut(&shard) {
             Some(hold @ Hold::Waiting { .. }) => {
                 *hold = Hold::Active;
+                self.moving.remove(&shard);
                 true
             }
             _ => false,
         }
     }
 
+    fn note_moving(&mut self) {
+        let moving = self.holds.iter().filter(|(_, it)| **it != Hold::Active);
+        self.moving = moving.map(|(shard, _)| *shard).collect();
+    }
+
     /// While the permit is lost the shards rest. If the list did not change meanwhile, no other
     /// instance can have taken them over, and they go on; else they start anew.
     fn follow_permit(&mut self, now: Time, members: &Members) -> Vec<Shift> {
@@ -158,6 +167,7 @@
         }
         let active: Vec<_> = self.active().collect();
         self.holds.values_mut().for_each(|hold| *hold = waiting(members));
+        self.note_moving();
         active.into_iter().map(Shift::Drop).collect()
     }
 }
--- a/crates/own/src/members.rs
+++ b/crates/own/src/members.rs
@@ -106,6 +106,7 @@
     members: BTreeMap<InstanceId, Member>,
     next_nonce: u64,
     next_round: Time,
+    owners_epoch: u64,
 }
 
 impl Members {
@@ -123,6 +124,7 @@
             members: BTreeMap::new(),
             next_nonce: 1,
             next_round: Time::default(),
+            owners_epoch: 0,
         }
     }
 
@@ -156,9 +158,15 @@
         self.leaving
     }
 
+    /// A number that grows whenever [`Members::owner`] may answer differently than before.
+    pub fn owners_epoch(&self) -> u64 {
+        self.owners_epoch
+    }
+
     /// Marks this instance as shutting down; it owns nothing from now on.
     pub fn leave(&mut self) {
         self.leaving = true;
+        self.owners_epoch += 1;
         if let Some(me) = self.members.get_mut(&self.me.instance) {
             me.leaving = true;
         }
@@ -204,6 +212,7 @@
         }
         self.list = version;
         self.list_since = now;
+        self.owners_epoch += 1;
         self.newest_list = self.newest_list.max(version);
         let mut former = std::mem::take(&mut self.members);
         for listed in list {
@@ -235,6 +244,7 @@
         let owners_changed = restarted && member.left.take().is_some() && member.leaving;
         if owners_changed {
             member.leaving = false;
+            self.owners_epoch += 1;
         }
         Heard { restarted, owners_changed }
     }
@@ -255,6 +265,7 @@
             member.leaving = true;
             member.left = Some(from.incarnation);
         }
+        self.owners_epoch += u64::from(owners_changed);
         Heard { restarted: false, owners_changed }
     }
 
