--- a/crates/capacity/src/memory.rs
+++ b/crates/capacity/src/memory.rs
@@ -1,6 +1,6 @@
 //! Bytes of state for each entry.
 
-use std::{alloc::System, error::Error};
+use std::{alloc::System, error::Error, time::Instant};
 
 use stats_alloc::{INSTRUMENTED_SYSTEM, Region, StatsAlloc};
 
@@ -33,9 +33,17 @@
         on.arrive_and_wait(i % KEYED);
     }
     slope("each request that waits", held(&region), WAITING);
+    print_dump(&on);
     Ok(())
 }
 
+fn print_dump(on: &Harness) {
+    let start = Instant::now();
+    let text = on.state.dump(on.now).to_string();
+    let millis = start.elapsed().as_secs_f64() * 1e3;
+    println!("\na dump with {WAITING} waiting requests: {} bytes, {millis:.2} ms", text.len());
+}
+
 fn slope(name: &str, bytes: f64, entries: usize) {
     println!("  {name:<34}{:>10.0}", bytes / entries as f64);
 }
--- a/crates/control/src/waiting.rs
+++ b/crates/control/src/waiting.rs
@@ -22,7 +22,7 @@
 const CONFIRM: Duration = Duration::from_secs(1);
 
 /// Time between two looks at all waiting requests.
-const SCAN_INTERVAL: Duration = Duration::from_millis(100);
+const SCAN_INTERVAL: Duration = Duration::from_millis(50);
 
 /// Time between two lists of held grants.
 const REPORT_INTERVAL: Duration = Duration::from_secs(1);
@@ -290,7 +290,7 @@
         self.report_held(now);
     }
 
-    /// Looks at all waiting requests, in the interval of the tickets' deadlines or when owners
+    /// Looks at all waiting requests, in an interval or when owners
     /// changed, not at each wake: it takes time proportional to their number.
     fn scan_waiting(&mut self, now: Time) {
         let epoch = self.members.owners_epoch();
