--- a/crates/capacity/src/site.rs
+++ b/crates/capacity/src/site.rs
@@ -64,7 +64,7 @@
             address: it.peer,
             leaving: false,
         });
-        members.list_known(Version(self.list.version), listed.collect());
+        members.list_known(Time::default(), Version(self.list.version), listed.collect());
         members
     }
 
