Make idempotent attempts again whose answer never begins

Cause: an engine that answers load reads but never its requests kept them until the route's longest duration. Ruled out: the load reads, which it answers. Change: an idempotent attempt has ten targets of its class, at least 10 s, for the first byte.

--- a/crates/control/src/entry.rs
+++ b/crates/control/src/entry.rs
@@ -23,6 +23,12 @@
 /// How long a granted backend server waits for a token.
 const BOUNCE_TIME: Duration = Duration::from_millis(100);
 
+/// An attempt whose answer has not begun after this many targets of its class is made again.
+const FIRST_BYTE_TARGETS: u32 = 10;
+
+/// The least time for an answer to begin.
+const MIN_FIRST_BYTE: Duration = Duration::from_secs(10);
+
 /// The most attempts of a request.
 const MAX_ATTEMPTS: u32 = 4;
 
@@ -246,6 +252,7 @@
             return self.lose_grant(now, no, AttemptEnd::Unused);
         };
         let (address, resumes) = (server.address, server.resumes);
+        let first_byte_by = self.first_byte_by(now, no);
         let Some(req) = self.requests.get_mut(&no) else { return };
         req.stage = Stage::Run { started: now };
         req.attempt += 1;
@@ -255,13 +262,25 @@
             address,
             tier: req.tier,
             start_by,
-            first_byte_by: req.end_by,
+            first_byte_by,
             end_by: req.end_by,
             resumes,
         };
         self.out.effects.push(Effect::Request { no, order: RequestOrder::Run(order) });
     }
 
+    /// When an attempt that starts now counts as failed if no answer has begun. One that can be made
+    /// again does not wait for a server that hangs until the answer must have ended.
+    fn first_byte_by(&self, now: Time, no: RequestNo) -> Time {
+        let Some(req) = self.requests.get(&no) else { return now };
+        if !req.head.idempotent {
+            return req.end_by;
+        }
+        let target = req.target_by.since(req.head.arrived);
+        let span = (target * FIRST_BYTE_TARGETS).max(MIN_FIRST_BYTE);
+        (now + span).min(req.end_by)
+    }
+
     pub(crate) fn sent(&mut self, now: Time, no: RequestNo, attempt: u32) {
         if self.requests.get(&no).is_some_and(|it| it.attempt == attempt) {
             self.wallet.sent(now, no);
--- a/crates/fakes/tests/path.rs
+++ b/crates/fakes/tests/path.rs
@@ -4,7 +4,7 @@
 use std::{thread, time::Duration};
 
 use fakes::{
-    Call, Client, End, Fleet, FleetBuilder, Reply, key_of,
+    Call, Client, End, Fault, Fleet, FleetBuilder, Reply, key_of,
     rt::{block_on, spawn},
 };
 
@@ -116,6 +116,24 @@
     assert_eq!(falls, 0);
 }
 
+/// Two attempts that get no answer, at the least time that each is given, and one that does.
+const SILENT_ATTEMPTS: Duration = Duration::from_secs(25);
+
+#[test]
+fn an_engine_that_never_answers_does_not_keep_an_idempotent_request() {
+    let quick = |cfg: &mut config::Config| cfg.classes.iter_mut().for_each(|it| it.target_ms = 500);
+    let fleet = FleetBuilder::small(1).configure(quick).start().unwrap();
+    fleet.wait_all_ready(READY).unwrap();
+    serve_everywhere(&fleet, &["a-1"]);
+    for name in ["m-a-1", "m-a-2"] {
+        fleet.engine(name).fault(Fault::Silent, 1);
+    }
+
+    let reply = send(&fleet, "a-1", &completion(5).timeout(SILENT_ATTEMPTS));
+
+    assert!(reply.is_whole(), "{reply:?}");
+}
+
 #[test]
 fn service_goes_on_while_the_platform_is_down() {
     let mut fleet = fleet();
