Refuse a request whose token lapsed; retry where servers are untried

Two faults that process tests showed:

Cause 1: a request that got its backend server after its wait, with a token that had lapsed, gave the grant back after its start time and queued again, for ever: the wallet asks for no other token after the wait. It is refused now at the end of its wait.

Cause 2: a cell whose only backend server had failed a request gave out that server again at once, because avoided servers are used where there is no other. With one engine in a zone, a crash used up all four attempts within a few milliseconds and the request was refused (server-failed, unknown) while two engines in other zones were idle. Ruled out: retry budget, deadline. A request with failed servers now queues only in cells that have another one, if any. answers_are_whole_when_their_engine_crashes failed before and passes now.

--- a/crates/control/src/waiting.rs
+++ b/crates/control/src/waiting.rs
@@ -1,5 +1,7 @@
 //! How a request of this instance gets a backend server: its places in the queues of cells.
 
+use std::collections::BTreeSet;
+
 use model::{
     msg::{Acquire, CellMsg},
     prelude::*,
@@ -38,9 +40,9 @@
         let Some(req) = self.requests.get_mut(&no) else { return };
         req.stage = Stage::Queue;
         let is_retry = req.attempt > 0;
-        let cells = self.catalog.open_cells(req.head.pool);
+        let cells = self.cells_for(no);
         let own = cells.iter().find(|it| it.zone == self.setup.zone).copied();
-        let Some(home) = own.or_else(|| self.least_loaded(cells)) else {
+        let Some(home) = own.or_else(|| self.least_loaded(&cells)) else {
             return self.refuse(now, no, Refusal::not_run(Reason::NoServer));
         };
         let is_urgent = is_retry || self.loads.get(&home).is_some_and(|it| it.free == 0);
@@ -51,6 +53,23 @@
         self.spreads.set(no, Some(now + SPREAD_DELAY));
     }
 
+    /// Returns the cells in which a request may wait. A cell whose servers have all failed the
+    /// request is left out while there are others: it might give out the same server again at
+    /// once, until the request's attempts are used up.
+    fn cells_for(&self, no: RequestNo) -> Vec<CellId> {
+        let Some(req) = self.requests.get(&no) else { return Vec::new() };
+        let open = self.catalog.open_cells(req.head.pool);
+        if req.avoid.is_empty() {
+            return open.to_vec();
+        }
+        let untried = |(id, spec): &(&ServerId, &config::ServerSpec)| {
+            spec.open && spec.cell.pool == req.head.pool && !req.avoid.contains(id)
+        };
+        let untried = self.catalog.servers.iter().filter(untried).map(|(_, spec)| spec.cell);
+        let untried: BTreeSet<CellId> = untried.collect();
+        if untried.is_empty() { open.to_vec() } else { untried.into_iter().collect() }
+    }
+
     fn least_loaded(&self, cells: &[CellId]) -> Option<CellId> {
         let load = |cell: &CellId| {
             let load = self.loads.get(cell);
@@ -64,7 +83,7 @@
         self.spreads.clear(no);
         let Some(req) = self.requests.get(&no) else { return };
         let asked: Vec<_> = req.tickets.iter().map(|it| it.cell).collect();
-        let cells = self.catalog.open_cells(req.head.pool).to_vec();
+        let cells = self.cells_for(no);
         for cell in cells.into_iter().filter(|it| !asked.contains(it)) {
             self.ask_cell(now, no, cell);
         }
@@ -314,6 +333,12 @@
         self.lend_back(now, no);
         let Some(req) = self.requests.get(&no) else { return };
         if let Some(granted) = req.grant {
+            // The wallet looks for no other token after the wait, so that the request would take
+            // one grant after the other.
+            if now >= req.wait_by && !self.wallet.usable(now, no) {
+                let (reason, execution) = (Reason::Capacity, req.execution());
+                return self.refuse(now, no, Refusal { reason, execution, retry_after: None });
+            }
             if now >= granted.start_by {
                 self.lose_grant(now, no, AttemptEnd::Unused);
             }
