Free a fake engine's place before its answer ends

Cause: the fake counted a request until after it had written the last byte, so that on a busy machine the next request, sent for the answer's end, came while it was still counted: a_cold_server_gets_its_cold_limit_from_all_daemons_together failed in 1 of 3 runs of the cold tests side by side, with a request of 229 ms that takes 220 ms and more. The engine now frees the place when the last token is made; how the request finished is still decided after the write. Ruled out for the other failures: those requests were 10 to 180 ms old.

--- a/crates/fakes/src/engine/answer.rs
+++ b/crates/fakes/src/engine/answer.rs
@@ -53,6 +53,7 @@
         stream.write_all(&body[..body.len() / 2]).await?;
         return Err(io::ErrorKind::ConnectionAborted.into());
     }
+    run.free();
     http::respond(stream, 200, headers, &body).await?;
     run.finish = finish(shape);
     Ok(())
@@ -89,6 +90,7 @@
             }
         }
     }
+    run.free();
     if shape.fault != Some(Fault::NoDone) {
         http::write_chunk(stream, b"data: [DONE]\n\n").await?;
     }
--- a/crates/fakes/src/engine/serve.rs
+++ b/crates/fakes/src/engine/serve.rs
@@ -77,7 +77,8 @@
         headers.push(Header::new("x-outcome", "not-run"));
         return http::respond(stream, 503, headers, b"{}").await;
     }
-    let mut run = Run { state: Arc::clone(state), no, incarnation, finish: Finish::Lost };
+    let mut run =
+        Run { state: Arc::clone(state), no, incarnation, finish: Finish::Lost, freed: false };
     let watched = stream.clone();
     let answer = async {
         let result = answer(stream, &mut run, &shape, headers, prefill).await;
@@ -121,10 +122,24 @@
     pub(super) no: usize,
     incarnation: u64,
     pub(super) finish: Finish,
+    /// Whether its place is free already.
+    freed: bool,
+}
+
+impl Run {
+    /// Frees its place: the answer is complete, and whoever gets its end may send more.
+    pub(super) fn free(&mut self) {
+        let mut state = lock(&self.state);
+        if !self.freed && self.incarnation == state.incarnation {
+            self.freed = true;
+            state.running -= 1;
+            state.note_load();
+        }
+    }
 }
 
 impl Drop for Run {
     fn drop(&mut self) {
-        lock(&self.state).end(self.no, self.incarnation, self.finish);
+        lock(&self.state).end(self.no, self.incarnation, self.finish, self.freed);
     }
 }
--- a/crates/fakes/src/engine/state.rs
+++ b/crates/fakes/src/engine/state.rs
@@ -135,7 +135,7 @@
         Some(self.base + self.entries.len() - 1)
     }
 
-    pub(super) fn end(&mut self, no: usize, incarnation: u64, finish: Finish) {
+    pub(super) fn end(&mut self, no: usize, incarnation: u64, finish: Finish, freed: bool) {
         // A restart has ended the entry already.
         if incarnation != self.incarnation {
             return;
@@ -143,8 +143,10 @@
         let Some(entry) = self.entry(no).filter(|it| it.finish == Finish::Running) else { return };
         entry.finish = finish;
         entry.ended = Some(Instant::now());
-        self.running -= 1;
-        self.note_load();
+        if !freed {
+            self.running -= 1;
+            self.note_load();
+        }
     }
 
     pub(super) fn entry(&mut self, no: usize) -> Option<&mut Entry> {
