--- a/crates/control/src/request.rs
+++ b/crates/control/src/request.rs
@@ -51,6 +51,9 @@
     },
 }
 
+/// How long a granted backend server waits for a token.
+pub(crate) const BOUNCE_TIME: Duration = Duration::from_millis(100);
+
 /// A request's hold on a token.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum TokenHold {
@@ -104,6 +107,8 @@
     pub(crate) server: ServerId,
     /// The attempt must start by then.
     pub(crate) start_by: Time,
+    /// It goes back if the request has no valid token by then.
+    pub(crate) token_by: Time,
 }
 
 impl Request {
--- a/crates/control/src/waiting.rs
+++ b/crates/control/src/waiting.rs
@@ -10,7 +10,7 @@
 
 use crate::{
     Effect, RequestOrder,
-    request::{Granted, OPEN, Stage, Ticket, TicketState},
+    request::{BOUNCE_TIME, Granted, OPEN, Stage, Ticket, TicketState, TokenHold},
     state::State,
 };
 
@@ -138,7 +138,9 @@
             }
             CellMsg::Grant { ticket, cell, grant, server, start_within } => {
                 let start_by = now + start_within.saturating_sub(self.setup.times.margin);
-                self.granted(now, from, ticket, Granted { cell, grant, server, start_by });
+                let token_by = now + BOUNCE_TIME;
+                let granted = Granted { cell, grant, server, start_by, token_by };
+                self.granted(now, from, ticket, granted);
             }
             CellMsg::Preempt { grant, .. } => self.preempt(now, grant),
             CellMsg::Reclaim { cell } => {
@@ -269,6 +271,16 @@
         self.join_queue(now, no);
     }
 
+    /// Gives a grant back for which the token has lapsed, and waits for the next token first: a
+    /// request that holds the one while it waits for the other keeps everybody waiting.
+    fn await_token(&mut self, now: Time, no: RequestNo) {
+        self.release(now, no, AttemptEnd::Unused, false);
+        if let Some(req) = self.requests.get_mut(&no) {
+            req.stage = Stage::Token;
+            req.token = TokenHold::Kept;
+        }
+    }
+
     /// Gives the grant of a request back.
     pub(crate) fn release(&mut self, now: Time, no: RequestNo, end: AttemptEnd, cold: bool) {
         let granted = self.requests.get_mut(&no).and_then(|it| it.grant.take());
@@ -339,7 +351,9 @@
                 let (reason, execution) = (Reason::Capacity, req.execution());
                 return self.refuse(now, no, Refusal { reason, execution, retry_after: None });
             }
-            if now >= granted.start_by {
+            if now >= granted.token_by && !self.wallet.usable(now, no) {
+                self.await_token(now, no);
+            } else if now >= granted.start_by {
                 self.lose_grant(now, no, AttemptEnd::Unused);
             }
             return;
--- a/crates/limit/src/queue.rs
+++ b/crates/limit/src/queue.rs
@@ -19,7 +19,10 @@
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct Waiting {
     pub(crate) key: AskKey,
+    /// When a token comes too late.
     pub(crate) deadline: Time,
+    /// When the request's wait ends.
+    pub(crate) wait_by: Time,
     /// When a token is expected for it.
     pub(crate) expected: Time,
 }
--- a/crates/limit/src/share.rs
+++ b/crates/limit/src/share.rs
@@ -30,6 +30,11 @@
     pub(crate) out: &'a mut Vec<Reply<TokenMsg>>,
 }
 
+/// A token that comes in the last part of a request's wait, one of this many, comes too late: the
+/// request needs time to get a backend server. In a queue that is always full, every token would
+/// come at the last moment otherwise.
+const USE_PART: u32 = 8;
+
 /// A share at its owner.
 #[derive(Clone, Debug)]
 pub(crate) struct Share {
@@ -153,7 +158,7 @@
         self.queue.drop_late(cx.now);
         while !self.queue.is_empty() && self.bucket.take() {
             let Some(waiting) = self.queue.pop() else { return };
-            self.give_new(cx, waiting.key, cx.now.until(waiting.deadline));
+            self.give_new(cx, waiting.key, cx.now.until(waiting.wait_by));
         }
     }
 
@@ -203,11 +208,12 @@
     }
 
     fn enqueue(&mut self, cx: &mut Context<'_>, key: AskKey, wait: Duration) {
-        let deadline = cx.now + wait;
+        let wait_by = cx.now + wait;
+        let deadline = wait_by - wait / USE_PART;
         let expected = self.forecast(cx.now);
         match expected {
             Some(expected) if expected < deadline && self.queue.len() < MAX_WAITING => {
-                self.queue.push(Waiting { key, deadline, expected });
+                self.queue.push(Waiting { key, deadline, wait_by, expected });
                 self.queued(cx, key, cx.now.until(expected));
             }
             _ => {
