--- a/crates/control/src/entry.rs
+++ b/crates/control/src/entry.rs
@@ -20,11 +20,6 @@
 /// How long a request keeps its token in the queue of a cell.
 const LEND_TIME: Duration = Duration::from_millis(50);
 
-/// A request gives its token back only if it may still wait this long. One that gives it back
-/// may hold a backend server in vain later, which costs less than keeping the account's other
-/// requests waiting only if it waits for long.
-const PATIENCE: Duration = Duration::from_secs(3);
-
 /// An attempt whose answer has not begun after this many targets of its class is made again.
 const FIRST_BYTE_TARGETS: u32 = 10;
 
@@ -208,9 +203,8 @@
         let Some(req) = self.requests.get_mut(&no) else { return };
         let TokenHold::Lent(since) = req.token else { return };
         let is_queued = req.tickets.iter().any(|it| it.state == TicketState::Queued);
-        let is_patient = now.until(req.wait_by) >= PATIENCE;
         let waits = req.stage == Stage::Queue && req.grant.is_none() && is_queued;
-        if waits && is_patient && now >= since + LEND_TIME {
+        if waits && now >= since + LEND_TIME {
             req.token = TokenHold::Returned;
             let out = self.wallet.cancel(now, no);
             self.wallet_out(now, out);
