Build the settled fleet of the ownership tests in one fixture

Cause: three tests of own arranged the same fleet line by line. Ruled out for now: the pairs of the generated file and those alike in shape only, whose logic differs. Change: fixtures settled() and owner(count); assertions untouched.

--- a/crates/own/tests/own.rs
+++ b/crates/own/tests/own.rs
@@ -146,24 +146,28 @@
 
 #[test]
 fn new_account_under_a_settled_list_is_owned_at_once() {
-    let mut members = member(8);
+    let (members, now) = settled(8);
     let mut holdings = Holdings::default();
-    let now = members.sole_from();
-    members.list_read(now, now, Version(1), list(8, &[]));
-    acks(&mut members, now, 2..=8, 1);
 
     holdings.refresh(&members, shares(50));
 
     assert!(!holdings.tick(now, &members).is_empty());
 }
 
-/// Instance 1 with shards in use.
-fn owner() -> (Members, Holdings, Time) {
-    let mut members = member(8);
-    let mut holdings = Holdings::default();
+/// Instance 1 of a fleet of `count` whose list 1 has been in use for long and is confirmed, and the
+/// present time.
+fn settled(count: u64) -> (Members, Time) {
+    let mut members = member(count);
     let now = members.sole_from();
-    members.list_read(now, now, Version(1), list(8, &[]));
-    acks(&mut members, now, 2..=8, 1);
+    members.list_read(now, now, Version(1), list(count, &[]));
+    acks(&mut members, now, 2..=count, 1);
+    (members, now)
+}
+
+/// Instance 1 of a fleet of `count`, with shards in use.
+fn owner(count: u64) -> (Members, Holdings, Time) {
+    let (members, now) = settled(count);
+    let mut holdings = Holdings::default();
     holdings.refresh(&members, shares(50));
     holdings.tick(now, &members);
     (members, holdings, now)
@@ -171,7 +175,7 @@
 
 #[test]
 fn shards_go_on_after_a_lapse_only_under_the_same_list() {
-    let (mut members, mut holdings, now) = owner();
+    let (mut members, mut holdings, now) = owner(8);
     let lapsed = now + LEASE;
     let active = holdings.active().count();
     assert_eq!(holdings.tick(lapsed, &members), []);
@@ -190,14 +194,7 @@
 
 #[test]
 fn owner_cedes_only_to_an_instance_that_is_heard() {
-    let mut members = Members::new(peer(1), zone(1), times());
-    members.list_read(at(0), at(0), Version(1), list(6, &[]));
-    let mut holdings = Holdings::default();
-    let now = members.sole_from();
-    members.list_read(now, now, Version(1), list(6, &[]));
-    acks(&mut members, now, 2..=6, 1);
-    holdings.refresh(&members, shares(50));
-    holdings.tick(now, &members);
+    let (mut members, mut holdings, now) = owner(6);
 
     members.list_read(now, now, Version(2), list(9, &[]));
     holdings.refresh(&members, shares(50));
@@ -212,7 +209,7 @@
 
 #[test]
 fn leaving_instance_owns_nothing() {
-    let (mut members, mut holdings, now) = owner();
+    let (mut members, mut holdings, now) = owner(8);
     let active = holdings.active().count();
 
     members.leave();
