--- a/crates/daemon/src/deadline.rs
+++ b/crates/aio/src/deadline.rs
@@ -9,21 +9,17 @@
 use crate::Clock;
 
 /// Runs a future until it ends or the deadline has passed.
-pub(crate) async fn until<T>(
-    clock: Clock,
-    deadline: Time,
-    fut: impl Future<Output = T>,
-) -> Option<T> {
+pub async fn until<T>(clock: Clock, deadline: Time, fut: impl Future<Output = T>) -> Option<T> {
     let in_time = async { Some(fut.await) };
     let late = async {
-        Timer::at(clock.instant(deadline)).await;
+        clock.sleep_until(deadline).await;
         None
     };
     in_time.or(late).await
 }
 
 /// Runs an input or output operation until it ends or the span has passed.
-pub(crate) async fn io_within<T>(
+pub async fn io_within<T>(
     span: Duration,
     fut: impl Future<Output = io::Result<T>>,
 ) -> io::Result<T> {
--- a/crates/daemon/src/forward/relay.rs
+++ b/crates/daemon/src/forward/relay.rs
@@ -62,7 +62,7 @@
             Framing::Absent => Kind::Whole,
             _ if event_stream.starts_with("text/event-stream") => Kind::Events,
             Framing::Length(length) if length <= MAX_WHOLE_BYTES as u64 => Kind::Whole,
-            Framing::Length(_) | Framing::Chunked => Kind::Parts,
+            Framing::Length(_) | Framing::Chunked | Framing::UntilClose => Kind::Parts,
         }
     }
 }
--- a/crates/daemon/src/http/client.rs
+++ b/crates/daemon/src/http/client.rs
@@ -6,13 +6,9 @@
 use futures_lite::{AsyncRead, AsyncReadExt as _, io::Cursor};
 use http_types::{Method, Request, Response, StatusCode};
 
-use super::{
-    Buffered, Framing, HeadError,
-    head::{MAX_HEADERS, frames_body, framing, read_raw, write_fields},
-};
+use http1::{Buffered, Framing, HeadError, ResponseHead};
 
-/// Interim responses that are skipped before the final one.
-const MAX_INTERIM: usize = 4;
+use super::head::{MAX_HEAD_BYTES, write_fields};
 
 /// A response's head.
 #[derive(Debug)]
@@ -35,46 +31,21 @@
     input: &mut Buffered<R>,
     method: Method,
 ) -> Result<ResponseParts, HeadError> {
-    for _ in 0..MAX_INTERIM {
-        let raw = read_raw(input).await?;
-        if let Some(head) = parse(&raw, method).await? {
-            return Ok(head);
-        }
-    }
-    Err(HeadError::Malformed("too many interim responses"))
-}
-
-/// Parses a response's head; an interim response gives `None`.
-async fn parse(raw: &[u8], method: Method) -> Result<Option<ResponseParts>, HeadError> {
-    let mut headers = [httparse::EMPTY_HEADER; MAX_HEADERS];
-    let mut parsed = httparse::Response::new(&mut headers);
-    if parsed.parse(raw)?.is_partial() {
-        return Err(HeadError::Malformed("the head is not well formed"));
-    }
-    let code = parsed.code.unwrap_or_default();
-    if code == 101 {
-        return Err(HeadError::Malformed("the protocol is not to be changed"));
-    }
-    if (100..200).contains(&code) {
-        return Ok(None);
-    }
-    let framing = match framing(parsed.headers)? {
-        _ if method == Method::Head || code == 204 || code == 304 => Framing::Absent,
+    let head = ResponseHead::read(input, method.as_ref(), MAX_HEAD_BYTES).await?;
+    if head.framing() == Framing::UntilClose {
         // A body that ends with the connection cannot be told from a cut one.
-        Framing::Absent => return Err(HeadError::Malformed("the response has no length")),
-        framing => framing,
-    };
-    let res = decode(code, parsed.headers).await?;
-    Ok(Some(ResponseParts { res, framing }))
+        return Err(HeadError::Malformed("the response has no length"));
+    }
+    let res = decode(&head).await?;
+    Ok(ResponseParts { res, framing: head.framing() })
 }
 
 /// Gives `async-h1` the head without what concerns this connection.
-async fn decode(code: u16, headers: &[httparse::Header<'_>]) -> Result<Response, HeadError> {
-    let mut head = format!("HTTP/1.1 {} \r\n", known_status(code)).into_bytes();
-    // `async-h1` panics at values beyond ASCII.
-    let fields = headers.iter().filter(|it| !frames_body(it.name) && it.value.is_ascii());
-    write_fields(&mut head, fields);
-    let decoded = async_h1::client::decode(Cursor::new(head)).await;
+async fn decode(head: &ResponseHead) -> Result<Response, HeadError> {
+    let mut buf = format!("HTTP/1.1 {} \r\n", known_status(head.status())).into_bytes();
+    // `async-h1` panics at values beyond ASCII, which are left out.
+    write_fields(&mut buf, head.fields());
+    let decoded = async_h1::client::decode(Cursor::new(buf)).await;
     let mut res = decoded.map_err(|_| HeadError::Malformed("the head is not well formed"))?;
     // Where there is no date, `async-h1` inserts one with a line break in its value.
     res.remove_header("date");
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -1,14 +1,11 @@
 //! The daemon `clementined`: sockets and threads around the reducer of the `control` crate.
 
 pub mod admin;
-mod clock;
-mod deadline;
 pub mod driver;
 mod forward;
 pub mod front;
 mod http;
 mod link;
-pub mod logging;
 pub mod metrics;
 pub mod peer;
 pub mod platform;
@@ -16,7 +13,8 @@
 mod traffic;
 pub mod watch;
 
-pub use clock::Clock;
+pub use aio::Clock;
+use aio::deadline;
 pub use link::{Input, Link, Shared};
 pub use process::{RunError, run};
 pub use traffic::{Pool, Traffic};
--- a/crates/daemon/src/link.rs
+++ b/crates/daemon/src/link.rs
@@ -1,13 +1,11 @@
 //! The channel between the threads that carry traffic and the control thread.
 
-use std::{
-    convert::Infallible,
-    sync::{
-        Arc, RwLock,
-        atomic::{AtomicBool, AtomicU64, Ordering},
-    },
+use std::sync::{
+    Arc, RwLock,
+    atomic::{AtomicBool, AtomicU64, Ordering},
 };
 
+use aio::Signal;
 use async_channel::{Receiver, Sender};
 use config::Catalog;
 use control::{Event, RequestHead, RequestOrder};
@@ -131,32 +129,3 @@
         self.listening.raised().await;
     }
 }
-
-/// Wakes all who wait for something that happens once.
-#[derive(Debug)]
-struct Signal {
-    tx: Sender<Infallible>,
-    rx: Receiver<Infallible>,
-}
-
-impl Default for Signal {
-    fn default() -> Self {
-        let (tx, rx) = async_channel::bounded(1);
-        Self { tx, rx }
-    }
-}
-
-impl Signal {
-    fn raise(&self) {
-        self.tx.close();
-    }
-
-    fn is_raised(&self) -> bool {
-        self.tx.is_closed()
-    }
-
-    async fn raised(&self) {
-        // Nothing is ever sent, so this ends when the channel is closed.
-        let _ = self.rx.recv().await;
-    }
-}
--- a/crates/daemon/src/main.rs
+++ b/crates/daemon/src/main.rs
@@ -27,7 +27,7 @@
         println!("{}: settings are valid", args.settings.display());
         return ExitCode::SUCCESS;
     }
-    if let Err(err) = daemon::logging::init(&settings.instance) {
+    if let Err(err) = logs::to_stderr(&settings.instance) {
         eprintln!("cannot log: {err}");
         return ExitCode::FAILURE;
     }
--- a/crates/daemon/src/peer/incoming.rs
+++ b/crates/daemon/src/peer/incoming.rs
@@ -99,7 +99,7 @@
             if self.clock.now() >= idle_at {
                 return;
             }
-            Timer::at(self.clock.instant(idle_at)).await;
+            self.clock.sleep_until(idle_at).await;
         }
     }
 }
--- a/crates/daemon/src/platform.rs
+++ b/crates/daemon/src/platform.rs
@@ -180,7 +180,7 @@
     async fn keep_interval(&self, started: Time) {
         let next = started + MIN_INTERVAL;
         if self.cx.clock.now() < next {
-            Timer::at(self.cx.clock.instant(next)).await;
+            self.cx.clock.sleep_until(next).await;
         }
     }
 }
--- a/crates/daemon/src/watch.rs
+++ b/crates/daemon/src/watch.rs
@@ -75,7 +75,7 @@
             Err(error) => error,
         };
         report(Err(error));
-        Timer::at(cx.clock.instant(started + POLL_INTERVAL)).await;
+        cx.clock.sleep_until(started + POLL_INTERVAL).await;
     }
 }
 
--- /dev/null
+++ b/crates/dispatch/src/choice.rs
@@ -0,0 +1,109 @@
+//! Which server a request goes to.
+
+use gossip::Sum;
+use model::prelude::*;
+
+use crate::{Pool, Prompt, Server};
+
+/// Prompt tokens that an engine reads in a millisecond, rounded down from the engines' sheets (112
+/// and 157).
+const PREFILL_TOKENS_PER_MS: f64 = 100.0;
+/// Time to a first event of an engine without other work: 26 to 31 ms on the engines' sheets, and
+/// some steps.
+const ENGINE_BASE: Duration = Duration::from_millis(55);
+/// Time that each running request adds until a first event: 0.05 to 0.1 ms a step on the engines'
+/// sheets, over the steps of a first event.
+const ENGINE_PER_REQUEST: Duration = Duration::from_micros(500);
+/// Time that a plain service takes for a request: 30 to 60 ms on the services' sheets.
+const PLAIN_WORK: Duration = Duration::from_millis(45);
+/// What a request to another availability zone has to gain in time: the bytes between zones cost
+/// some hundredths of a request's worth.
+const ZONE_COST: Duration = Duration::from_millis(50);
+/// What a server that fails every request has to gain in time against one that fails none.
+const FAILURE_COST: Duration = Duration::from_millis(1_500);
+/// The part of a prompt that is expected to be read again at the server that rendezvous hashing
+/// names for it, if this instance never sent it there: its peers may have.
+const HOME_UNREAD: f64 = 0.5;
+/// A plain service's requests beyond its slots, as a share of them, so that it never idles while
+/// loads are told.
+const PLAIN_QUEUE: f64 = 1.0;
+/// The share of an engine's slots that are filled: the rest takes what other instances send
+/// before they hear of each other.
+const ENGINE_FILL: f64 = 0.9;
+/// The share of a request's target that may be spent at the server before the first byte; the
+/// rest of a queue waits here, where rank decides.
+const PATIENCE: f64 = 0.6;
+/// The same for the highest rank.
+const TOP_PATIENCE: f64 = 0.9;
+
+/// A server that might take a request.
+#[derive(Clone, Copy, Debug)]
+pub struct Candidate<'a> {
+    /// The server.
+    pub server: &'a Server,
+    /// What other instances have there.
+    pub others: Sum,
+    /// Whether it is in this instance's zone.
+    pub is_near: bool,
+    /// Whether rendezvous hashing names it for the prompt.
+    pub is_home: bool,
+}
+
+/// What a server is expected to take for a request.
+#[derive(Clone, Copy, Debug)]
+pub struct Estimate {
+    /// The time to the first byte.
+    pub first_byte: Duration,
+    /// The same with all that speaks against the server; the least is chosen.
+    pub cost: Duration,
+    /// Whether the server is full.
+    pub is_full: bool,
+}
+
+impl Candidate<'_> {
+    /// Estimates what the server takes for a request.
+    pub fn estimate(&self, now: Time, pool: &Pool, prompt: &Prompt) -> Estimate {
+        let (first_byte, is_full) = match pool.engine {
+            Some(engine) => self.engine(engine.slots.max(self.server.entry.slots), prompt),
+            None => self.plain(),
+        };
+        let health = &self.server.health;
+        let first_byte = first_byte.mul_f64(health.pace());
+        let zone = if self.is_near { Duration::ZERO } else { ZONE_COST };
+        let failures = FAILURE_COST.mul_f64(health.failures(now));
+        let cost = first_byte + zone + failures + 2 * health.silence(now);
+        Estimate { first_byte, cost, is_full }
+    }
+
+    /// Returns the time to the first event of an engine, and whether the engine is full.
+    fn engine(&self, slots: u32, prompt: &Prompt) -> (Duration, bool) {
+        let attempts = self.server.attempts + self.others.attempts;
+        let unread = prompt.tokens.saturating_sub(self.server.prefixes.cached(prompt));
+        let own_part = prompt.parts.last().map_or(prompt.tokens, |it| it.tokens).min(unread);
+        let shared = f64::from(unread - own_part) * if self.is_home { HOME_UNREAD } else { 1.0 };
+        let ahead = (self.server.prefill + self.others.prefill) as f64;
+        let tokens = ahead + shared + f64::from(own_part);
+        let reading = Duration::from_secs_f64(tokens / PREFILL_TOKENS_PER_MS / 1e3);
+        let is_full = f64::from(attempts) >= f64::from(slots) * ENGINE_FILL;
+        (ENGINE_BASE + reading + ENGINE_PER_REQUEST * attempts, is_full)
+    }
+
+    /// Returns the time to the answer of a plain service, and whether the server is full.
+    fn plain(&self) -> (Duration, bool) {
+        let attempts = f64::from(self.server.attempts + self.others.attempts);
+        let slots = f64::from(self.server.entry.slots.max(1));
+        let queue = (attempts + 1.0 - slots).max(0.0) / slots;
+        // Servers slow down as they fill up.
+        let crowding = 0.2 * attempts / slots;
+        let is_full = attempts >= slots * (1.0 + PLAIN_QUEUE);
+        (PLAIN_WORK.mul_f64(1.0 + queue + crowding), is_full)
+    }
+}
+
+impl Estimate {
+    /// Returns whether a request with this target goes there rather than wait here.
+    pub fn suits(&self, target: Duration, tier: Tier) -> bool {
+        let patience = if tier == Tier(0) { TOP_PATIENCE } else { PATIENCE };
+        !self.is_full && self.first_byte <= target.mul_f64(patience).max(2 * ENGINE_BASE)
+    }
+}
--- /dev/null
+++ b/crates/dispatch/src/request.rs
@@ -0,0 +1,72 @@
+//! A request of a caller.
+
+use std::sync::Arc;
+
+use model::prelude::*;
+
+use crate::{Prompt, Routed, ServerKey, queue::Place, route::Repeat};
+
+slotmap::new_key_type! {
+    /// A request that this process serves.
+    pub struct RequestKey;
+}
+
+/// A request of a caller.
+#[derive(Debug)]
+pub(crate) struct Request {
+    pub(crate) id: Arc<str>,
+    pub(crate) routed: Routed,
+    pub(crate) pool: PoolId,
+    pub(crate) arrived: Time,
+    /// When it ends, whatever has come: the route's timeout or the caller's patience.
+    pub(crate) end_by: Time,
+    pub(crate) prompt: Prompt,
+    pub(crate) stage: Stage,
+    /// Attempts that were made.
+    pub(crate) attempts: u32,
+    /// Servers that may have run it.
+    pub(crate) runs: u32,
+    /// Servers that said that they did not run it.
+    pub(crate) rejections: u32,
+    /// Servers that are not tried again.
+    pub(crate) tried: Vec<ServerKey>,
+    /// When the first byte of an answer came.
+    pub(crate) began_at: Option<Time>,
+    /// Whether an answer that says that a server failed is held back.
+    pub(crate) holds_failure: bool,
+}
+
+/// How far a request has come.
+#[derive(Clone, Copy, Debug)]
+pub(crate) enum Stage {
+    /// It waits for a server.
+    Waiting(Place),
+    /// An attempt runs.
+    Running(Run),
+    /// Its task knows how it ends, or it was not read whole yet.
+    Idle,
+}
+
+/// An attempt that runs.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Run {
+    pub(crate) server: ServerKey,
+    pub(crate) sent_at: Option<Time>,
+    pub(crate) expected: Duration,
+    /// Prompt tokens that the server still has to read for it.
+    pub(crate) prefill: u32,
+}
+
+impl Request {
+    pub(crate) fn tier(&self) -> Tier {
+        self.routed.tier()
+    }
+
+    pub(crate) fn is_repeatable(&self) -> bool {
+        self.routed.route.repeat != Repeat::Never
+    }
+
+    pub(crate) fn execution(&self) -> Execution {
+        if self.runs == 0 { Execution::NotRun } else { Execution::Unknown }
+    }
+}
--- /dev/null
+++ b/crates/dispatch/src/servers.rs
@@ -0,0 +1,67 @@
+//! All backend servers.
+
+use std::collections::{BTreeSet, HashMap};
+
+use model::prelude::*;
+use slotmap::SlotMap;
+
+use crate::{Server, ServerEntry, ServerKey};
+
+/// All backend servers that the platform lists, by pool.
+#[derive(Debug, Default)]
+pub(crate) struct Servers {
+    all: SlotMap<ServerKey, Server>,
+    by_id: HashMap<ServerId, ServerKey>,
+    pools: HashMap<PoolId, Vec<ServerKey>>,
+    /// The zones that operators have taken out.
+    pub(crate) withdrawn: BTreeSet<ZoneId>,
+}
+
+impl Servers {
+    pub(crate) fn get(&self, key: ServerKey) -> Option<&Server> {
+        self.all.get(key)
+    }
+
+    pub(crate) fn get_mut(&mut self, key: ServerKey) -> Option<&mut Server> {
+        self.all.get_mut(key)
+    }
+
+    pub(crate) fn by_id(&self, id: ServerId) -> Option<ServerKey> {
+        self.by_id.get(&id).copied()
+    }
+
+    pub(crate) fn iter(&self) -> impl Iterator<Item = (ServerKey, &Server)> {
+        self.all.iter()
+    }
+
+    pub(crate) fn iter_mut(&mut self) -> impl Iterator<Item = (ServerKey, &mut Server)> {
+        self.all.iter_mut()
+    }
+
+    /// Returns the servers of a pool.
+    pub(crate) fn of_pool(&self, pool: PoolId) -> &[ServerKey] {
+        self.pools.get(&pool).map_or(&[], Vec::as_slice)
+    }
+
+    pub(crate) fn insert(&mut self, now: Time, entry: ServerEntry) -> ServerKey {
+        let (id, pool) = (entry.id(), entry.pool);
+        let key = self.all.insert(Server::new(now, entry));
+        self.by_id.insert(id, key);
+        self.pools.entry(pool).or_default().push(key);
+        key
+    }
+
+    pub(crate) fn remove(&mut self, key: ServerKey) -> Option<Server> {
+        let server = self.all.remove(key)?;
+        self.by_id.remove(&server.entry.id());
+        if let Some(pool) = self.pools.get_mut(&server.entry.pool) {
+            pool.retain(|it| *it != key);
+        }
+        Some(server)
+    }
+
+    /// Returns whether a server may get requests at all.
+    pub(crate) fn is_open(&self, server: &Server) -> bool {
+        !server.entry.is_draining && !self.withdrawn.contains(&server.entry.zone)
+    }
+}
--- /dev/null
+++ b/crates/edge/src/dialect.rs
@@ -0,0 +1,78 @@
+//! What callers and backend servers say in header fields.
+
+use dispatch::Prompt;
+use http1::{RequestHead, ResponseHead};
+use model::prelude::*;
+use thiserror::Error;
+
+/// Reads and writes the header fields of a deployment.
+pub trait Dialect {
+    /// Reads what a caller says of its request.
+    fn caller<'a>(&self, head: &'a RequestHead) -> Result<CallerFields<'a>, FieldError>;
+
+    /// Reads what a backend server says of its answer.
+    fn backend<'a>(&self, head: &'a ResponseHead) -> BackendFields<'a>;
+
+    /// Returns whether a field of a caller is not passed on to backend servers.
+    fn is_private(&self, name: &str) -> bool;
+
+    /// Writes the fields that an attempt carries besides those of the caller.
+    fn write_attempt(&self, buf: &mut Vec<u8>, attempt: &AttemptFields<'_>);
+
+    /// Returns the name of the field with a request's id.
+    fn request_id(&self) -> &'static str;
+}
+
+/// Why a caller's header field cannot be used.
+#[derive(Clone, Copy, PartialEq, Eq, Debug, Error)]
+pub enum FieldError {
+    /// The field is not there.
+    #[error("the field {0} is missing")]
+    Missing(&'static str),
+    /// The field's value is not what it should be.
+    #[error("the field {0} is malformed")]
+    Malformed(&'static str),
+}
+
+/// What a caller says of its request.
+#[derive(Clone, Debug)]
+pub struct CallerFields<'a> {
+    /// The request's id.
+    pub id: &'a str,
+    /// For how long the caller waits.
+    pub patience: Option<Duration>,
+    /// The key of its account.
+    pub key: Option<&'a [u8]>,
+    /// The prompt, if it is a generation.
+    pub prompt: Prompt,
+}
+
+/// What a backend server says of its answer.
+#[derive(Clone, Copy, Debug)]
+pub struct BackendFields<'a> {
+    /// The id of the request that it answers.
+    pub id: Option<&'a str>,
+    /// Whether it signed the answer as its own.
+    pub is_signed: bool,
+    /// Whether it says that it did not run the request.
+    pub did_not_run: bool,
+    /// For how long it is cold.
+    pub cold: Option<Duration>,
+    /// For how long it keeps an idle connection open.
+    pub keep_alive: Option<Duration>,
+}
+
+/// What an attempt tells a backend server.
+#[derive(Clone, Copy, Debug)]
+pub struct AttemptFields<'a> {
+    /// The name of the server that is meant.
+    pub server: &'a str,
+    /// Time that is left for the request.
+    pub left: Duration,
+    /// The name of the account.
+    pub account: Option<&'a str>,
+    /// The request's rank.
+    pub tier: Tier,
+    /// The id of the last event that the caller has.
+    pub resume_after: Option<&'a str>,
+}
--- /dev/null
+++ b/crates/edge/src/instance.rs
@@ -0,0 +1,166 @@
+//! What the tasks of a process share.
+
+use std::{
+    cell::{Cell, RefCell},
+    net::UdpSocket,
+    rc::Rc,
+};
+
+use aio::{Clock, Signal};
+use async_channel::Sender;
+use async_executor::LocalExecutor;
+use async_io::Async;
+use dispatch::{Effect, Event, Order, RequestKey, State};
+use gossip::Outgoing;
+use model::prelude::*;
+use slotmap::SlotMap;
+
+use crate::{Dialect, Settings, journal::Journal, metrics::Metrics, pool::Pool};
+
+/// A running instance: the reducer and what carries out its effects.
+pub struct Instance {
+    /// The clock of all decisions.
+    pub clock: Clock,
+    pub(crate) settings: Settings,
+    pub(crate) dialect: Box<dyn Dialect>,
+    pub(crate) metrics: Metrics,
+    pub(crate) pool: Pool,
+    pub(crate) executor: Rc<LocalExecutor<'static>>,
+    /// Raised when connections are no longer accepted.
+    pub(crate) stopped_listening: Signal,
+    /// Raised when the process ends.
+    pub(crate) exits: Signal,
+    pub(crate) is_draining: Cell<bool>,
+    /// Connections of callers.
+    pub(crate) callers: Cell<usize>,
+    /// Bytes of bodies that are kept for attempts.
+    pub(crate) body_bytes: Cell<usize>,
+    is_ready: Cell<bool>,
+    socket: Async<UdpSocket>,
+    state: RefCell<State>,
+    tasks: RefCell<SlotMap<RequestKey, Sender<Order>>>,
+    journal: RefCell<Journal>,
+    /// When the next tick is scheduled, and who is told that it comes earlier.
+    scheduled: Cell<Time>,
+    hurry: Sender<()>,
+}
+
+/// What an [`Instance`] is made of.
+pub(crate) struct Parts {
+    pub(crate) clock: Clock,
+    pub(crate) settings: Settings,
+    pub(crate) dialect: Box<dyn Dialect>,
+    pub(crate) socket: Async<UdpSocket>,
+    pub(crate) state: State,
+    pub(crate) executor: Rc<LocalExecutor<'static>>,
+    pub(crate) hurry: Sender<()>,
+}
+
+impl Instance {
+    pub(crate) fn new(parts: Parts) -> Self {
+        Self {
+            metrics: Metrics::default(),
+            pool: Pool::default(),
+            stopped_listening: Signal::default(),
+            exits: Signal::default(),
+            is_draining: Cell::new(false),
+            callers: Cell::new(0),
+            body_bytes: Cell::new(0),
+            is_ready: Cell::new(false),
+            tasks: RefCell::default(),
+            journal: RefCell::new(Journal::new(parts.clock.now())),
+            scheduled: Cell::new(Time::default()),
+            clock: parts.clock,
+            settings: parts.settings,
+            dialect: parts.dialect,
+            socket: parts.socket,
+            state: RefCell::new(parts.state),
+            executor: parts.executor,
+            hurry: parts.hurry,
+        }
+    }
+
+    /// Tells the reducer what happened and carries out what it decides.
+    pub fn event(&self, event: Event) {
+        let now = self.clock.now();
+        if matches!(event, Event::Shutdown) {
+            self.is_draining.set(true);
+        }
+        let effects = self.state.borrow_mut().step(now, event);
+        for effect in effects {
+            self.execute(now, effect);
+        }
+        if self.next_wake(now) < self.scheduled.get() {
+            // One message is enough to wake the task that ticks.
+            let _ = self.hurry.try_send(());
+        }
+    }
+
+    /// Returns whether the balancer should send callers here.
+    pub fn is_ready(&self) -> bool {
+        self.is_ready.get()
+    }
+
+    /// Asks the reducer without changing anything.
+    pub(crate) fn ask<T>(&self, question: impl FnOnce(&State) -> T) -> T {
+        question(&self.state.borrow())
+    }
+
+    /// Names a request; orders for it go to `orders`.
+    pub(crate) fn add_task(&self, orders: Sender<Order>) -> RequestKey {
+        self.tasks.borrow_mut().insert(orders)
+    }
+
+    pub(crate) fn remove_task(&self, key: RequestKey) {
+        self.tasks.borrow_mut().remove(key);
+    }
+
+    /// Returns when the next tick is due and notes that it is scheduled.
+    pub(crate) fn schedule(&self) -> Time {
+        let due = self.next_wake(self.clock.now());
+        self.scheduled.set(due);
+        due
+    }
+
+    pub(crate) fn socket(&self) -> &Async<UdpSocket> {
+        &self.socket
+    }
+
+    fn next_wake(&self, now: Time) -> Time {
+        self.state.borrow().next_wake(now)
+    }
+
+    fn execute(&self, now: Time, effect: Effect) {
+        match effect {
+            Effect::Order { key, order } => self.order(key, order),
+            Effect::Send(outgoing) => self.send(&outgoing),
+            Effect::Disconnect { address } => self.pool.disconnect(address),
+            Effect::Ready(ready) => self.is_ready.set(ready),
+            Effect::StopListening => self.stopped_listening.raise(),
+            Effect::Exit => self.exits.raise(),
+            Effect::Log(note) => {
+                self.metrics.count(&note);
+                self.journal.borrow_mut().write(now, &note);
+            }
+        }
+    }
+
+    fn order(&self, key: RequestKey, order: Order) {
+        if let Some(orders) = self.tasks.borrow().get(key) {
+            // A task whose caller left takes no more orders.
+            let _ = orders.try_send(order);
+        }
+    }
+
+    fn send(&self, outgoing: &Outgoing) {
+        let bytes = match outgoing.packet.encode() {
+            Ok(bytes) => bytes,
+            Err(err) => return log::error!("cannot encode a packet: {err}"),
+        };
+        // A packet that the socket does not take at once is lost like any other: the next one
+        // tells the same.
+        if let Err(err) = self.socket.get_ref().send_to(&bytes, outgoing.to) {
+            log::debug!(to:% = outgoing.to; "cannot send a packet: {err}");
+        }
+    }
+}
--- /dev/null
+++ b/crates/edge/src/lib.rs
@@ -0,0 +1,28 @@
+//! The edge program without its platform: sockets around the reducer of crate `dispatch`.
+//!
+//! One thread serves everything. An adapter gives the [`Settings`], the [`Dialect`] of callers and
+//! backend servers, and a task that reads the platform and tells the [`Instance`] what it says.
+
+mod answer;
+mod attempt;
+mod caller;
+mod dialect;
+mod events;
+mod exchange;
+mod instance;
+mod journal;
+mod metrics;
+mod outgoing;
+mod peers;
+mod pool;
+mod problem;
+mod process;
+mod relay;
+mod settings;
+mod status;
+
+pub use dialect::{AttemptFields, BackendFields, CallerFields, Dialect, FieldError};
+pub use events::{EventSplitter, WholeEvents};
+pub use instance::Instance;
+pub use process::{RunError, run};
+pub use settings::{MetricsAddress, Settings};
--- /dev/null
+++ b/crates/edge/src/problem.rs
@@ -0,0 +1,85 @@
+//! Answers of this process: refusals and errors.
+
+use model::prelude::*;
+use serde_json::json;
+
+/// An answer of this process.
+#[derive(Clone, Debug)]
+pub(crate) struct Problem {
+    status: u16,
+    phrase: &'static str,
+    reason: Reason,
+    execution: Execution,
+    detail: String,
+    retry_after: Option<Duration>,
+}
+
+impl Problem {
+    /// A request that cannot be read.
+    pub(crate) fn unreadable(reason: Reason, detail: impl Into<String>) -> Self {
+        let (status, phrase) = match reason {
+            Reason::TooLarge => (413, "Content Too Large"),
+            Reason::SlowCaller => (408, "Request Timeout"),
+            _ => (400, "Bad Request"),
+        };
+        let execution = Execution::NotRun;
+        Self { status, phrase, reason, execution, detail: detail.into(), retry_after: None }
+    }
+
+    /// A head that is larger than callers may send.
+    pub(crate) fn head_too_large() -> Self {
+        let problem = Self::unreadable(Reason::TooLarge, "the head is too large");
+        Self { status: 431, phrase: "Request Header Fields Too Large", ..problem }
+    }
+
+    /// Writes the whole answer. An answer without `keep` says that the connection is closed.
+    pub(crate) fn encode(&self, id: Option<(&str, &str)>, keep: bool) -> Vec<u8> {
+        let body = json!({
+            "reason": self.reason,
+            "execution": self.execution,
+            "detail": self.detail,
+        });
+        let body = body.to_string();
+        let mut head = format!(
+            "HTTP/1.1 {} {}\r\nContent-Type: application/json\r\nContent-Length: {}\r\n",
+            self.status,
+            self.phrase,
+            body.len()
+        );
+        if let Some((name, id)) = id {
+            head.push_str(&format!("{name}: {id}\r\n"));
+        }
+        if let Some(span) = self.retry_after {
+            head.push_str(&format!("Retry-After: {:.3}\r\n", span.as_secs_f64()));
+        }
+        head.push_str(if keep { "\r\n" } else { "Connection: close\r\n\r\n" });
+        head.push_str(&body);
+        head.into_bytes()
+    }
+
+    /// Returns the status code.
+    pub(crate) fn status(&self) -> u16 {
+        self.status
+    }
+}
+
+impl From<Refusal> for Problem {
+    /// Only a request that did not run gets a status that promises so.
+    fn from(refusal: Refusal) -> Self {
+        let (status, phrase) = match (refusal.reason, refusal.execution) {
+            (Reason::NoRoute, _) => (404, "Not Found"),
+            (Reason::NoKey, Execution::NotRun) => (401, "Unauthorized"),
+            (_, Execution::NotRun) => (503, "Service Unavailable"),
+            (Reason::ServerTimeout, Execution::Unknown) => (504, "Gateway Timeout"),
+            (_, Execution::Unknown) => (502, "Bad Gateway"),
+        };
+        Self {
+            status,
+            phrase,
+            reason: refusal.reason,
+            execution: refusal.execution,
+            detail: String::new(),
+            retry_after: refusal.retry_after,
+        }
+    }
+}
--- /dev/null
+++ b/crates/edge/src/process.rs
@@ -0,0 +1,180 @@
+//! The life of the process.
+
+use std::{
+    future::Future,
+    io,
+    net::{SocketAddr, SocketAddrV4, UdpSocket},
+    rc::Rc,
+};
+
+use aio::{Clock, deadline};
+use async_channel::Receiver;
+use async_executor::LocalExecutor;
+use async_io::{Async, block_on};
+use async_net::TcpListener;
+use async_signal::{Signal as OsSignal, Signals};
+use dispatch::{Event, Setup, State};
+use futures_lite::{FutureExt as _, StreamExt as _};
+use model::prelude::*;
+use rustix::net::listen;
+use thiserror::Error;
+
+use crate::{Dialect, Instance, Settings, caller, instance::Parts, peers, status};
+
+/// Connections that may wait to be accepted, so that a burst loses no opening packet.
+const BACKLOG: i32 = 1_024;
+/// Time between two looks at idle connections and at the end of the process.
+const HOUSEKEEPING: Duration = Duration::from_millis(500);
+
+/// Why the process cannot run.
+#[derive(Debug, Error)]
+pub enum RunError {
+    /// An address of the settings cannot be listened at.
+    #[error("cannot listen at {address} for {purpose}: {source}")]
+    Bind {
+        /// What for.
+        purpose: &'static str,
+        /// The address.
+        address: SocketAddrV4,
+        /// Why.
+        source: io::Error,
+    },
+    /// The operating system refuses signal handlers.
+    #[error("cannot receive signals: {0}")]
+    Signals(#[from] io::Error),
+}
+
+/// Runs an instance until it has shut down in order. `platform` reads the platform for as long as
+/// the process runs; it is told when the settings may have changed.
+pub fn run<P>(
+    settings: Settings,
+    dialect: Box<dyn Dialect>,
+    platform: impl FnOnce(Rc<Instance>, Receiver<()>) -> P,
+) -> Result<(), RunError>
+where
+    P: Future<Output = ()> + 'static,
+{
+    let executor = Rc::new(LocalExecutor::new());
+    let runner = Rc::clone(&executor);
+    let clock = Clock::start();
+    block_on(runner.run(async move {
+        let callers = bind("callers", settings.listen).await?;
+        listen(&callers, BACKLOG).map_err(io::Error::from)?;
+        let balancer = bind("the balancer", settings.ready_listen).await?;
+        let metrics = bind_metrics(&settings).await;
+        let socket = bind_peers(settings.peer_listen)?;
+        let signals = Signals::new([OsSignal::Term, OsSignal::Int, OsSignal::Hup])?;
+        let (hurry, hurried) = async_channel::bounded(1);
+        let state = State::new(clock.now(), setup(&settings));
+        let parts = Parts { clock, settings, dialect, socket, state, executor, hurry };
+        let instance = Rc::new(Instance::new(parts));
+        log::info!(
+            version = env!("CARGO_PKG_VERSION"), listen:% = instance.settings.listen,
+            peers:% = instance.settings.peer_listen;
+            "started"
+        );
+        let (reload, reloads) = async_channel::bounded(1);
+        let spawn = &instance.executor;
+        spawn.spawn(caller::accept(Rc::clone(&instance), callers)).detach();
+        spawn.spawn(status::serve(Rc::clone(&instance), balancer)).detach();
+        if let Some(metrics) = metrics {
+            spawn.spawn(status::serve(Rc::clone(&instance), metrics)).detach();
+        }
+        spawn.spawn(peers::receive(Rc::clone(&instance))).detach();
+        spawn.spawn(platform(Rc::clone(&instance), reloads)).detach();
+        spawn.spawn(watch_signals(Rc::clone(&instance), signals, reload)).detach();
+        spawn.spawn(tick(Rc::clone(&instance), hurried)).detach();
+        wait_for_end(&instance).await;
+        log::info!(requests = instance.ask(State::request_count); "stopped");
+        Ok(())
+    }))
+}
+
+fn setup(settings: &Settings) -> Setup {
+    Setup {
+        address: settings.peer_listen,
+        zone: settings.zone,
+        zones: settings.zones,
+        seeds: settings.seeds.clone(),
+        incarnation: Incarnation(rand::random()),
+        seed: rand::random(),
+        bounds: settings.bounds,
+    }
+}
+
+async fn bind(purpose: &'static str, address: SocketAddrV4) -> Result<TcpListener, RunError> {
+    let bound = TcpListener::bind(SocketAddr::V4(address)).await;
+    bound.map_err(|source| RunError::Bind { purpose, address, source })
+}
+
+/// Binds the address of metrics. An instance without metrics still serves.
+async fn bind_metrics(settings: &Settings) -> Option<TcpListener> {
+    let port = settings.metrics.as_ref()?.port;
+    let address = SocketAddrV4::new(*settings.listen.ip(), port);
+    match bind("metrics", address).await {
+        Ok(listener) => Some(listener),
+        Err(err) => {
+            log::error!("{err}");
+            None
+        }
+    }
+}
+
+fn bind_peers(address: SocketAddrV4) -> Result<Async<UdpSocket>, RunError> {
+    let bound = Async::<UdpSocket>::bind(SocketAddr::V4(address));
+    bound.map_err(|source| RunError::Bind { purpose: "other instances", address, source })
+}
+
+/// Gives the reducer its ticks.
+async fn tick(instance: Rc<Instance>, hurried: Receiver<()>) {
+    loop {
+        let due = instance.schedule();
+        // Hurried means that the next tick comes earlier than scheduled.
+        if deadline::until(instance.clock, due, hurried.recv()).await.is_none() {
+            instance.event(Event::Tick);
+        }
+    }
+}
+
+async fn watch_signals(
+    instance: Rc<Instance>,
+    mut signals: Signals,
+    reload: async_channel::Sender<()>,
+) {
+    while let Some(signal) = signals.next().await {
+        match signal {
+            Ok(OsSignal::Hup) => {
+                log::info!("asked to read the settings again");
+                // One message is enough.
+                let _ = reload.try_send(());
+            }
+            Ok(signal) => {
+                log::info!(signal:? = signal; "asked to stop");
+                instance.event(Event::Shutdown);
+            }
+            Err(err) => log::error!("cannot receive signals: {err}"),
+        }
+    }
+}
+
+/// Waits until the process is to end: its time is over, or it listens no more and nobody is
+/// connected.
+async fn wait_for_end(instance: &Instance) {
+    loop {
+        let exits = async {
+            instance.exits.raised().await;
+            true
+        };
+        let pause = async {
+            async_io::Timer::after(HOUSEKEEPING).await;
+            false
+        };
+        if exits.or(pause).await {
+            return;
+        }
+        instance.pool.expire(instance.clock.now());
+        if instance.stopped_listening.is_raised() && instance.callers.get() == 0 {
+            return;
+        }
+    }
+}
--- /dev/null
+++ b/crates/gossip/src/card.rs
@@ -0,0 +1,20 @@
+//! What is told of a member.
+
+use std::net::SocketAddrV4;
+
+use serde::{Deserialize, Serialize};
+
+/// What is told of a member.
+#[derive(Clone, Copy, PartialEq, Eq, Debug, Serialize, Deserialize)]
+pub struct Card {
+    /// Where it takes packets.
+    pub address: SocketAddrV4,
+    /// The id of its availability zone.
+    pub zone: u64,
+    /// Its run; a restart gets another one.
+    pub incarnation: u64,
+    /// Grows while it runs.
+    pub beat: u32,
+    /// Whether it is shutting down.
+    pub is_leaving: bool,
+}
--- a/crates/daemon/src/http/body.rs
+++ b/crates/http1/src/body.rs
@@ -5,7 +5,7 @@
 use futures_lite::AsyncRead;
 use thiserror::Error;
 
-use super::{Buffered, Framing};
+use crate::{Buffered, Framing};
 
 /// Bytes of the line that starts a chunk.
 const MAX_CHUNK_LINE_BYTES: usize = 256;
@@ -14,7 +14,7 @@
 
 /// Why a body could not be read whole.
 #[derive(Debug, Error)]
-pub(crate) enum BodyError {
+pub enum BodyError {
     /// The connection broke or was closed before the end of the body.
     #[error("the connection broke: {0}")]
     Broken(#[from] io::Error),
@@ -27,8 +27,10 @@
 }
 
 /// Takes a body out of its framing, piece by piece.
+///
+/// Nothing is lost if the future of [`Frames::next`] is dropped.
 #[derive(Debug)]
-pub(crate) struct Frames {
+pub struct Frames {
     state: State,
 }
 
@@ -39,22 +41,24 @@
     Chunk { left: u64 },
     ChunkEnd,
     Trailer { seen: usize },
+    UntilClose,
     Done,
 }
 
 impl Frames {
     /// Starts to read a body.
-    pub(crate) fn new(framing: Framing) -> Self {
+    pub fn new(framing: Framing) -> Self {
         let state = match framing {
             Framing::Absent => State::Done,
             Framing::Length(left) => State::Length { left },
             Framing::Chunked => State::ChunkLine,
+            Framing::UntilClose => State::UntilClose,
         };
         Self { state }
     }
 
     /// Returns the next piece, or `None` once the body has ended where its framing says.
-    pub(crate) async fn next<R: AsyncRead + Unpin>(
+    pub async fn next<R: AsyncRead + Unpin>(
         &mut self,
         input: &mut Buffered<R>,
     ) -> Result<Option<Vec<u8>>, BodyError> {
@@ -75,6 +79,13 @@
                 }
                 State::ChunkEnd => self.state = chunk_end(input).await?,
                 State::Trailer { seen } => self.state = trailer_line(input, seen).await?,
+                State::UntilClose => {
+                    if input.data().is_empty() && input.fill().await? == 0 {
+                        self.state = State::Done;
+                        continue;
+                    }
+                    return Ok(Some(take(input, u64::MAX).await?));
+                }
                 State::Done => return Ok(None),
             }
         }
@@ -82,7 +93,7 @@
 }
 
 /// Reads a body whole.
-pub(crate) async fn read_whole<R: AsyncRead + Unpin>(
+pub async fn read_whole<R: AsyncRead + Unpin>(
     input: &mut Buffered<R>,
     framing: Framing,
     limit: usize,
@@ -90,6 +101,10 @@
     if matches!(framing, Framing::Length(length) if length > limit as u64) {
         return Err(BodyError::TooLarge(limit));
     }
+    if let Framing::Length(length) = framing {
+        // Not more than `limit`, which is a `usize`.
+        return read_length(input, usize::try_from(length).unwrap_or(limit)).await;
+    }
     let mut frames = Frames::new(framing);
     let mut body = Vec::new();
     while let Some(piece) = frames.next(input).await? {
@@ -101,6 +116,19 @@
     Ok(body)
 }
 
+async fn read_length<R: AsyncRead + Unpin>(
+    input: &mut Buffered<R>,
+    length: usize,
+) -> Result<Vec<u8>, BodyError> {
+    let mut body = Vec::new();
+    while body.len() < length {
+        if input.read_into(&mut body, length).await? == 0 {
+            return Err(io::Error::from(io::ErrorKind::UnexpectedEof).into());
+        }
+    }
+    Ok(body)
+}
+
 async fn fill<R: AsyncRead + Unpin>(input: &mut Buffered<R>) -> Result<(), BodyError> {
     match input.fill().await? {
         0 => Err(io::Error::from(io::ErrorKind::UnexpectedEof).into()),
--- /dev/null
+++ b/crates/http1/src/error.rs
@@ -0,0 +1,34 @@
+//! Why a head could not be read.
+
+use std::io;
+
+use thiserror::Error;
+
+/// Why a head could not be read.
+#[derive(Debug, Error)]
+pub enum HeadError {
+    /// The connection was closed before the first byte.
+    #[error("the connection was closed")]
+    Closed,
+    /// The connection broke, or was closed within the head.
+    #[error("the connection broke: {0}")]
+    Broken(#[from] io::Error),
+    /// The head has too many bytes or fields.
+    #[error("the head is larger than {0} bytes or has too many fields")]
+    TooLarge(usize),
+    /// The head is not well formed.
+    #[error("{0}")]
+    Malformed(&'static str),
+}
+
+impl From<httparse::Error> for HeadError {
+    fn from(err: httparse::Error) -> Self {
+        match err {
+            httparse::Error::TooManyHeaders => Self::Malformed("there are too many header fields"),
+            httparse::Error::HeaderName => Self::Malformed("a header field's name is not valid"),
+            httparse::Error::HeaderValue => Self::Malformed("a header field's value is not valid"),
+            httparse::Error::Version => Self::Malformed("the HTTP version is not supported"),
+            _ => Self::Malformed("the head is not well formed"),
+        }
+    }
+}
--- a/crates/daemon/src/logging.rs
+++ b/crates/logs/src/line.rs
@@ -1,37 +1,18 @@
-//! Log lines: time, level, message and fields, one record a line.
+//! The format of a line.
 
 use std::{
     fmt,
     io::{self, Write},
-    panic, thread,
 };
 
-use env_logger::{Env, fmt::Formatter};
+use env_logger::fmt::Formatter;
 use log::{
-    Record, SetLoggerError,
+    Record,
     kv::{self, Key, Value, VisitSource},
 };
 
-/// What is logged unless the environment variable `RUST_LOG` says otherwise.
-const DEFAULT_FILTER: &str = "info";
-
-/// Starts to log to standard error, with the instance's name in each line. Panics are logged, too.
-pub fn init(instance: &str) -> Result<(), SetLoggerError> {
-    let instance = instance.to_owned();
-    env_logger::Builder::from_env(Env::default().default_filter_or(DEFAULT_FILTER))
-        .format(move |buf, record| write_line(buf, &instance, record))
-        .try_init()?;
-    panic::set_hook(Box::new(|info| {
-        let thread = thread::current();
-        let thread = thread.name().unwrap_or("unnamed");
-        let place = info.location().map(ToString::to_string).unwrap_or_default();
-        let message = info.payload_as_str().unwrap_or("no message");
-        log::error!(thread, place, message; "panic");
-    }));
-    Ok(())
-}
-
-fn write_line(buf: &mut Formatter, instance: &str, record: &Record<'_>) -> io::Result<()> {
+/// Writes a record as one line.
+pub(crate) fn write(buf: &mut Formatter, instance: &str, record: &Record<'_>) -> io::Result<()> {
     let time = buf.timestamp_millis();
     let message = Quoted(record.args().to_string());
     write!(buf, "{time} {:5} {message} instance={}", record.level(), Quoted(instance.to_owned()))?;
