Send live requests whenever a server is not full

Change: requests of a pool's highest route rank only wait while every server is full. The account's rank orders first, the route's second, as types say now. Test: live requests go to busy engines while long prompts wait; failed before.

--- a/crates/dispatch/src/admission.rs
+++ b/crates/dispatch/src/admission.rs
@@ -101,7 +101,7 @@
 
     fn enqueue(&mut self, now: Time, key: RequestKey, wait: Duration) {
         let Some(req) = self.requests.get_mut(key) else { return };
-        let place = Place { tier: req.tier(), refuse_at: (now + wait).min(req.end_by), key };
+        let place = Place { rank: req.rank(), refuse_at: (now + wait).min(req.end_by), key };
         req.stage = Stage::Waiting(place);
         let pool = req.pool;
         self.queue.insert(pool, place);
@@ -128,7 +128,9 @@
     /// Chooses the server for a request, if one may take it now.
     fn choose(&self, now: Time, key: RequestKey, pool: &Pool) -> Option<Choice> {
         let req = self.requests.get(key)?;
-        let (target, tier) = (req.routed.route.target, req.tier());
+        let target = req.routed.route.target;
+        let catalog = self.catalog.as_ref()?;
+        let is_top = catalog.is_top_tier(req.pool, req.routed.route.tier);
         let servers = self.servers.of_pool(req.pool);
         let home = self.home(req, servers);
         let cold_limit = (pool.cold_rate * self.setup.bounds.cold_factor
@@ -158,7 +160,7 @@
                 is_home: home == Some(it),
             };
             let estimate = candidate.estimate(now, pool, &req.prompt);
-            if !estimate.suits(target, tier) {
+            if !estimate.suits(target, is_top) {
                 continue;
             }
             if best.as_ref().is_none_or(|best| estimate.cost < best.cost) {
@@ -216,7 +218,7 @@
             server: choice.server,
             name: Arc::clone(&server.entry.name),
             address: server.entry.address,
-            tier: place.tier,
+            rank: place.rank,
             start_by: start_by.min(req.end_by),
             first_byte_by: is_retryable.then(|| now + patience).filter(|it| *it < req.end_by),
             end_by: req.end_by,
--- a/crates/dispatch/src/attempt.rs
+++ b/crates/dispatch/src/attempt.rs
@@ -4,7 +4,7 @@
 
 use model::prelude::*;
 
-use crate::ServerKey;
+use crate::{Rank, ServerKey};
 
 /// An attempt that is to be made.
 #[derive(Clone, Debug)]
@@ -18,7 +18,7 @@
     /// Where the server listens.
     pub address: SocketAddrV4,
     /// The request's rank.
-    pub tier: Tier,
+    pub rank: Rank,
     /// No byte may be sent after this time.
     pub start_by: Time,
     /// If no answer has begun by this time, another server is tried; none where the request must
--- a/crates/dispatch/src/catalog.rs
+++ b/crates/dispatch/src/catalog.rs
@@ -19,12 +19,18 @@
     pub limits: CallerLimits,
     /// Routes by host, the longest prefix first.
     hosts: HashMap<Box<str>, Vec<Arc<Route>>>,
+    /// The highest rank of the routes to a pool.
+    top_tiers: HashMap<PoolId, Tier>,
 }
 
 impl Catalog {
     /// Indexes the routes.
     pub fn with_routes(mut self, routes: impl IntoIterator<Item = Route>) -> Self {
         for route in routes {
+            for target in &route.targets {
+                let top = self.top_tiers.entry(target.pool).or_insert(route.tier);
+                *top = route.tier.min(*top);
+            }
             self.hosts.entry(route.host.clone()).or_default().push(Arc::new(route));
         }
         for routes in self.hosts.values_mut() {
@@ -45,6 +51,11 @@
         self.hosts.get(host)?.iter().find(|it| path.starts_with(&*it.prefix))
     }
 
+    /// Returns whether no route to a pool has a higher rank.
+    pub fn is_top_tier(&self, pool: PoolId, tier: Tier) -> bool {
+        self.top_tiers.get(&pool).is_none_or(|it| !it.is_above(tier))
+    }
+
     /// Returns the number of routes.
     pub fn route_count(&self) -> usize {
         self.hosts.values().map(Vec::len).sum()
--- a/crates/dispatch/src/choice.rs
+++ b/crates/dispatch/src/choice.rs
@@ -33,8 +33,6 @@
 /// The share of a request's target that may be spent at the server before the first byte; the
 /// rest of a queue waits here, where rank decides.
 const PATIENCE: f64 = 0.6;
-/// The same for the highest rank.
-const TOP_PATIENCE: f64 = 0.9;
 
 /// A server that might take a request.
 #[derive(Clone, Copy, Debug)]
@@ -101,9 +99,10 @@
 }
 
 impl Estimate {
-    /// Returns whether a request with this target goes there rather than wait here.
-    pub fn suits(&self, target: Duration, tier: Tier) -> bool {
-        let patience = if tier == Tier(0) { TOP_PATIENCE } else { PATIENCE };
-        !self.is_full && self.first_byte <= target.mul_f64(patience).max(2 * ENGINE_BASE)
+    /// Returns whether a request with this target goes there rather than wait here. Requests of
+    /// the highest rank only wait for a server that is not full: nothing that waits goes first.
+    pub fn suits(&self, target: Duration, is_top: bool) -> bool {
+        let is_soon = self.first_byte <= target.mul_f64(PATIENCE).max(2 * ENGINE_BASE);
+        !self.is_full && (is_top || is_soon)
     }
 }
--- a/crates/dispatch/src/queue.rs
+++ b/crates/dispatch/src/queue.rs
@@ -4,12 +4,12 @@
 
 use model::prelude::*;
 
-use crate::RequestKey;
+use crate::{Rank, RequestKey};
 
 /// A request's place: by rank, then by the time at which it would be refused.
 #[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Debug)]
 pub(crate) struct Place {
-    pub(crate) tier: Tier,
+    pub(crate) rank: Rank,
     pub(crate) refuse_at: Time,
     pub(crate) key: RequestKey,
 }
--- a/crates/dispatch/src/request.rs
+++ b/crates/dispatch/src/request.rs
@@ -4,7 +4,7 @@
 
 use model::prelude::*;
 
-use crate::{Prompt, Routed, ServerKey, queue::Place, route::Repeat};
+use crate::{Prompt, Rank, Routed, ServerKey, queue::Place, route::Repeat};
 
 slotmap::new_key_type! {
     /// A request that this process serves.
@@ -58,8 +58,8 @@
 }
 
 impl Request {
-    pub(crate) fn tier(&self) -> Tier {
-        self.routed.tier()
+    pub(crate) fn rank(&self) -> Rank {
+        self.routed.rank()
     }
 
     pub(crate) fn is_repeatable(&self) -> bool {
--- a/crates/dispatch/src/route.rs
+++ b/crates/dispatch/src/route.rs
@@ -4,7 +4,7 @@
 
 use model::prelude::*;
 
-use crate::Account;
+use crate::{Account, Rank};
 
 /// Whether a request may run more than once.
 #[derive(Clone, Copy, PartialEq, Eq, Debug)]
@@ -82,9 +82,10 @@
 }
 
 impl Routed {
-    /// Returns the rank of the request: the account's goes before the route's.
-    pub fn tier(&self) -> Tier {
-        let of_account = self.account.as_ref().and_then(|it| it.tier);
-        of_account.unwrap_or(self.route.tier)
+    /// Returns the rank of the request.
+    pub fn rank(&self) -> Rank {
+        let route = self.route.tier;
+        let account = self.account.as_ref().and_then(|it| it.tier).unwrap_or(route);
+        Rank { account, route }
     }
 }
--- /dev/null
+++ b/crates/dispatch/tests/decisions/live.rs
@@ -0,0 +1,39 @@
+//! Pattern: a burst of long prompts while live conversations go on.
+
+use crate::support::{Bench, attempts, prompt, refusals, server};
+
+/// Long prompts of a burst on two engines, far more than they read within the target.
+const BURST: u64 = 400;
+
+fn two_engines() -> Bench {
+    Bench::new(vec![server("e1", "engines", 11), server("e2", "engines", 12)])
+}
+
+#[test]
+fn live_requests_go_to_busy_engines_while_long_prompts_wait() {
+    let mut bench = two_engines();
+    for topic in 0..BURST {
+        bench.request("batch", prompt(6_000, 3_000, topic));
+    }
+
+    let (_, effects) = bench.request("live", prompt(172, 543, 1));
+    let sent = attempts(&effects);
+    let later = bench.pass(1_000);
+
+    assert_eq!(sent.len(), 1, "a live request must not wait behind long prompts");
+    assert!(!refusals(&later).is_empty(), "the burst is more than the engines take");
+}
+
+#[test]
+fn long_prompts_wait_here_once_the_engines_have_enough_to_read() {
+    let mut bench = two_engines();
+    let mut sent = 0;
+
+    for topic in 0..BURST {
+        let (_, effects) = bench.request("batch", prompt(6_000, 3_000, topic));
+        sent += attempts(&effects).len();
+    }
+
+    // At 100 tokens a millisecond an engine reads 120,000 tokens within the target of 1,200 ms.
+    assert!((4..40).contains(&sent), "{sent} long prompts of 9,000 tokens were sent at once");
+}
--- /dev/null
+++ b/crates/dispatch/tests/decisions/main.rs
@@ -0,0 +1,6 @@
+//! The decisions of one instance, without network and clock.
+
+#![allow(clippy::unwrap_used)]
+
+mod live;
+mod support;
--- /dev/null
+++ b/crates/dispatch/tests/decisions/support.rs
@@ -0,0 +1,207 @@
+//! Fixtures: an instance with a configuration and servers.
+
+use std::{net::SocketAddrV4, sync::Arc};
+
+use dispatch::{
+    Account, Accounts, Attempt, AttemptEnd, Bounds, Catalog, Effect, Engine, Event, NewRequest,
+    Order, Part, Pool, Prompt, Repeat, RequestKey, Route, ServerChange, ServerEntry, Setup, State,
+    Target,
+};
+use gossip::View;
+use model::prelude::*;
+use slotmap::SlotMap;
+
+pub(crate) const KEY: &[u8] = b"a key of the account";
+/// The account that has [`KEY`].
+pub(crate) const ACCOUNT: &str = "an account";
+
+/// An instance and the requests that it serves.
+pub(crate) struct Bench {
+    pub(crate) state: State,
+    pub(crate) now: Time,
+    keys: SlotMap<RequestKey, ()>,
+    next_id: u32,
+}
+
+pub(crate) fn address(host: u8, port: u16) -> SocketAddrV4 {
+    SocketAddrV4::new([10, 0, 0, host].into(), port)
+}
+
+pub(crate) fn zone() -> ZoneId {
+    ZoneId::of("zone-a")
+}
+
+pub(crate) fn setup() -> Setup {
+    Setup {
+        address: address(1, 7000),
+        zone: zone(),
+        zones: 3,
+        seeds: Vec::new(),
+        incarnation: Incarnation(1),
+        seed: 1,
+        bounds: Bounds::default(),
+    }
+}
+
+/// A pool of engines like those of the sites.
+pub(crate) fn engines() -> Pool {
+    Pool {
+        name: "engines".into(),
+        max_connections: 620,
+        cold_start: Duration::from_secs(3),
+        cold_rate: 20.0,
+        engine: Some(Engine { slots: 128, memory_tokens: 362_178 }),
+    }
+}
+
+/// A plain service like those of the sites.
+pub(crate) fn ledger() -> Pool {
+    Pool {
+        name: "ledger".into(),
+        max_connections: 100,
+        cold_start: Duration::ZERO,
+        cold_rate: 0.0,
+        engine: None,
+    }
+}
+
+/// A route to `pool` that is named after its path.
+pub(crate) fn route(name: &str, pool: &str, repeat: Repeat, tier: u8, target_ms: u64) -> Route {
+    Route {
+        name: name.into(),
+        host: "host.example".into(),
+        prefix: format!("/{name}/").into(),
+        targets: vec![Target { pool: PoolId::of(pool), weight: 1 }],
+        repeat,
+        is_stream: pool == "engines",
+        is_open: false,
+        timeout: Duration::from_millis(4_000),
+        target: Duration::from_millis(target_ms),
+        tier: Tier(tier),
+        max_attempts: if repeat == Repeat::Never { 1 } else { 2 },
+    }
+}
+
+pub(crate) fn catalog(version: u64) -> Catalog {
+    let routes = [
+        route("batch", "engines", Repeat::Never, 2, 1_200),
+        route("short", "engines", Repeat::Resume, 1, 400),
+        route("live", "engines", Repeat::Never, 0, 300),
+        route("order", "ledger", Repeat::Never, 2, 300),
+        route("look", "ledger", Repeat::Idempotent, 2, 300),
+    ];
+    let mut catalog = Catalog::default().with_routes(routes);
+    catalog.version = Version(version);
+    let mut accounts = Accounts::default();
+    accounts.add(Account { name: ACCOUNT.into(), tier: None }, [KeyHash::of(KEY)]);
+    catalog.accounts = Some(accounts);
+    catalog.pools = [engines(), ledger()].map(|it| (PoolId::of(&it.name), it)).into();
+    catalog
+}
+
+pub(crate) fn server(name: &str, pool: &str, host: u8) -> ServerEntry {
+    ServerEntry {
+        name: Arc::from(name),
+        pool: PoolId::of(pool),
+        zone: zone(),
+        address: address(host, 8080),
+        slots: if pool == "engines" { 128 } else { 6 },
+        is_draining: false,
+        cold: Duration::ZERO,
+        run: 1,
+    }
+}
+
+/// A prompt of three parts: one that many share, one that some share, and its own.
+pub(crate) fn prompt(shared: u32, own: u32, topic: u64) -> Prompt {
+    let parts = vec![
+        Part { id: 1, tokens: shared / 2 },
+        Part { id: 1_000 + topic, tokens: shared / 2 },
+        Part { id: rand_id(topic, own), tokens: own },
+    ];
+    Prompt { tokens: shared / 2 * 2 + own, max_output: 60, parts }
+}
+
+fn rand_id(topic: u64, own: u32) -> u64 {
+    xxhash_rust::xxh3::xxh3_64(&[topic.to_be_bytes(), u64::from(own).to_be_bytes()].concat())
+}
+
+impl Bench {
+    /// An instance that knows [`catalog`] and these servers, and has settled.
+    pub(crate) fn new(servers: Vec<ServerEntry>) -> Self {
+        let now = Time::from_millis(10_000_000);
+        let state = State::new(now, setup());
+        let mut bench = Self { state, now, keys: SlotMap::default(), next_id: 0 };
+        bench.step(Event::Config(Arc::new(catalog(1))));
+        bench.step(Event::Listed(servers));
+        bench.read();
+        bench.pass(4_000);
+        bench.read();
+        bench
+    }
+
+    pub(crate) fn step(&mut self, event: Event) -> Vec<Effect> {
+        self.state.step(self.now, event)
+    }
+
+    /// Reads the platform, which did not change.
+    pub(crate) fn read(&mut self) -> Vec<Effect> {
+        let as_of = self.now;
+        self.step(Event::Read { as_of, view: View::default() })
+    }
+
+    /// Lets time pass, with ticks as they are due.
+    pub(crate) fn pass(&mut self, millis: u64) -> Vec<Effect> {
+        let until = self.now + Duration::from_millis(millis);
+        let mut effects = Vec::new();
+        while self.now < until {
+            let wake = self.state.next_wake(self.now);
+            self.now = wake.max(self.now + Duration::from_millis(1)).min(until);
+            effects.extend(self.step(Event::Tick));
+        }
+        effects
+    }
+
+    /// Sends a request and returns its key and what is done.
+    pub(crate) fn request(&mut self, route: &str, prompt: Prompt) -> (RequestKey, Vec<Effect>) {
+        let path = format!("/{route}/x");
+        let routed = self.state.route(self.now, "host.example", &path, Some(KEY)).unwrap();
+        let key = self.keys.insert(());
+        self.next_id += 1;
+        let new = NewRequest {
+            id: Arc::from(format!("request-{}", self.next_id)),
+            routed,
+            arrived: self.now,
+            give_up_at: self.now + Duration::from_secs(4),
+            prompt,
+        };
+        let effects = self.step(Event::Request { key, new: Box::new(new) });
+        (key, effects)
+    }
+
+    pub(crate) fn ended(&mut self, key: RequestKey, end: AttemptEnd) -> Vec<Effect> {
+        self.step(Event::Ended { key, end, cold: None })
+    }
+
+    pub(crate) fn list(&mut self, entry: ServerEntry) -> Vec<Effect> {
+        self.step(Event::Server(ServerChange::Listed(entry)))
+    }
+}
+
+/// Returns the attempts that are ordered.
+pub(crate) fn attempts(effects: &[Effect]) -> Vec<(RequestKey, Attempt)> {
+    let attempt = |it: &Effect| match it {
+        Effect::Order { key, order: Order::Run(attempt) } => Some((*key, attempt.clone())),
+        _ => None,
+    };
+    effects.iter().filter_map(attempt).collect()
+}
+
+/// Returns the refusals that are ordered.
+pub(crate) fn refusals(effects: &[Effect]) -> Vec<(RequestKey, Refusal)> {
+    let refusal = |it: &Effect| match it {
+        Effect::Order { key, order: Order::Refuse(refusal) } => Some((*key, *refusal)),
+        _ => None,
+    };
+    effects.iter().filter_map(refusal).collect()
+}
--- a/crates/edge/src/attempt.rs
+++ b/crates/edge/src/attempt.rs
@@ -141,7 +141,7 @@
             server: &self.attempt.name,
             left: now.until(self.attempt.end_by),
             account: self.account,
-            tier: self.attempt.tier,
+            rank: self.attempt.rank,
             resume_after: self.answer.last_event.as_deref(),
         };
         let head = self.outgoing.head(&*self.instance.dialect, &fields);
--- a/crates/edge/src/dialect.rs
+++ b/crates/edge/src/dialect.rs
@@ -1,6 +1,6 @@
 //! What callers and backend servers say in header fields.
 
-use dispatch::Prompt;
+use dispatch::{Prompt, Rank};
 use http1::{RequestHead, ResponseHead};
 use model::prelude::*;
 use thiserror::Error;
@@ -72,7 +72,7 @@
     /// The name of the account.
     pub account: Option<&'a str>,
     /// The request's rank.
-    pub tier: Tier,
+    pub rank: Rank,
     /// The id of the last event that the caller has.
     pub resume_after: Option<&'a str>,
 }
