--- a/crates/dispatch/src/state.rs
+++ b/crates/dispatch/src/state.rs
@@ -18,8 +18,8 @@
 /// The same while requests wait for a server.
 const BUSY_TICK: Duration = Duration::from_millis(10);
 /// How long connections are accepted after the request to stop: the balancer asks once a second
-/// and believes the second answer.
-const LISTEN_GRACE: Duration = Duration::from_millis(3_200);
+/// and believes the second answer. A request that is taken later than 3 s may not be cut.
+const LISTEN_GRACE: Duration = Duration::from_millis(2_700);
 /// Time that is left at the end of the grace to write last answers.
 const EXIT_MARGIN: Duration = Duration::from_millis(400);
 /// Keys that stop being accepted within this time make the instance not ready, before callers
--- a/crates/dispatch/tests/decisions/main.rs
+++ b/crates/dispatch/tests/decisions/main.rs
@@ -3,4 +3,5 @@
 #![allow(clippy::unwrap_used)]
 
 mod live;
+mod shutdown;
 mod support;
--- a/crates/dispatch/tests/decisions/support.rs
+++ b/crates/dispatch/tests/decisions/support.rs
@@ -188,6 +188,19 @@
     }
 }
 
+impl Bench {
+    /// Lets time pass up to the first such effect and returns for how long.
+    pub(crate) fn pass_until(&mut self, mut is_it: impl FnMut(&Effect) -> bool) -> Duration {
+        let started = self.now;
+        for _ in 0..20_000 {
+            if self.pass(1).iter().any(&mut is_it) {
+                return self.now.since(started);
+            }
+        }
+        panic!("nothing like it within 20 s");
+    }
+}
+
 /// Returns the attempts that are ordered.
 pub(crate) fn attempts(effects: &[Effect]) -> Vec<(RequestKey, Attempt)> {
     let attempt = |it: &Effect| match it {
