Keep a topic's prompts at one engine of the whole fleet

Change: rendezvous hashing over all zones; a shared token that is read again counts against a server, a wait only counts beyond half of the target; what is too much goes to the second server named. Tests: patterns 'many topics' and 'one hot topic'; instances of two zones agree.

--- a/crates/dispatch/src/admission.rs
+++ b/crates/dispatch/src/admission.rs
@@ -7,8 +7,8 @@
 use xxhash_rust::xxh3::{xxh3_64, xxh3_64_with_seed};
 
 use crate::{
-    Attempt, AttemptEnd, Candidate, Effect, NewRequest, Note, Order, Pool, RequestKey, Routed,
-    ServerKey,
+    Attempt, AttemptEnd, Candidate, Effect, Home, NewRequest, Note, Order, Pool, RequestKey,
+    Routed, ServerKey,
     queue::Place,
     request::{Request, Run, Stage},
     route::Repeat,
@@ -132,7 +132,7 @@
         let catalog = self.catalog.as_ref()?;
         let is_top = catalog.is_top_tier(req.pool, req.routed.route.tier);
         let servers = self.servers.of_pool(req.pool);
-        let home = self.home(req, servers);
+        let homes = self.homes(req, servers);
         let cold_limit = (pool.cold_rate * self.setup.bounds.cold_factor
             + self.setup.bounds.cold_extra)
             .floor() as u32;
@@ -157,9 +157,9 @@
                 server,
                 others: self.loads.at(server.entry.id().into()),
                 is_near: server.entry.zone == self.setup.zone,
-                is_home: home == Some(it),
+                home: homes.of(it),
             };
-            let estimate = candidate.estimate(now, pool, &req.prompt);
+            let estimate = candidate.estimate(now, pool, &req.prompt, target);
             if !estimate.suits(target, is_top) {
                 continue;
             }
@@ -172,18 +172,19 @@
         best
     }
 
-    /// Returns the server that rendezvous hashing names for the part of the prompt that other
-    /// requests share, so that instances that do not talk about it agree.
-    fn home(&self, req: &Request, servers: &[ServerKey]) -> Option<ServerKey> {
-        let part = req.prompt.last_shared()?;
-        let open = servers.iter().filter_map(|it| Some((*it, self.servers.get(*it)?)));
-        let open = open.filter(|it| self.servers.is_open(it.1));
-        let home = open.max_by_key(|(_, server)| {
-            let is_near = server.entry.zone == self.setup.zone;
-            let rank = xxh3_64_with_seed(&part.id.to_be_bytes(), server.entry.id().0);
-            (is_near, rank)
-        });
-        home.map(|it| it.0)
+    /// Returns the servers that rendezvous hashing names for the part of the prompt that other
+    /// requests share.
+    fn homes(&self, req: &Request, servers: &[ServerKey]) -> Homes {
+        let mut homes = Homes::default();
+        let Some(part) = req.prompt.last_shared() else { return homes };
+        for &key in servers {
+            let Some(server) = self.servers.get(key) else { continue };
+            if self.servers.is_open(server) {
+                let rank = xxh3_64_with_seed(&part.id.to_be_bytes(), server.entry.id().0);
+                homes.add(rank, key);
+            }
+        }
+        homes
     }
 
     /// Gives a request to a server.
@@ -494,6 +495,32 @@
     others: u32,
 }
 
+/// The servers that rendezvous hashing names for a prompt, with their ranks.
+#[derive(Clone, Copy, Default, Debug)]
+struct Homes {
+    first: Option<(u64, ServerKey)>,
+    second: Option<(u64, ServerKey)>,
+}
+
+impl Homes {
+    fn add(&mut self, rank: u64, key: ServerKey) {
+        let new = Some((rank, key));
+        if new > self.first {
+            self.second = std::mem::replace(&mut self.first, new);
+        } else if new > self.second {
+            self.second = new;
+        }
+    }
+
+    fn of(&self, key: ServerKey) -> Home {
+        match (self.first, self.second) {
+            (Some((_, first)), _) if first == key => Home::First,
+            (_, Some((_, second))) if second == key => Home::Second,
+            _ => Home::Elsewhere,
+        }
+    }
+}
+
 /// What follows an attempt that gave no whole answer.
 #[derive(Clone, Copy, Debug)]
 enum Next {
--- a/crates/dispatch/src/choice.rs
+++ b/crates/dispatch/src/choice.rs
@@ -18,12 +18,21 @@
 const PLAIN_WORK: Duration = Duration::from_millis(45);
 /// What a request to another availability zone has to gain in time: the bytes between zones cost
 /// some hundredths of a request's worth.
-const ZONE_COST: Duration = Duration::from_millis(50);
+const ZONE_COST: Duration = Duration::from_millis(10);
+/// What a server has to gain in time for each shared prompt token that it reads again: reading
+/// takes the engine's time from all other requests.
+const UNREAD_COST_MS: f64 = 0.06;
+/// The part of a request's target up to which a longer wait is as good as a shorter one.
+const COMFORT: f64 = 0.5;
+/// What each millisecond beyond that counts.
+const DISCOMFORT: f64 = 4.0;
 /// What a server that fails every request has to gain in time against one that fails none.
 const FAILURE_COST: Duration = Duration::from_millis(1_500);
 /// The part of a prompt that is expected to be read again at the server that rendezvous hashing
-/// names for it, if this instance never sent it there: its peers may have.
-const HOME_UNREAD: f64 = 0.5;
+/// names first for it, if this instance never sent it there: its peers may have.
+const FIRST_HOME_UNREAD: f64 = 0.1;
+/// The same for the second server, which takes what is too much for the first.
+const SECOND_HOME_UNREAD: f64 = 0.6;
 /// A plain service's requests beyond its slots, as a share of them, so that it never idles while
 /// loads are told.
 const PLAIN_QUEUE: f64 = 1.0;
@@ -44,7 +53,30 @@
     /// Whether it is in this instance's zone.
     pub is_near: bool,
     /// Whether rendezvous hashing names it for the prompt.
-    pub is_home: bool,
+    pub home: Home,
+}
+
+/// Whether rendezvous hashing names a server for a prompt, so that instances that do not talk
+/// about it choose alike.
+#[derive(Clone, Copy, PartialEq, Eq, Debug)]
+pub enum Home {
+    /// It is named first.
+    First,
+    /// It is named second.
+    Second,
+    /// It is not.
+    Elsewhere,
+}
+
+impl Home {
+    /// Returns the part of a prompt that is expected to be read again.
+    fn unread(self) -> f64 {
+        match self {
+            Self::First => FIRST_HOME_UNREAD,
+            Self::Second => SECOND_HOME_UNREAD,
+            Self::Elsewhere => 1.0,
+        }
+    }
 }
 
 /// What a server is expected to take for a request.
@@ -60,32 +92,41 @@
 
 impl Candidate<'_> {
     /// Estimates what the server takes for a request.
-    pub fn estimate(&self, now: Time, pool: &Pool, prompt: &Prompt) -> Estimate {
+    pub fn estimate(&self, now: Time, pool: &Pool, prompt: &Prompt, target: Duration) -> Estimate {
+        let unread = self.unread(prompt);
         let (first_byte, is_full) = match pool.engine {
-            Some(engine) => self.engine(engine.slots.max(self.server.entry.slots), prompt),
+            Some(engine) => self.engine(engine.slots.max(self.server.entry.slots), prompt, unread),
             None => self.plain(),
         };
         let health = &self.server.health;
         let first_byte = first_byte.mul_f64(health.pace());
         let zone = if self.is_near { Duration::ZERO } else { ZONE_COST };
         let failures = FAILURE_COST.mul_f64(health.failures(now));
-        let cost = first_byte + zone + failures + 2 * health.silence(now);
+        let comfort = target.mul_f64(COMFORT);
+        let discomfort = first_byte.saturating_sub(comfort).mul_f64(DISCOMFORT);
+        let reading = Duration::from_secs_f64(unread * UNREAD_COST_MS / 1e3);
+        let wait = first_byte.min(comfort) + discomfort;
+        let cost = wait + reading + zone + failures + 2 * health.silence(now);
         Estimate { first_byte, cost, is_full }
     }
 
     /// Returns the time to the first event of an engine, and whether the engine is full.
-    fn engine(&self, slots: u32, prompt: &Prompt) -> (Duration, bool) {
+    fn engine(&self, slots: u32, prompt: &Prompt, unread: f64) -> (Duration, bool) {
         let attempts = self.server.attempts + self.others.attempts;
-        let unread = prompt.tokens.saturating_sub(self.server.prefixes.cached(prompt));
-        let own_part = prompt.parts.last().map_or(prompt.tokens, |it| it.tokens).min(unread);
-        let shared = f64::from(unread - own_part) * if self.is_home { HOME_UNREAD } else { 1.0 };
         let ahead = (self.server.prefill + self.others.prefill) as f64;
-        let tokens = ahead + shared + f64::from(own_part);
+        let tokens = ahead + unread + f64::from(prompt.own_tokens());
         let reading = Duration::from_secs_f64(tokens / PREFILL_TOKENS_PER_MS / 1e3);
         let is_full = f64::from(attempts) >= f64::from(slots) * ENGINE_FILL;
         (ENGINE_BASE + reading + ENGINE_PER_REQUEST * attempts, is_full)
     }
 
+    /// Returns how many shared tokens of a prompt the server is expected to read again.
+    fn unread(&self, prompt: &Prompt) -> f64 {
+        let shared = prompt.tokens.saturating_sub(prompt.own_tokens());
+        let unread = shared.saturating_sub(self.server.prefixes.cached(prompt));
+        f64::from(unread) * self.home.unread()
+    }
+
     /// Returns the time to the answer of a plain service, and whether the server is full.
     fn plain(&self) -> (Duration, bool) {
         let attempts = f64::from(self.server.attempts + self.others.attempts);
--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -31,7 +31,7 @@
 pub use attempt::{Attempt, AttemptEnd};
 pub use budget::RetryBudget;
 pub use catalog::{Account, Accounts, CallerLimits, Catalog, Engine, Pool};
-pub use choice::{Candidate, Estimate};
+pub use choice::{Candidate, Estimate, Home};
 pub use cold::ColdGate;
 pub use effect::{Effect, Note, Order};
 pub use event::{Event, NewRequest, ServerChange};
--- a/crates/dispatch/src/prompt.rs
+++ b/crates/dispatch/src/prompt.rs
@@ -21,6 +21,11 @@
 }
 
 impl Prompt {
+    /// Returns the length of the part that no other request shares.
+    pub fn own_tokens(&self) -> u32 {
+        self.parts.last().map_or(self.tokens, |it| it.tokens.min(self.tokens))
+    }
+
     /// Returns the last part that other requests share.
     pub fn last_shared(&self) -> Option<Part> {
         let before_last = self.parts.len().checked_sub(2)?;
--- a/crates/dispatch/tests/decisions/main.rs
+++ b/crates/dispatch/tests/decisions/main.rs
@@ -2,6 +2,7 @@
 
 #![allow(clippy::unwrap_used)]
 
+mod affinity;
 mod live;
 mod shutdown;
 mod support;
--- a/crates/dispatch/tests/decisions/support.rs
+++ b/crates/dispatch/tests/decisions/support.rs
@@ -129,8 +129,13 @@
 impl Bench {
     /// An instance that knows [`catalog`] and these servers, and has settled.
     pub(crate) fn new(servers: Vec<ServerEntry>) -> Self {
+        Self::in_zone("zone-a", servers)
+    }
+
+    /// The same in another zone.
+    pub(crate) fn in_zone(zone: &str, servers: Vec<ServerEntry>) -> Self {
         let now = Time::from_millis(10_000_000);
-        let state = State::new(now, setup());
+        let state = State::new(now, Setup { zone: ZoneId::of(zone), ..setup() });
         let mut bench = Self { state, now, keys: SlotMap::default(), next_id: 0 };
         bench.step(Event::Config(Arc::new(catalog(1))));
         bench.step(Event::Listed(servers));
