--- a/crates/dispatch/src/admission.rs
+++ b/crates/dispatch/src/admission.rs
@@ -223,7 +223,7 @@
             start_by: start_by.min(req.end_by),
             first_byte_by: is_retryable.then(|| now + patience).filter(|it| *it < req.end_by),
             end_by: req.end_by,
-            holds_failure: is_retryable && route.repeat == Repeat::Idempotent,
+            holds_failure: is_retryable,
             is_repeatable: req.is_repeatable(),
         };
         let note = Note::Attempt {
