Let a request that waited take what it can get

Change: a request waits up to 0.75 of its target; after 0.3 it accepts a first byte up to 1.5 targets away. Test: short requests are late rather than refused; failed before.

--- a/crates/dispatch/src/admission.rs
+++ b/crates/dispatch/src/admission.rs
@@ -15,9 +15,11 @@
     state::State,
 };
 
-/// The part of its target for which a request waits here for a server; a caller that is told
-/// early can still come back in time.
-const WAIT_SHARE: f64 = 0.375;
+/// The part of its target for which a request waits here for a server: as long as it may still be
+/// on time.
+const WAIT_SHARE: f64 = 0.75;
+/// The part of its target after which a request that waits takes what it can get.
+const OVERDUE_SHARE: f64 = 0.3;
 /// The least such time.
 const MIN_WAIT: Duration = Duration::from_millis(60);
 /// Time for which a retry waits for another server: it has been admitted.
@@ -131,6 +133,7 @@
         let target = req.routed.route.target;
         let catalog = self.catalog.as_ref()?;
         let is_top = catalog.is_top_tier(req.pool, req.routed.route.tier);
+        let is_overdue = now.since(req.arrived) > target.mul_f64(OVERDUE_SHARE);
         let servers = self.servers.of_pool(req.pool);
         let homes = self.homes(req, servers);
         let cold_limit = (pool.cold_rate * self.setup.bounds.cold_factor
@@ -160,7 +163,7 @@
                 home: homes.of(it),
             };
             let estimate = candidate.estimate(now, pool, &req.prompt, target);
-            if !estimate.suits(target, is_top) {
+            if !estimate.suits(target, is_top, is_overdue) {
                 continue;
             }
             if best.as_ref().is_none_or(|best| estimate.cost < best.cost) {
--- a/crates/dispatch/src/choice.rs
+++ b/crates/dispatch/src/choice.rs
@@ -42,6 +42,8 @@
 /// The share of a request's target that may be spent at the server before the first byte; the
 /// rest of a queue waits here, where rank decides.
 const PATIENCE: f64 = 0.6;
+/// The same for a request that has waited so long that it will hardly be on time.
+const OVERDUE_PATIENCE: f64 = 1.5;
 
 /// A server that might take a request.
 #[derive(Clone, Copy, Debug)]
@@ -142,8 +144,10 @@
 impl Estimate {
     /// Returns whether a request with this target goes there rather than wait here. Requests of
     /// the highest rank only wait for a server that is not full: nothing that waits goes first.
-    pub fn suits(&self, target: Duration, is_top: bool) -> bool {
-        let is_soon = self.first_byte <= target.mul_f64(PATIENCE).max(2 * ENGINE_BASE);
+    /// One that has waited for long takes what it can get.
+    pub fn suits(&self, target: Duration, is_top: bool, is_overdue: bool) -> bool {
+        let share = if is_overdue { OVERDUE_PATIENCE } else { PATIENCE };
+        let is_soon = self.first_byte <= target.mul_f64(share).max(2 * ENGINE_BASE);
         !self.is_full && (is_top || is_soon)
     }
 }
--- a/crates/dispatch/tests/decisions/live.rs
+++ b/crates/dispatch/tests/decisions/live.rs
@@ -24,6 +24,21 @@
     assert!(!refusals(&later).is_empty(), "the burst is more than the engines take");
 }
 
+#[test]
+fn short_requests_are_late_rather_than_refused_behind_long_prompts() {
+    let mut bench = two_engines();
+    // Some 450 ms of reading at each engine.
+    for topic in 0..10 {
+        bench.request("batch", prompt(6_000, 3_000, topic));
+    }
+
+    let (key, first) = bench.request("short", prompt(568, 1_800, 1));
+    let later = bench.pass(400);
+
+    let sent = attempts(&first).into_iter().chain(attempts(&later)).any(|it| it.0 == key);
+    assert!(sent, "a request whose engine will be free in time to be late is refused");
+}
+
 #[test]
 fn long_prompts_wait_here_once_the_engines_have_enough_to_read() {
     let mut bench = two_engines();
