Go on from a copy of the run's memory where a live stream breaks off; tests of the program, gossip and adapter

Change: streams that cannot be repeated and generate much from a short prompt name a second engine that gets a copy; after a break the run goes on there after the last event that the caller has. A run that may have started is never started anew. Members keep smaller cards and tell more of them: in a simulated fleet of 340 living members were taken for dead. The fleet is taken for settled after 1 s and 20 ms a member, so that retries are not refused for 3 s after a start.

--- a/crates/dispatch/src/admission.rs
+++ b/crates/dispatch/src/admission.rs
@@ -140,7 +140,9 @@
             + self.setup.bounds.cold_extra)
             .floor() as u32;
         let connections = self.connections(req.pool);
+        let is_backed_up = req.is_backed_up() && pool.engine.is_some_and(|it| it.has_backups);
         let mut best: Option<Choice> = None;
+        let mut second: Option<Choice> = None;
         for &it in servers {
             let Some(server) = self.servers.get(it) else { continue };
             let is_usable = self.servers.is_open(server)
@@ -166,13 +168,17 @@
             if !estimate.suits(target, is_top, is_overdue) {
                 continue;
             }
-            if best.as_ref().is_none_or(|best| estimate.cost < best.cost) {
-                let others = candidate.others.attempts;
-                let expected = estimate.first_byte;
-                best = Some(Choice { server: it, cost: estimate.cost, expected, others });
+            let others = candidate.others.attempts;
+            let (cost, expected) = (estimate.cost, estimate.first_byte);
+            let choice = Choice { server: it, cost, expected, others, backup: None };
+            if best.as_ref().is_none_or(|best| cost < best.cost) {
+                second = best.replace(choice);
+            } else if second.as_ref().is_none_or(|second| cost < second.cost) {
+                second = Some(choice);
             }
         }
-        best
+        let backup = second.filter(|_| is_backed_up).map(|it| it.server);
+        best.map(|best| Choice { backup, ..best })
     }
 
     /// Returns the servers that rendezvous hashing names for the part of the prompt that other
@@ -190,14 +196,22 @@
         homes
     }
 
-    /// Gives a request to a server.
+    /// Gives a request to a server, where it starts or goes on from a copy of its run's memory.
     fn start(&mut self, now: Time, key: RequestKey, choice: Choice) {
         let bounds = self.setup.bounds;
         let keys_until = self.freshness.keys_until(bounds.revoke).unwrap_or(now);
         let is_retryable = self.can_retry(now, key);
+        let backup = choice.backup.and_then(|it| self.servers.get(it));
+        let backup = backup.map(|it| it.entry.address);
         let Some(req) = self.requests.get_mut(key) else { return };
-        let Stage::Waiting(place) = req.stage else { return };
-        self.queue.remove(req.pool, place);
+        let continues = match req.stage {
+            Stage::Waiting(place) => {
+                self.queue.remove(req.pool, place);
+                false
+            }
+            Stage::Idle => true,
+            Stage::Running(_) => return,
+        };
         let Some(server) = self.servers.get_mut(choice.server) else { return };
         req.attempts += 1;
         let unread = req.prompt.tokens.saturating_sub(server.prefixes.cached(&req.prompt));
@@ -205,11 +219,12 @@
             server: choice.server,
             sent_at: None,
             expected: choice.expected,
-            prefill: unread,
+            prefill: if continues { 0 } else { unread },
+            backup: choice.backup,
         };
         req.stage = Stage::Running(run);
         server.attempts += 1;
-        server.prefill += u64::from(unread);
+        server.prefill += u64::from(run.prefill);
         server.gate.sent(now);
         server.prefixes.note(&req.prompt);
         server.health.busy(now, server.attempts);
@@ -222,12 +237,13 @@
             server: choice.server,
             name: Arc::clone(&server.entry.name),
             address: server.entry.address,
-            rank: place.rank,
+            rank: req.rank(),
             start_by: start_by.min(req.end_by),
             first_byte_by: is_retryable.then(|| now + patience).filter(|it| *it < req.end_by),
             end_by: req.end_by,
             holds_failure: is_retryable,
-            is_repeatable: req.is_repeatable(),
+            backup,
+            continues,
         };
         let note = Note::Attempt {
             id: Arc::clone(&req.id),
@@ -310,7 +326,7 @@
         match end {
             AttemptEnd::Completed { .. } => self.answered(now, key),
             AttemptEnd::CallerLeft => self.caller_left(now, key),
-            _ => self.failed(now, key, run.server, end),
+            _ => self.failed(now, key, run, end),
         }
         self.dispatch(now, pool);
     }
@@ -348,26 +364,56 @@
     }
 
     /// Decides what follows an attempt that gave no whole answer.
-    fn failed(&mut self, now: Time, key: RequestKey, server: ServerKey, end: AttemptEnd) {
-        let next = self.next(now, key, end);
+    fn failed(&mut self, now: Time, key: RequestKey, run: Run, end: AttemptEnd) {
+        let next = match self.copy_of(now, key, run, end) {
+            Some(choice) => Next::Continue(choice),
+            None => self.next(now, key, end),
+        };
         let Some(req) = self.requests.get_mut(key) else { return };
-        let name = self.servers.get(server).map(|it| Arc::clone(&it.entry.name));
+        let name = self.servers.get(run.server).map(|it| Arc::clone(&it.entry.name));
         let note = Note::AttemptFailed {
             id: Arc::clone(&req.id),
             server: name.unwrap_or_default(),
             end,
             next: next.name(),
         };
-        req.tried.push(server);
+        req.tried.push(run.server);
         req.holds_failure |= end == AttemptEnd::Held;
         self.note(note);
         match next {
             Next::Retry => self.enqueue(now, key, RETRY_WAIT),
+            Next::Continue(choice) => self.start(now, key, choice),
             Next::Deliver => self.deliver(now, key),
             Next::Refuse(refusal) => self.refuse(now, key, refusal),
         }
     }
 
+    /// Returns the server at which a run can go on that broke off midway.
+    fn copy_of(
+        &mut self,
+        now: Time,
+        key: RequestKey,
+        run: Run,
+        end: AttemptEnd,
+    ) -> Option<Choice> {
+        let req = self.requests.get(key)?;
+        let server = self.servers.get(run.backup?)?;
+        let is_usable = self.servers.is_open(server) && server.health.blocked_until() <= now;
+        let is_late = now + MIN_REMAINING >= req.end_by;
+        if end != (AttemptEnd::Broken { began: true }) || !is_usable || is_late {
+            return None;
+        }
+        let others = self.loads.at(server.entry.id().into()).attempts;
+        let choice = Choice {
+            server: run.backup?,
+            cost: Duration::ZERO,
+            expected: run.expected,
+            others,
+            backup: None,
+        };
+        self.withdraw(now, key).then_some(choice)
+    }
+
     fn next(&mut self, now: Time, key: RequestKey, end: AttemptEnd) -> Next {
         let can_retry = self.can_retry_after(now, key);
         let Some(req) = self.requests.get_mut(key) else {
@@ -376,7 +422,9 @@
         let execution = req.execution();
         let refusal = |reason| Next::Refuse(Refusal { reason, execution, retry_after: None });
         let is_late = now + MIN_REMAINING >= req.end_by;
+        let may_start = req.runs == 0 || req.is_repeatable();
         let may_go_on = match end {
+            _ if !may_start => false,
             AttemptEnd::Unused => return refusal(Reason::NotReady),
             // Nothing arrived, so nothing is repeated.
             AttemptEnd::NotConnected => !is_late,
@@ -496,6 +544,8 @@
     expected: Duration,
     /// Attempts of other instances there.
     others: u32,
+    /// The server that gets a copy of the run's memory.
+    backup: Option<ServerKey>,
 }
 
 /// The servers that rendezvous hashing names for a prompt, with their ranks.
@@ -528,6 +578,8 @@
 #[derive(Clone, Copy, Debug)]
 enum Next {
     Retry,
+    /// The run goes on where a copy of its memory is.
+    Continue(Choice),
     Deliver,
     Refuse(Refusal),
 }
@@ -536,6 +588,7 @@
     fn name(self) -> &'static str {
         match self {
             Self::Retry => "retry",
+            Self::Continue(_) => "continue from the copy",
             Self::Deliver => "deliver the failure",
             Self::Refuse(_) => "refuse",
         }
--- a/crates/dispatch/src/attempt.rs
+++ b/crates/dispatch/src/attempt.rs
@@ -28,8 +28,10 @@
     pub end_by: Time,
     /// Whether an answer that says that the server failed is held back for another attempt.
     pub holds_failure: bool,
-    /// Whether the request may run more than once.
-    pub is_repeatable: bool,
+    /// The server that gets a copy of the run's memory, if the run is worth it.
+    pub backup: Option<SocketAddrV4>,
+    /// Whether the run goes on from the copy that the server has.
+    pub continues: bool,
 }
 
 /// How an attempt ended.
--- a/crates/dispatch/src/catalog.rs
+++ b/crates/dispatch/src/catalog.rs
@@ -84,6 +84,8 @@
     pub slots: u32,
     /// Tokens of prompts and answers that its memory holds.
     pub memory_tokens: u64,
+    /// Whether it sends a run's memory to another engine on request, where the run can go on.
+    pub has_backups: bool,
 }
 
 /// What callers may send.
--- a/crates/dispatch/src/fleet.rs
+++ b/crates/dispatch/src/fleet.rs
@@ -12,8 +12,10 @@
 /// For this time after a failed read, a server that is not listed any more may only have lapsed:
 /// its entry is back within two seconds of the store's return.
 const LAPSE_TIME: Duration = Duration::from_millis(2_300);
-/// Time after the start in which gossip names the members.
-const SETTLE_TIME: Duration = Duration::from_millis(3_000);
+/// Time after the start in which gossip names the members of a small fleet: some packets of each.
+const SETTLE_TIME: Duration = Duration::from_millis(1_000);
+/// Added to [`SETTLE_TIME`] for each member that was heard of.
+const SETTLE_TIME_PER_MEMBER: Duration = Duration::from_millis(20);
 /// A list of fewer servers than this share of those known is not believed at once.
 const MAX_ENTRY_COLD: Duration = Duration::from_secs(60);
 
@@ -177,7 +179,9 @@
     }
 
     fn update_share(&mut self, now: Time) {
-        let is_settled = now.since(self.started) >= SETTLE_TIME;
+        let members = u32::try_from(self.members.possible()).unwrap_or(u32::MAX);
+        let settling = SETTLE_TIME + SETTLE_TIME_PER_MEMBER.saturating_mul(members);
+        let is_settled = now.since(self.started) >= settling;
         self.share.update(self.members.addresses(), is_settled);
     }
 
--- a/crates/dispatch/src/request.rs
+++ b/crates/dispatch/src/request.rs
@@ -36,6 +36,10 @@
     pub(crate) holds_failure: bool,
 }
 
+/// A prompt of up to this many tokens for each token of the answer is copied to a second engine:
+/// what a crash would cost the caller outweighs the copy.
+const BACKUP_PROMPT_RATIO: u32 = 6;
+
 /// How far a request has come.
 #[derive(Clone, Copy, Debug)]
 pub(crate) enum Stage {
@@ -55,6 +59,8 @@
     pub(crate) expected: Duration,
     /// Prompt tokens that the server still has to read for it.
     pub(crate) prefill: u32,
+    /// The server that gets a copy of its memory.
+    pub(crate) backup: Option<ServerKey>,
 }
 
 impl Request {
@@ -62,6 +68,15 @@
         self.routed.rank()
     }
 
+    /// Returns whether a copy of the run's memory is kept at a second engine: the stream cannot be
+    /// repeated, and what has to be copied is small against what it gives.
+    pub(crate) fn is_backed_up(&self) -> bool {
+        let route = &self.routed.route;
+        route.is_stream
+            && route.repeat == Repeat::Never
+            && self.prompt.tokens <= self.prompt.max_output.saturating_mul(BACKUP_PROMPT_RATIO)
+    }
+
     pub(crate) fn is_repeatable(&self) -> bool {
         self.routed.route.repeat != Repeat::Never
     }
--- a/crates/dispatch/src/settings.rs
+++ b/crates/dispatch/src/settings.rs
@@ -16,7 +16,7 @@
     /// Where other instances may take packets.
     pub seeds: Vec<SocketAddrV4>,
     /// Its run.
-    pub incarnation: Incarnation,
+    pub incarnation: u32,
     /// Seeds its random choices.
     pub seed: u64,
     /// The bounds that the fleet keeps.
--- a/crates/dispatch/src/state.rs
+++ b/crates/dispatch/src/state.rs
@@ -66,8 +66,7 @@
     pub fn new(now: Time, setup: Setup) -> Self {
         let card = Card {
             address: setup.address,
-            zone: setup.zone.0,
-            incarnation: setup.incarnation.0,
+            incarnation: setup.incarnation,
             beat: 0,
             is_leaving: false,
         };
--- /dev/null
+++ b/crates/dispatch/tests/decisions/copies.rs
@@ -0,0 +1,55 @@
+//! Pattern: engines crash while live conversations go on.
+
+use dispatch::{AttemptEnd, Event, RequestKey};
+
+use crate::support::{Bench, attempts, prompt, refusals, server};
+
+/// Starts a live request and returns it with its engine and the engine that has a copy.
+fn live(bench: &mut Bench) -> (RequestKey, String, Option<u8>) {
+    let mut talk = prompt(172, 543, 1);
+    talk.max_output = 280;
+    let (key, effects) = bench.request("live", talk);
+    let attempt = &attempts(&effects)[0].1;
+    bench.step(Event::Sent { key });
+    bench.step(Event::Began { key });
+    (key, attempt.name.to_string(), attempt.backup.map(|it| it.ip().octets()[3]))
+}
+
+fn three_engines() -> Bench {
+    let servers = [("e1", 11), ("e2", 12), ("e3", 13)];
+    Bench::new(servers.map(|(name, host)| server(name, "engines", host)).into())
+}
+
+#[test]
+fn a_live_stream_that_breaks_off_goes_on_where_its_copy_is() {
+    let mut bench = three_engines();
+    let (key, engine, backup) = live(&mut bench);
+
+    let effects = bench.ended(key, AttemptEnd::Broken { began: true });
+
+    let next = &attempts(&effects)[0].1;
+    assert_ne!(*next.name, engine);
+    assert_eq!(Some(next.address.ip().octets()[3]), backup);
+    assert!(next.continues);
+}
+
+#[test]
+fn a_stream_whose_copy_is_gone_too_is_broken_off() {
+    let mut bench = three_engines();
+    let (key, _, _) = live(&mut bench);
+    bench.ended(key, AttemptEnd::Broken { began: true });
+
+    let effects = bench.ended(key, AttemptEnd::Rejected { is_misdirected: false });
+
+    assert!(attempts(&effects).is_empty(), "a run must not start anew");
+    assert_eq!(refusals(&effects).len(), 1);
+}
+
+#[test]
+fn long_prompts_are_not_copied() {
+    let mut bench = three_engines();
+
+    let (_, effects) = bench.request("batch", prompt(6_000, 3_000, 1));
+
+    assert_eq!(attempts(&effects)[0].1.backup, None);
+}
--- a/crates/dispatch/tests/decisions/main.rs
+++ b/crates/dispatch/tests/decisions/main.rs
@@ -3,6 +3,7 @@
 #![allow(clippy::unwrap_used)]
 
 mod affinity;
+mod copies;
 mod live;
 mod shutdown;
 mod support;
--- a/crates/dispatch/tests/decisions/support.rs
+++ b/crates/dispatch/tests/decisions/support.rs
@@ -37,7 +37,7 @@
         zone: zone(),
         zones: 3,
         seeds: Vec::new(),
-        incarnation: Incarnation(1),
+        incarnation: 1,
         seed: 1,
         bounds: Bounds::default(),
     }
@@ -50,7 +50,7 @@
         max_connections: 620,
         cold_start: Duration::from_secs(3),
         cold_rate: 20.0,
-        engine: Some(Engine { slots: 128, memory_tokens: 362_178 }),
+        engine: Some(Engine { slots: 128, memory_tokens: 362_178, has_backups: true }),
     }
 }
 
--- a/crates/edge/src/attempt.rs
+++ b/crates/edge/src/attempt.rs
@@ -143,6 +143,8 @@
             account: self.account,
             rank: self.attempt.rank,
             resume_after: self.answer.last_event.as_deref(),
+            backup: self.attempt.backup,
+            copy: self.attempt.continues.then_some((self.attempt.address, self.id)),
         };
         let head = self.outgoing.head(&*self.instance.dialect, &fields);
         progress.is_sent = true;
--- a/crates/edge/src/dialect.rs
+++ b/crates/edge/src/dialect.rs
@@ -1,5 +1,7 @@
 //! What callers and backend servers say in header fields.
 
+use std::net::SocketAddrV4;
+
 use dispatch::{Prompt, Rank};
 use http1::{RequestHead, ResponseHead};
 use model::prelude::*;
@@ -75,4 +77,9 @@
     pub rank: Rank,
     /// The id of the last event that the caller has.
     pub resume_after: Option<&'a str>,
+    /// Where the server sends a copy of the run's memory.
+    pub backup: Option<SocketAddrV4>,
+    /// The server's own address and the request's id, if the run goes on from the copy that the
+    /// server has.
+    pub copy: Option<(SocketAddrV4, &'a str)>,
 }
--- a/crates/edge/src/process.rs
+++ b/crates/edge/src/process.rs
@@ -96,7 +96,7 @@
         zone: settings.zone,
         zones: settings.zones,
         seeds: settings.seeds.clone(),
-        incarnation: Incarnation(rand::random()),
+        incarnation: rand::random(),
         seed: rand::random(),
         bounds: settings.bounds,
     }
--- a/crates/gossip/src/card.rs
+++ b/crates/gossip/src/card.rs
@@ -9,10 +9,8 @@
 pub struct Card {
     /// Where it takes packets.
     pub address: SocketAddrV4,
-    /// The id of its availability zone.
-    pub zone: u64,
     /// Its run; a restart gets another one.
-    pub incarnation: u64,
+    pub incarnation: u32,
     /// Grows while it runs.
     pub beat: u32,
     /// Whether it is shutting down.
--- a/crates/gossip/src/members.rs
+++ b/crates/gossip/src/members.rs
@@ -23,12 +23,14 @@
 const INTERVAL: Duration = Duration::from_millis(150);
 /// Time between packets in a larger fleet.
 const LARGE_INTERVAL: Duration = Duration::from_millis(400);
-/// Cards of others in a packet, of some 25 bytes each.
-const CARDS: usize = 6;
+/// Cards of others in a packet, of some 16 bytes each: in a fleet of 340 each member is heard of
+/// every 1.5 s on average.
+const CARDS: usize = 12;
 /// A member whose beat stands still for this time is taken for dead: `contactMs` of the sites.
 const DEAD_AFTER: Duration = Duration::from_millis(3_000);
-/// Added to [`DEAD_AFTER`] for each member: cards take turns in packets.
-const DEAD_AFTER_PER_MEMBER: Duration = Duration::from_millis(15);
+/// Added to [`DEAD_AFTER`] for each member: cards take turns in packets, and a member that lives is
+/// hardly ever left out for ten times the average.
+const DEAD_AFTER_PER_MEMBER: Duration = Duration::from_millis(40);
 /// How long a dead member counts among those that may exist: it may be cut off and go on.
 const REMEMBERED: Duration = Duration::from_secs(120);
 /// Time between two packets to a seed that does not answer.
