Read the store in turn; keep lapsed servers only after an outage of the store itself

Change 1: the first living member in a common order reads every 550 ms; the others take its word while the digests agree, read at once when they hear of a change, and in turn if what they were told grows old. Change 2: only entries missing at the first read after an outage may have lapsed, and only if no other instance could read meanwhile; they are kept for two seconds from then.

--- a/crates/dispatch/src/admission.rs
+++ b/crates/dispatch/src/admission.rs
@@ -389,13 +389,7 @@
     }
 
     /// Returns the server at which a run can go on that broke off midway.
-    fn copy_of(
-        &mut self,
-        now: Time,
-        key: RequestKey,
-        run: Run,
-        end: AttemptEnd,
-    ) -> Option<Choice> {
+    fn copy_of(&mut self, now: Time, key: RequestKey, run: Run, end: AttemptEnd) -> Option<Choice> {
         let req = self.requests.get(key)?;
         let server = self.servers.get(run.backup?)?;
         let is_usable = self.servers.is_open(server) && server.health.blocked_until() <= now;
--- a/crates/dispatch/src/effect.rs
+++ b/crates/dispatch/src/effect.rs
@@ -17,6 +17,8 @@
         /// What to do.
         order: Order,
     },
+    /// Read the platform sooner than was due: another instance knows more.
+    Read,
     /// Send a packet to another instance.
     Send(Outgoing),
     /// Close the idle connections to a server: it was restarted or is gone.
--- a/crates/dispatch/src/fleet.rs
+++ b/crates/dispatch/src/fleet.rs
@@ -9,9 +9,9 @@
     Catalog, Effect, Note, ServerChange, ServerEntry, ServerKey, request::Stage, state::State,
 };
 
-/// For this time after a failed read, a server that is not listed any more may only have lapsed:
-/// its entry is back within two seconds of the store's return.
-const LAPSE_TIME: Duration = Duration::from_millis(2_300);
+/// Time for the entry of a server that lapsed while the store was away to be listed again: the
+/// users state two seconds after the store's return.
+const LAPSE_TIME: Duration = Duration::from_millis(2_000);
 /// Time after the start in which gossip names the members of a small fleet: some packets of each.
 const SETTLE_TIME: Duration = Duration::from_millis(1_000);
 /// Added to [`SETTLE_TIME`] for each member that was heard of.
@@ -88,7 +88,7 @@
 
     fn server_unlisted(&mut self, now: Time, id: ServerId) {
         let Some(key) = self.servers.by_id(id) else { return };
-        let is_doubtful = self.read_failed_at.is_some_and(|it| now.since(it) < LAPSE_TIME);
+        let is_doubtful = self.was_store_away();
         let Some(server) = self.servers.get_mut(key) else { return };
         if is_doubtful && !server.entry.is_draining {
             server.lapsed_at.get_or_insert(now);
@@ -97,6 +97,12 @@
         self.server_gone(key, "not listed");
     }
 
+    /// Returns whether the store was away until now, so that entries have lapsed for want of a place
+    /// to report to. Where another instance could read it meanwhile, only this one was cut off.
+    fn was_store_away(&self) -> bool {
+        self.outage.is_some_and(|since| self.peer_read_at.is_none_or(|it| it <= since))
+    }
+
     fn server_gone(&mut self, key: ServerKey, why: &'static str) {
         let Some(server) = self.servers.remove(key) else { return };
         self.emit(Effect::Disconnect { address: server.entry.address });
@@ -144,7 +150,12 @@
             self.note(Note::MemberFound { address: heard.from.address, alive });
         }
         if let Some(as_of) = heard.as_of {
+            self.peer_read_at = self.peer_read_at.max(Some(as_of));
             self.freshness.told(heard.knowledge.view, as_of);
+            if self.freshness.is_behind(heard.knowledge.view) && !self.is_behind {
+                self.is_behind = true;
+                self.emit(Effect::Read);
+            }
         }
         self.loads.told(now, heard.from.address, heard.loads);
         self.update_share(now);
--- a/crates/dispatch/src/freshness.rs
+++ b/crates/dispatch/src/freshness.rs
@@ -36,6 +36,11 @@
         false
     }
 
+    /// Returns whether a peer has read something that is not known here.
+    pub fn is_behind(&self, peer: View) -> bool {
+        peer.digest != self.view.digest && peer.revision > self.view.revision
+    }
+
     /// Returns what is known of the platform.
     pub fn view(&self) -> View {
         self.view
--- a/crates/dispatch/src/state.rs
+++ b/crates/dispatch/src/state.rs
@@ -2,7 +2,7 @@
 
 use std::{collections::HashMap, sync::Arc};
 
-use gossip::{Card, Loads, Members};
+use gossip::{Card, Loads, Members, View};
 use model::prelude::*;
 use rand::SeedableRng as _;
 use rand_chacha::ChaCha8Rng;
@@ -26,6 +26,15 @@
 /// notice.
 const READY_MARGIN: Duration = Duration::from_millis(300);
 
+/// Age of the view at which the first member reads the platform again. A draining server must get
+/// nothing more after two seconds, and a configuration must be in force after two; each read is
+/// priced.
+const READ_INTERVAL: Duration = Duration::from_millis(550);
+/// Added for each member that goes first: more than what a word of it takes to come here.
+const READ_STAGGER: Duration = Duration::from_millis(350);
+/// Members that take turns; those behind them all read at the same age.
+const MAX_READ_RANK: u32 = 3;
+
 /// The state of an instance. All decisions are made in [`State::step`].
 #[derive(Debug)]
 pub struct State {
@@ -37,8 +46,12 @@
     pub(crate) servers: Servers,
     pub(crate) is_listed: bool,
     pub(crate) freshness: Freshness,
-    /// When a read of the platform failed last.
-    pub(crate) read_failed_at: Option<Time>,
+    /// Whether a peer has read something that is not known here.
+    pub(crate) is_behind: bool,
+    /// Since when reads of the platform fail.
+    pub(crate) outage: Option<Time>,
+    /// The latest time at which another instance is known to have read the platform.
+    pub(crate) peer_read_at: Option<Time>,
     pub(crate) members: Members,
     pub(crate) loads: Loads,
     pub(crate) share: Share,
@@ -78,7 +91,9 @@
             servers: Servers::default(),
             is_listed: false,
             freshness: Freshness::default(),
-            read_failed_at: None,
+            is_behind: false,
+            outage: None,
+            peer_read_at: None,
             members: Members::new(now, card, &setup.seeds, setup.seed),
             loads: Loads::default(),
             share: Share::new(setup.address, setup.zones),
@@ -104,8 +119,14 @@
             Event::Listed(entries) => self.listed(now, entries),
             Event::Server(change) => self.server(now, change),
             Event::Withdrawn(zones) => self.withdrawn(now, zones),
-            Event::Read { as_of, view } => self.freshness.read(as_of, view),
-            Event::ReadFailed => self.read_failed_at = Some(now),
+            Event::Read { as_of, view } => {
+                self.freshness.read(as_of, view);
+                self.is_behind = false;
+                self.outage = None;
+            }
+            Event::ReadFailed => {
+                self.outage.get_or_insert(now);
+            }
             Event::Packet(packet) => self.packet(now, packet),
             Event::Request { key, new } => self.request(now, key, *new),
             Event::Sent { key } => self.sent(now, key),
@@ -126,6 +147,17 @@
         due.into_iter().chain(busy).min().unwrap_or(self.next_tick)
     }
 
+    /// Returns when the platform is to be read. The first member in an order on which all agree
+    /// reads in turn; the others take its word for it while nothing changes, and read themselves
+    /// if they hear of a change or if what they were told grows old.
+    pub fn next_read(&self) -> Time {
+        let Some(as_of) = self.freshness.as_of().filter(|_| !self.is_behind) else {
+            return Time::default();
+        };
+        let rank = u32::try_from(self.members.rank()).unwrap_or(u32::MAX);
+        as_of + READ_INTERVAL + READ_STAGGER * rank.min(MAX_READ_RANK)
+    }
+
     /// Returns the configuration in force.
     pub fn catalog(&self) -> Option<&Arc<Catalog>> {
         self.catalog.as_ref()
@@ -141,6 +173,11 @@
         self.members.alive()
     }
 
+    /// Returns what is known of the platform.
+    pub fn view(&self) -> View {
+        self.freshness.view()
+    }
+
     /// Returns how old the view of the platform may be.
     pub fn view_age(&self, now: Time) -> Option<Duration> {
         self.freshness.as_of().map(|it| now.since(it))
--- a/crates/dispatch/tests/decisions/main.rs
+++ b/crates/dispatch/tests/decisions/main.rs
@@ -4,6 +4,8 @@
 
 mod affinity;
 mod copies;
+mod lapses;
 mod live;
+mod reading;
 mod shutdown;
 mod support;
--- /dev/null
+++ b/crates/dispatch/tests/decisions/reading.rs
@@ -0,0 +1,120 @@
+//! Pattern: many instances follow a platform that prices each read.
+
+use std::sync::Arc;
+
+use dispatch::{Effect, Event, Setup, State};
+use gossip::View;
+use model::prelude::*;
+
+use crate::support::{address, catalog, setup};
+
+/// Within this time after a change every instance must have read it: a draining server must get
+/// nothing more after two seconds.
+const FOLLOWS: Duration = Duration::from_millis(2_000);
+
+/// Instances that reach each other, and a platform that they read.
+struct Fleet {
+    now: Time,
+    members: Vec<State>,
+    /// Members that cannot read the platform.
+    cut_off: Vec<usize>,
+    view: View,
+    reads: usize,
+}
+
+impl Fleet {
+    fn new(size: u8) -> Self {
+        let now = Time::from_millis(10_000_000);
+        let member = |no: u8| {
+            let address = address(no + 1, 7000);
+            let seeds = vec![self::address(1, 7000)];
+            let setup = Setup { address, seeds, incarnation: u32::from(no), ..setup() };
+            let mut state = State::new(now, setup);
+            state.step(now, Event::Config(Arc::new(catalog(1))));
+            state.step(now, Event::Listed(Vec::new()));
+            state
+        };
+        let members = (0..size).map(member).collect();
+        let mut fleet = Self { now, members, cut_off: Vec::new(), view: View::default(), reads: 0 };
+        fleet.pass(Duration::from_secs(3));
+        fleet.reads = 0;
+        fleet
+    }
+
+    /// Lets time pass; reads and packets take 5 ms.
+    fn pass(&mut self, span: Duration) {
+        let until = self.now + span;
+        while self.now < until {
+            self.now = self.now + Duration::from_millis(5);
+            self.view.revision += 1;
+            let mut packets = Vec::new();
+            for (no, state) in self.members.iter_mut().enumerate() {
+                if state.next_read() <= self.now && !self.cut_off.contains(&no) {
+                    self.reads += 1;
+                    state.step(self.now, Event::Read { as_of: self.now, view: self.view });
+                }
+                packets.extend(state.step(self.now, Event::Tick));
+            }
+            for effect in packets {
+                let Effect::Send(outgoing) = effect else { continue };
+                let host = usize::from(outgoing.to.ip().octets()[3]) - 1;
+                let Some(state) = self.members.get_mut(host) else { continue };
+                state.step(self.now, Event::Packet(outgoing.packet));
+            }
+        }
+    }
+
+    fn oldest(&self) -> Duration {
+        self.members.iter().filter_map(|it| it.view_age(self.now)).max().unwrap_or_default()
+    }
+}
+
+#[test]
+fn a_fleet_reads_hardly_more_often_than_one_instance() {
+    let mut alone = Fleet::new(1);
+    let mut eight = Fleet::new(8);
+
+    alone.pass(Duration::from_secs(20));
+    eight.pass(Duration::from_secs(20));
+
+    assert!(alone.reads >= 30, "{} reads in 20 s are too few", alone.reads);
+    assert!(eight.reads <= 2 * alone.reads, "{} reads, {} alone", eight.reads, alone.reads);
+    assert!(eight.oldest() < FOLLOWS, "a view is {:?} old", eight.oldest());
+}
+
+#[test]
+fn every_instance_reads_what_one_has_found_changed() {
+    let mut fleet = Fleet::new(8);
+    fleet.view.digest = 7;
+    fleet.pass(FOLLOWS);
+
+    assert!(fleet.members.iter().all(|it| it.view().digest == 7));
+}
+
+#[test]
+fn others_read_where_the_first_cannot() {
+    let mut fleet = Fleet::new(8);
+    let first = (0..8).find(|it| fleet.members[*it].next_read() <= fleet.earliest()).unwrap();
+    fleet.cut_off = vec![first, (first + 1) % 8];
+
+    fleet.pass(Duration::from_secs(10));
+
+    assert!(fleet.oldest() < FOLLOWS, "a view is {:?} old", fleet.oldest());
+}
+
+#[test]
+fn an_instance_that_cannot_read_still_learns_that_nothing_changed() {
+    let mut fleet = Fleet::new(4);
+    fleet.cut_off = vec![0, 1, 2];
+
+    fleet.pass(Duration::from_secs(10));
+
+    assert!(fleet.members.iter().all(|it| it.view_age(fleet.now).unwrap() < FOLLOWS));
+}
+
+impl Fleet {
+    /// Returns when the next read is due in the whole fleet.
+    fn earliest(&self) -> Time {
+        self.members.iter().map(State::next_read).min().unwrap()
+    }
+}
--- a/crates/dispatch/tests/decisions/support.rs
+++ b/crates/dispatch/tests/decisions/support.rs
@@ -7,7 +7,7 @@
     Order, Part, Pool, Prompt, Repeat, RequestKey, Route, ServerChange, ServerEntry, Setup, State,
     Target,
 };
-use gossip::View;
+use gossip::{Card, Knowledge, Members, View};
 use model::prelude::*;
 use slotmap::SlotMap;
 
@@ -188,6 +188,30 @@
         self.step(Event::Ended { key, end, cold: None })
     }
 
+    /// Hears of a peer that it has just read the platform.
+    pub(crate) fn hear_of_read(&mut self) {
+        let card = Card { address: address(2, 7000), incarnation: 2, beat: 0, is_leaving: false };
+        let mut peer = Members::new(self.now, card, &[address(1, 7000)], 2);
+        let knowledge = Knowledge { view: View::default(), age_ms: Some(0) };
+        // The second packet echoes the answer to the first.
+        for _ in 0..2 {
+            let (packets, _) = peer.tick(self.now, knowledge, &[]);
+            for outgoing in packets {
+                self.step(Event::Packet(outgoing.packet));
+            }
+            for effect in self.pass(200) {
+                let Effect::Send(outgoing) = effect else { continue };
+                if outgoing.to == card.address {
+                    peer.receive(self.now, outgoing.packet);
+                }
+            }
+        }
+        let (packets, _) = peer.tick(self.now, knowledge, &[]);
+        for outgoing in packets {
+            self.step(Event::Packet(outgoing.packet));
+        }
+    }
+
     pub(crate) fn list(&mut self, entry: ServerEntry) -> Vec<Effect> {
         self.step(Event::Server(ServerChange::Listed(entry)))
     }
--- a/crates/edge/src/instance.rs
+++ b/crates/edge/src/instance.rs
@@ -6,8 +6,8 @@
     rc::Rc,
 };
 
-use aio::{Clock, Signal};
-use async_channel::Sender;
+use aio::{Clock, Signal, deadline};
+use async_channel::{Receiver, Sender};
 use async_executor::LocalExecutor;
 use async_io::Async;
 use dispatch::{Effect, Event, Order, RequestKey, State};
@@ -40,6 +40,7 @@
     state: RefCell<State>,
     tasks: RefCell<SlotMap<RequestKey, Sender<Order>>>,
     journal: RefCell<Journal>,
+    read_sooner: (Sender<()>, Receiver<()>),
     /// When the next tick is scheduled, and who is told that it comes earlier.
     scheduled: Cell<Time>,
     hurry: Sender<()>,
@@ -69,6 +70,7 @@
             is_ready: Cell::new(false),
             tasks: RefCell::default(),
             journal: RefCell::new(Journal::new(parts.clock.now())),
+            read_sooner: async_channel::bounded(1),
             scheduled: Cell::new(Time::default()),
             clock: parts.clock,
             settings: parts.settings,
@@ -96,6 +98,18 @@
         }
     }
 
+    /// Waits until the platform is to be read.
+    pub async fn read_is_due(&self) {
+        loop {
+            let due = self.ask(State::next_read);
+            if self.clock.now() >= due {
+                return;
+            }
+            // Sooner or later, what other instances told meanwhile may have moved it.
+            let _ = deadline::until(self.clock, due, self.read_sooner.1.recv()).await;
+        }
+    }
+
     /// Returns whether the balancer should send callers here.
     pub fn is_ready(&self) -> bool {
         self.is_ready.get()
@@ -134,6 +148,10 @@
         match effect {
             Effect::Order { key, order } => self.order(key, order),
             Effect::Send(outgoing) => self.send(&outgoing),
+            Effect::Read => {
+                // One message is enough to wake the task that reads.
+                let _ = self.read_sooner.0.try_send(());
+            }
             Effect::Disconnect { address } => self.pool.disconnect(address),
             Effect::Ready(ready) => self.is_ready.set(ready),
             Effect::StopListening => self.stopped_listening.raise(),
--- a/crates/gossip/src/members.rs
+++ b/crates/gossip/src/members.rs
@@ -11,6 +11,7 @@
     seq::{IndexedRandom as _, IteratorRandom as _},
 };
 use rand_chacha::ChaCha8Rng;
+use xxhash_rust::xxh3::xxh3_64;
 
 use crate::{Card, Knowledge, Load, Packet};
 
@@ -130,6 +131,15 @@
         self.peers.keys().copied().chain([self.me.address])
     }
 
+    /// Returns how many living members go before this one in an order on which all agree that know
+    /// the same members.
+    pub fn rank(&self) -> usize {
+        let place = |it: &SocketAddrV4| xxh3_64(&it.ip().octets());
+        let mine = place(&self.me.address);
+        let living = self.peers.iter().filter(|it| !it.1.is_dead && !it.1.card.is_leaving);
+        living.filter(|it| place(it.0) < mine).count()
+    }
+
     /// Returns this instance's address.
     pub fn me(&self) -> SocketAddrV4 {
         self.me.address
--- a/crates/gossip/src/packet.rs
+++ b/crates/gossip/src/packet.rs
@@ -44,7 +44,7 @@
 pub struct View {
     /// The version of the configuration.
     pub version: u64,
-    /// Equal only if everything that operators published is equal.
+    /// Equal only if everything that operators published and the servers that are listed are equal.
     pub digest: u64,
     /// The store's revision up to which changes were read.
     pub revision: u64,
