--- a/crates/dispatch/src/fleet.rs
+++ b/crates/dispatch/src/fleet.rs
@@ -14,8 +14,9 @@
 const LAPSE_TIME: Duration = Duration::from_millis(2_000);
 /// Time after the start in which gossip names the members of a small fleet: some packets of each.
 const SETTLE_TIME: Duration = Duration::from_millis(1_000);
-/// Added to [`SETTLE_TIME`] for each member that was heard of.
-const SETTLE_TIME_PER_MEMBER: Duration = Duration::from_millis(20);
+/// Added to [`SETTLE_TIME`] for each member that was heard of: a fleet of 340 that starts at once
+/// needs up to 20 s until every member knows all.
+const SETTLE_TIME_PER_MEMBER: Duration = Duration::from_millis(60);
 /// A list of fewer servers than this share of those known is not believed at once.
 const MAX_ENTRY_COLD: Duration = Duration::from_secs(60);
 
--- a/crates/dispatch/tests/decisions/main.rs
+++ b/crates/dispatch/tests/decisions/main.rs
@@ -4,6 +4,7 @@
 
 mod affinity;
 mod copies;
+mod keys;
 mod lapses;
 mod live;
 mod reading;
--- a/crates/edge/src/exchange.rs
+++ b/crates/edge/src/exchange.rs
@@ -77,17 +77,12 @@
         let now = instance.clock.now();
         let routed = instance.ask(|state| state.route(now, head.host(), head.path(), fields.key));
         let id: Arc<str> = Arc::from(fields.id);
-        let patience = fields.patience;
-        let prompt = fields.prompt;
-        let give_up_at = |routed: &Routed| {
-            let patience = patience.unwrap_or(routed.route.timeout);
-            self.arrived + patience
-        };
+        let (patience, prompt) = (fields.patience, fields.prompt);
         let routed = match routed {
             Ok(routed) => routed,
-            Err(refusal) => return Err(self.turn_away(&head, refusal).await),
+            Err(refusal) => return Err(self.turn_away(&head, &id, refusal).await),
         };
-        let give_up_at = give_up_at(&routed);
+        let give_up_at = self.arrived + patience.unwrap_or(routed.route.timeout);
         let by = give_up_at.min(self.arrived + routed.route.timeout);
         let (body, quota) = self.read_body(&head, by).await?;
         let outgoing = Outgoing { head, body };
@@ -103,15 +98,17 @@
 
     /// Reads what is left of a request that is refused, so that the refusal is not lost with the
     /// connection.
-    async fn turn_away(&mut self, head: &RequestHead, refusal: Refusal) -> Rejected {
+    async fn turn_away(&mut self, head: &RequestHead, id: &str, refusal: Refusal) -> Rejected {
+        let now = self.instance.clock.now();
         self.instance.metrics.refusal(refusal);
+        let (version, view_age) =
+            self.instance.ask(|it| (it.catalog().map(|it| it.version.0), it.view_age(now)));
         log::info!(
-            path:% = head.path(), reason:? = refusal.reason,
-            view_age_ms:? = self.instance.ask(|state| state.view_age(self.instance.clock.now()))
-                .map(|it| it.as_millis() as u64);
+            request = id, host = head.host(), path = head.path(), reason:? = refusal.reason,
+            config:? = version, view_age_ms:? = view_age.map(|it| it.as_millis() as u64);
             "turned away"
         );
-        let by = self.instance.clock.now() + PROBLEM_TIMEOUT;
+        let by = now + PROBLEM_TIMEOUT;
         match self.read_body(head, by).await {
             Ok(_) => Rejected::Problem(refusal.into()),
             Err(rejected) => rejected,
