Let an instance that has just started use more than one connection a server

Change: connections are divided by the instances in sight and the spares. Test: ten live requests at once after a start; failed before.

--- a/crates/dispatch/src/share.rs
+++ b/crates/dispatch/src/share.rs
@@ -38,11 +38,16 @@
 
     /// Returns how many instances the whole is divided by.
     pub fn size(&self) -> u32 {
-        let seen = u32::try_from(self.members.len()).unwrap_or(u32::MAX);
-        let size = seen.saturating_add(self.spares);
+        let size = self.size_in_sight();
         if self.is_settled { size } else { size.max(UNSETTLED_SIZE) }
     }
 
+    /// Returns how many instances are in sight or may be started any moment.
+    pub fn size_in_sight(&self) -> u32 {
+        let seen = u32::try_from(self.members.len()).unwrap_or(u32::MAX);
+        seen.saturating_add(self.spares)
+    }
+
     /// Returns this instance's part of a divisible quantity.
     pub fn of(&self, whole: f64) -> f64 {
         whole / f64::from(self.size())
--- a/crates/dispatch/src/state.rs
+++ b/crates/dispatch/src/state.rs
@@ -187,8 +187,9 @@
     pub fn connections(&self, pool: PoolId) -> u32 {
         let pool = self.catalog.as_ref().and_then(|it| it.pools.get(&pool));
         let whole = pool.map_or(0, |it| it.max_connections);
-        // Some callers of a server may not be of this fleet's making, such as its health checks.
-        self.share.of(f64::from(whole) * 0.9).max(1.0) as u32
+        // A server that gets too many resets some, so that an instance that has just started need
+        // not wait until it knows the fleet.
+        (whole / self.share.size_in_sight()).max(1)
     }
 
     pub(crate) fn emit(&mut self, effect: Effect) {
--- a/crates/dispatch/tests/decisions/main.rs
+++ b/crates/dispatch/tests/decisions/main.rs
@@ -8,5 +8,6 @@
 mod lapses;
 mod live;
 mod reading;
+mod restart;
 mod shutdown;
 mod support;
--- a/crates/dispatch/tests/decisions/support.rs
+++ b/crates/dispatch/tests/decisions/support.rs
@@ -136,7 +136,7 @@
     pub(crate) fn in_zone(zone: &str, servers: Vec<ServerEntry>) -> Self {
         let now = Time::from_millis(10_000_000);
         let state = State::new(now, Setup { zone: ZoneId::of(zone), ..setup() });
-        let mut bench = Self { state, now, keys: SlotMap::default(), next_id: 0 };
+        let mut bench = Self::running(state, now);
         bench.step(Event::Config(Arc::new(catalog(1))));
         bench.step(Event::Listed(servers));
         bench.read();
@@ -145,6 +145,11 @@
         bench
     }
 
+    /// An instance in this state.
+    pub(crate) fn running(state: State, now: Time) -> Self {
+        Self { state, now, keys: SlotMap::default(), next_id: 0 }
+    }
+
     pub(crate) fn step(&mut self, event: Event) -> Vec<Effect> {
         self.state.step(self.now, event)
     }
