--- a/crates/dispatch/src/choice.rs
+++ b/crates/dispatch/src/choice.rs
@@ -21,7 +21,7 @@
 const ZONE_COST: Duration = Duration::from_millis(10);
 /// What a server has to gain in time for each shared prompt token that it reads again: reading
 /// takes the engine's time from all other requests.
-const UNREAD_COST_MS: f64 = 0.12;
+const UNREAD_COST_MS: f64 = 0.25;
 /// The part of a request's target up to which a longer wait is as good as a shorter one.
 const COMFORT: f64 = 0.5;
 /// What each millisecond beyond that counts.
