--- a/crates/gossip/src/members.rs
+++ b/crates/gossip/src/members.rs
@@ -201,11 +201,12 @@
         }
         let is_full = self.peers.len() >= MAX_MEMBERS;
         let Some(peer) = self.peers.get_mut(&card.address) else {
-            if !is_full && !card.is_leaving {
-                let peer = Peer { card, beaten_at: now, number: None, is_dead: false };
-                self.peers.insert(card.address, peer);
+            if is_full || card.is_leaving {
+                return false;
             }
-            return !is_full;
+            let peer = Peer { card, beaten_at: now, number: None, is_dead: false };
+            self.peers.insert(card.address, peer);
+            return true;
         };
         let is_same = peer.card.incarnation == card.incarnation;
         let has_beaten = is_same && card.beat.wrapping_sub(peer.card.beat) as i32 > 0;
--- a/crates/gossip/tests/members.rs
+++ b/crates/gossip/tests/members.rs
@@ -146,6 +146,26 @@
     assert!(fleet.members.values().all(|it| it.possible() == 7));
 }
 
+#[test]
+fn a_member_that_leaves_is_not_found_again_with_each_of_its_packets() {
+    let now = Time::from_millis(10_000);
+    let mut leaving = Members::new(now, card(2, 1), &[address(1)], 2);
+    leaving.leave();
+    let mut stranger = Members::new(now, card(1, 1), &[], 1);
+    let mut found = 0;
+
+    for millis in (0..2_000).step_by(200) {
+        let now = now + Duration::from_millis(millis);
+        for outgoing in leaving.tick(now, Knowledge::default(), &[]).0 {
+            let heard = stranger.receive(now, outgoing.packet);
+            found += usize::from(heard.is_some_and(|it| it.is_new));
+        }
+    }
+
+    assert_eq!(found, 0);
+    assert_eq!(stranger.possible(), 1);
+}
+
 #[test]
 fn a_restarted_member_is_heard_at_once() {
     let mut fleet = Fleet::new(8, 5);
