--- a/crates/daemon/src/front/connection.rs
+++ b/crates/daemon/src/front/connection.rs
@@ -107,7 +107,7 @@
     let head = head.ok_or_else(|| Problem::from(Refusal::not_run(Reason::SlowCaller)))?;
     head.map_err(|err| match err {
         HeadError::Closed | HeadError::Broken(_) => Failure::Silent,
-        HeadError::TooLarge(_) => {
+        HeadError::TooLarge(_) | HeadError::TooManyFields => {
             Problem::not_run(Reason::TooLarge, "the head is too large").into()
         }
         HeadError::Malformed(message) => Problem::not_run(Reason::BadRequest, message).into(),
--- a/crates/daemon/src/http/exchange.rs
+++ b/crates/daemon/src/http/exchange.rs
@@ -31,7 +31,7 @@
     pub(crate) fn is_malformed(&self) -> bool {
         matches!(
             self,
-            Self::Head(HeadError::TooLarge(_) | HeadError::Malformed(_))
+            Self::Head(HeadError::TooLarge(_) | HeadError::TooManyFields | HeadError::Malformed(_))
                 | Self::Body(BodyError::TooLarge(_) | BodyError::Malformed)
         )
     }
--- a/crates/edge/src/caller.rs
+++ b/crates/edge/src/caller.rs
@@ -100,7 +100,7 @@
             return exchange.run(head).await;
         }
         Some(Err(HeadError::Closed | HeadError::Broken(_))) => return Next::Abort,
-        Some(Err(HeadError::TooLarge(_))) => Problem::head_too_large(),
+        Some(Err(HeadError::TooLarge(_) | HeadError::TooManyFields)) => Problem::head_too_large(),
         Some(Err(HeadError::Malformed(detail))) => Problem::unreadable(Reason::BadRequest, detail),
         None => Problem::unreadable(Reason::SlowCaller, "the head came too slowly"),
     };
--- a/crates/http1/src/error.rs
+++ b/crates/http1/src/error.rs
@@ -4,6 +4,8 @@
 
 use thiserror::Error;
 
+use crate::raw::MAX_FIELDS;
+
 /// Why a head could not be read.
 #[derive(Debug, Error)]
 pub enum HeadError {
@@ -13,9 +15,12 @@
     /// The connection broke, or was closed within the head.
     #[error("the connection broke: {0}")]
     Broken(#[from] io::Error),
-    /// The head has too many bytes or fields.
-    #[error("the head is larger than {0} bytes or has too many fields")]
+    /// The head has too many bytes.
+    #[error("the head is larger than {0} bytes")]
     TooLarge(usize),
+    /// The head has too many fields.
+    #[error("the head has more than {MAX_FIELDS} fields")]
+    TooManyFields,
     /// The head is not well formed.
     #[error("{0}")]
     Malformed(&'static str),
@@ -24,7 +29,7 @@
 impl From<httparse::Error> for HeadError {
     fn from(err: httparse::Error) -> Self {
         match err {
-            httparse::Error::TooManyHeaders => Self::Malformed("there are too many header fields"),
+            httparse::Error::TooManyHeaders => Self::TooManyFields,
             httparse::Error::HeaderName => Self::Malformed("a header field's name is not valid"),
             httparse::Error::HeaderValue => Self::Malformed("a header field's value is not valid"),
             httparse::Error::Version => Self::Malformed("the HTTP version is not supported"),
--- a/crates/http1/tests/heads.rs
+++ b/crates/http1/tests/heads.rs
@@ -70,7 +70,10 @@
 fn a_head_that_is_too_large_or_not_whole_is_told_apart() {
     let large = format!("GET / HTTP/1.1\r\nHost: h\r\nA: {}\r\n\r\n", "b".repeat(MAX_BYTES));
 
+    let many = format!("GET / HTTP/1.1\r\nHost: h\r\n{}\r\n", "a: b\r\n".repeat(200));
+
     assert!(matches!(request(&large), Err(HeadError::TooLarge(MAX_BYTES))));
+    assert!(matches!(request(&many), Err(HeadError::TooManyFields)));
     assert!(matches!(request(""), Err(HeadError::Closed)));
     assert!(matches!(request("GET / HTTP"), Err(HeadError::Broken(_))));
 }
