Split admission by what it decides; keep cold limits for runs that go on from a copy

Cause: read of the diff: a run that goes on from a copy went to its engine whatever the cold limit said. Change: one question, may_send, for every way to a server; placement and outcome are files of their own; what nothing used is gone.

--- a/crates/dispatch/src/catalog.rs
+++ b/crates/dispatch/src/catalog.rs
@@ -82,8 +82,6 @@
 pub struct Engine {
     /// Requests that run at the same time.
     pub slots: u32,
-    /// Tokens of prompts and answers that its memory holds.
-    pub memory_tokens: u64,
     /// Whether it sends a run's memory to another engine on request, where the run can go on.
     pub has_backups: bool,
 }
--- a/crates/dispatch/src/fleet.rs
+++ b/crates/dispatch/src/fleet.rs
@@ -17,7 +17,7 @@
 /// Added to [`SETTLE_TIME`] for each member that was heard of: a fleet of 340 that starts at once
 /// needs up to 20 s until every member knows all.
 const SETTLE_TIME_PER_MEMBER: Duration = Duration::from_millis(60);
-/// A list of fewer servers than this share of those known is not believed at once.
+/// The longest time for which an entry may say that its server is cold; more is a mistake.
 const MAX_ENTRY_COLD: Duration = Duration::from_secs(60);
 
 impl State {
--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -16,6 +16,8 @@
 mod fleet;
 mod freshness;
 mod health;
+mod outcome;
+mod placement;
 mod prefix;
 mod prompt;
 mod queue;
--- /dev/null
+++ b/crates/dispatch/src/placement.rs
@@ -0,0 +1,223 @@
+//! Which server a request goes to, and when.
+
+use std::sync::Arc;
+
+use model::prelude::*;
+use xxhash_rust::xxh3::xxh3_64_with_seed;
+
+use crate::{
+    Attempt, Candidate, Effect, Home, Note, Order, Pool, RequestKey, Server, ServerKey,
+    request::{MIN_REMAINING, Request, Run, Stage},
+    state::State,
+};
+
+/// The part of its target after which a request that waits takes what it can get.
+const OVERDUE_SHARE: f64 = 0.3;
+/// Requests of a queue that are looked at for a free server at once.
+const MAX_LOOK: usize = 64;
+/// The part of its target after which a repeatable request that got no first byte is tried at
+/// another server.
+const FIRST_BYTE_SHARE: f64 = 0.8;
+/// How many times the expected time a first byte may take before another server is tried.
+const FIRST_BYTE_SLACK: u32 = 3;
+
+impl State {
+    pub(crate) fn dispatch_all(&mut self, now: Time) {
+        for pool in self.queue.pools() {
+            self.dispatch(now, pool);
+        }
+    }
+
+    /// Gives the requests that wait in a pool, by rank, to servers that may take them.
+    pub(crate) fn dispatch(&mut self, now: Time, pool: PoolId) {
+        let Some(catalog) = self.catalog.clone() else { return };
+        let Some(spec) = catalog.pools.get(&pool) else { return };
+        for key in self.queue.first(pool, MAX_LOOK) {
+            if let Some(choice) = self.choose(now, key, spec) {
+                self.start(now, key, choice);
+            }
+        }
+    }
+
+    /// Chooses the server for a request, if one may take it now.
+    fn choose(&self, now: Time, key: RequestKey, pool: &Pool) -> Option<Choice> {
+        let req = self.requests.get(key)?;
+        let target = req.routed.route.target;
+        let catalog = self.catalog.as_ref()?;
+        let is_top = catalog.is_top_tier(req.pool, req.routed.route.tier);
+        let is_overdue = now.since(req.arrived) > target.mul_f64(OVERDUE_SHARE);
+        let servers = self.servers.of_pool(req.pool);
+        let homes = self.homes(req, servers);
+        let connections = self.connections(req.pool);
+        let is_backed_up = req.is_backed_up() && pool.engine.is_some_and(|it| it.has_backups);
+        let mut best: Option<Choice> = None;
+        let mut second: Option<Choice> = None;
+        for &it in servers {
+            let Some(server) = self.servers.get(it) else { continue };
+            let is_new = !req.tried.contains(&it);
+            if !is_new || server.attempts >= connections || !self.may_send(now, server, pool) {
+                continue;
+            }
+            let candidate = Candidate {
+                server,
+                others: self.loads.at(server.entry.id().into()),
+                is_near: server.entry.zone == self.setup.zone,
+                home: homes.of(it),
+            };
+            let estimate = candidate.estimate(now, pool, &req.prompt, target);
+            if !estimate.suits(target, is_top, is_overdue) {
+                continue;
+            }
+            let others = candidate.others.attempts;
+            let (cost, expected) = (estimate.cost, estimate.first_byte);
+            let choice = Choice { server: it, cost, expected, others, backup: None };
+            if best.as_ref().is_none_or(|best| cost < best.cost) {
+                second = best.replace(choice);
+            } else if second.as_ref().is_none_or(|second| cost < second.cost) {
+                second = Some(choice);
+            }
+        }
+        let backup = second.filter(|_| is_backed_up).map(|it| it.server);
+        best.map(|best| Choice { backup, ..best })
+    }
+
+    /// Returns whether a server may get a request now: it stays, did not fail just now, and if it is
+    /// cold has not had this instance's part of what it takes.
+    pub(crate) fn may_send(&self, now: Time, server: &Server, pool: &Pool) -> bool {
+        if !self.servers.is_open(server) || server.health.blocked_until() > now {
+            return false;
+        }
+        if !server.is_cold(now) || pool.cold_rate <= 0.0 {
+            return true;
+        }
+        let bounds = &self.setup.bounds;
+        let limit = (pool.cold_rate * bounds.cold_factor + bounds.cold_extra).floor() as u32;
+        server.gate.recent(now) < self.share.units(limit, server.entry.id())
+    }
+
+    /// Returns the servers that rendezvous hashing names for the part of the prompt that other
+    /// requests share.
+    fn homes(&self, req: &Request, servers: &[ServerKey]) -> Homes {
+        let mut homes = Homes::default();
+        let Some(part) = req.prompt.last_shared() else { return homes };
+        for &key in servers {
+            let Some(server) = self.servers.get(key) else { continue };
+            if self.servers.is_open(server) {
+                let rank = xxh3_64_with_seed(&part.id.to_be_bytes(), server.entry.id().0);
+                homes.add(rank, key);
+            }
+        }
+        homes
+    }
+
+    /// Gives a request to a server, where it starts or goes on from a copy of its run's memory.
+    pub(crate) fn start(&mut self, now: Time, key: RequestKey, choice: Choice) {
+        let bounds = self.setup.bounds;
+        let keys_until = self.freshness.keys_until(bounds.revoke).unwrap_or(now);
+        let is_retryable = self.can_retry(now, key);
+        let backup = choice.backup.and_then(|it| self.servers.get(it));
+        let backup = backup.map(|it| it.entry.address);
+        let Some(req) = self.requests.get_mut(key) else { return };
+        let continues = match req.stage {
+            Stage::Waiting(place) => {
+                self.queue.remove(req.pool, place);
+                false
+            }
+            Stage::Idle => true,
+            Stage::Running(_) => return,
+        };
+        let Some(server) = self.servers.get_mut(choice.server) else { return };
+        req.attempts += 1;
+        let unread = req.prompt.tokens.saturating_sub(server.prefixes.cached(&req.prompt));
+        let run = Run {
+            server: choice.server,
+            sent_at: None,
+            expected: choice.expected,
+            prefill: if continues { 0 } else { unread },
+            backup: choice.backup,
+        };
+        req.stage = Stage::Running(run);
+        server.attempts += 1;
+        server.prefill += u64::from(run.prefill);
+        server.gate.sent(now);
+        server.prefixes.note(&req.prompt);
+        server.health.busy(now, server.attempts);
+        let route = &req.routed.route;
+        let patience =
+            route.target.mul_f64(FIRST_BYTE_SHARE).max(choice.expected * FIRST_BYTE_SLACK);
+        let start_by = if req.routed.account.is_some() { keys_until } else { req.end_by };
+        let attempt = Attempt {
+            number: req.attempts,
+            server: choice.server,
+            name: Arc::clone(&server.entry.name),
+            address: server.entry.address,
+            rank: req.rank(),
+            start_by: start_by.min(req.end_by),
+            first_byte_by: is_retryable.then(|| now + patience).filter(|it| *it < req.end_by),
+            end_by: req.end_by,
+            holds_failure: is_retryable,
+            backup,
+            continues,
+        };
+        let note = Note::Attempt {
+            id: Arc::clone(&req.id),
+            number: req.attempts,
+            server: Arc::clone(&server.entry.name),
+            version: req.routed.version,
+            expected: choice.expected,
+            own: server.attempts,
+            others: choice.others,
+            waited: now.since(req.arrived),
+        };
+        self.note(note);
+        self.emit(Effect::Order { key, order: Order::Run(attempt) });
+    }
+
+    /// Returns whether a request may run at one more server after the next one, as things stand.
+    fn can_retry(&self, now: Time, key: RequestKey) -> bool {
+        let Some(req) = self.requests.get(key) else { return false };
+        req.is_repeatable()
+            && req.runs + 1 < req.routed.route.max_attempts
+            && now + MIN_REMAINING < req.end_by
+            && self.servers.of_pool(req.pool).len() > req.tried.len() + 1
+    }
+}
+
+/// The server for a request.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Choice {
+    pub(crate) server: ServerKey,
+    pub(crate) cost: Duration,
+    /// The expected time to the first byte.
+    pub(crate) expected: Duration,
+    /// Attempts of other instances there.
+    pub(crate) others: u32,
+    /// The server that gets a copy of the run's memory.
+    pub(crate) backup: Option<ServerKey>,
+}
+
+/// The servers that rendezvous hashing names for a prompt, with their ranks.
+#[derive(Clone, Copy, Default, Debug)]
+struct Homes {
+    first: Option<(u64, ServerKey)>,
+    second: Option<(u64, ServerKey)>,
+}
+
+impl Homes {
+    fn add(&mut self, rank: u64, key: ServerKey) {
+        let new = Some((rank, key));
+        if new > self.first {
+            self.second = std::mem::replace(&mut self.first, new);
+        } else if new > self.second {
+            self.second = new;
+        }
+    }
+
+    fn of(&self, key: ServerKey) -> Home {
+        match (self.first, self.second) {
+            (Some((_, first)), _) if first == key => Home::First,
+            (_, Some((_, second))) if second == key => Home::Second,
+            _ => Home::Elsewhere,
+        }
+    }
+}
--- a/crates/dispatch/src/request.rs
+++ b/crates/dispatch/src/request.rs
@@ -36,6 +36,10 @@
     pub(crate) holds_failure: bool,
 }
 
+/// A request is not tried again when less than this is left: a round trip and the work of a fast
+/// server.
+pub(crate) const MIN_REMAINING: Duration = Duration::from_millis(40);
+
 /// A prompt of up to this many tokens for each token of the answer is copied to a second engine:
 /// what a crash would cost the caller outweighs the copy.
 const BACKUP_PROMPT_RATIO: u32 = 6;
--- a/crates/dispatch/src/state.rs
+++ b/crates/dispatch/src/state.rs
@@ -131,7 +131,7 @@
             Event::Request { key, new } => self.request(now, key, *new),
             Event::Sent { key } => self.sent(now, key),
             Event::Began { key } => self.began(now, key),
-            Event::Heard { server } => self.heard(now, server),
+            Event::Heard { server } => self.heard_from(now, server),
             Event::Ended { key, end, cold } => self.ended(now, key, end, cold),
             Event::CallerLeft { key } => self.caller_left(now, key),
             Event::Shutdown => self.shutdown(now),
--- a/crates/dispatch/tests/decisions/copies.rs
+++ b/crates/dispatch/tests/decisions/copies.rs
@@ -1,6 +1,7 @@
 //! Pattern: engines crash while live conversations go on.
 
-use dispatch::{AttemptEnd, Event, RequestKey};
+use dispatch::{AttemptEnd, Event, RequestKey, ServerEntry};
+use model::prelude::*;
 
 use crate::support::{Bench, attempts, prompt, refusals, server};
 
@@ -53,3 +54,22 @@
 
     assert_eq!(attempts(&effects)[0].1.backup, None);
 }
+
+#[test]
+fn a_cold_engine_gets_no_more_runs_that_go_on_than_it_bears() {
+    let mut bench = three_engines();
+    // Two of three engines crash, and the third has just been restarted.
+    let running: Vec<_> = (0..60).map(|_| live(&mut bench).0).collect();
+    for (name, host) in [("e1", 11), ("e2", 12), ("e3", 13)] {
+        bench.list(ServerEntry { cold: Duration::from_secs(3), ..server(name, "engines", host) });
+    }
+    bench.pass(1_200);
+
+    let ends = running.into_iter().map(|key| bench.ended(key, AttemptEnd::Broken { began: true }));
+    let went_on = ends.flat_map(|it| attempts(&it)).count();
+
+    // 20 a second times 1.5 and 5 more, for each of three engines.
+    assert!(went_on <= 3 * 35, "{went_on} went on");
+    // This instance's part of that, in a fleet of one and three spares.
+    assert!(went_on <= 3 * 35 / 4, "{went_on} went on");
+}
--- a/crates/gossip/src/members.rs
+++ b/crates/gossip/src/members.rs
@@ -140,11 +140,6 @@
         living.filter(|it| place(it.0) < mine).count()
     }
 
-    /// Returns this instance's address.
-    pub fn me(&self) -> SocketAddrV4 {
-        self.me.address
-    }
-
     /// Returns when [`Members::tick`] is due.
     pub fn next_wake(&self) -> Time {
         self.next_tick
