--- a/crates/dispatch/tests/decisions/copies.rs
+++ b/crates/dispatch/tests/decisions/copies.rs
@@ -57,19 +57,17 @@
 
 #[test]
 fn a_cold_engine_gets_no_more_runs_that_go_on_than_it_bears() {
-    let mut bench = three_engines();
-    // Two of three engines crash, and the third has just been restarted.
+    let servers = [("e1", 11), ("e2", 12)].map(|(name, host)| server(name, "engines", host));
+    let mut bench = Bench::new(servers.clone().into());
     let running: Vec<_> = (0..60).map(|_| live(&mut bench).0).collect();
-    for (name, host) in [("e1", 11), ("e2", 12), ("e3", 13)] {
-        bench.list(ServerEntry { cold: Duration::from_secs(3), ..server(name, "engines", host) });
+    for server in servers {
+        bench.list(ServerEntry { cold: Duration::from_secs(3), ..server });
     }
     bench.pass(1_200);
 
     let ends = running.into_iter().map(|key| bench.ended(key, AttemptEnd::Broken { began: true }));
     let went_on = ends.flat_map(|it| attempts(&it)).count();
 
-    // 20 a second times 1.5 and 5 more, for each of three engines.
-    assert!(went_on <= 3 * 35, "{went_on} went on");
-    // This instance's part of that, in a fleet of one and three spares.
-    assert!(went_on <= 3 * 35 / 4, "{went_on} went on");
+    // 20 a second times 1.5 and 5 more, for each of two engines, in a fleet of one and three spares.
+    assert!(went_on <= 2 * 35 / 4, "{went_on} went on");
 }
