--- a/crates/dispatch/src/effect.rs
+++ b/crates/dispatch/src/effect.rs
@@ -153,6 +153,21 @@
         /// Age of the view of the platform.
         view_age: Option<Duration>,
     },
+    /// A request was refused before it was read whole.
+    TurnedAway {
+        /// The request.
+        id: Arc<str>,
+        /// Its host.
+        host: String,
+        /// Its path, without the query.
+        path: String,
+        /// Why.
+        refusal: Refusal,
+        /// The version of the configuration that says so.
+        version: Option<Version>,
+        /// Age of the view of the platform.
+        view_age: Option<Duration>,
+    },
     /// The caller of a request went away.
     CallerLeft {
         /// The request.
--- a/crates/edge/src/caller.rs
+++ b/crates/edge/src/caller.rs
@@ -38,7 +38,7 @@
                 instance.executor.spawn(serving).detach();
             }
             // A closed connection tells the caller to go elsewhere; nothing was read from it.
-            Some(Ok(_)) => log::warn!(max; "too many connections of callers"),
+            Some(Ok(_)) => log::debug!(max; "too many connections of callers"),
             Some(Err(err)) => {
                 log::warn!("cannot accept a connection: {err}");
                 async_io::Timer::after(ACCEPT_PAUSE).await;
--- a/crates/edge/src/exchange.rs
+++ b/crates/edge/src/exchange.rs
@@ -5,7 +5,7 @@
 use aio::deadline;
 use async_channel::Receiver;
 use async_net::TcpStream;
-use dispatch::{Event, NewRequest, Order, RequestKey, Routed};
+use dispatch::{Event, NewRequest, Note, Order, RequestKey, Routed};
 use futures_lite::FutureExt as _;
 use http1::{BodyError, Buffered, Framing, RequestHead, read_whole};
 use model::prelude::*;
@@ -98,16 +98,19 @@
 
     /// Reads what is left of a request that is refused, so that the refusal is not lost with the
     /// connection.
-    async fn turn_away(&mut self, head: &RequestHead, id: &str, refusal: Refusal) -> Rejected {
+    async fn turn_away(&mut self, head: &RequestHead, id: &Arc<str>, refusal: Refusal) -> Rejected {
         let now = self.instance.clock.now();
-        self.instance.metrics.refusal(refusal);
         let (version, view_age) =
-            self.instance.ask(|it| (it.catalog().map(|it| it.version.0), it.view_age(now)));
-        log::info!(
-            request = id, host = head.host(), path = head.path(), reason:? = refusal.reason,
-            config:? = version, view_age_ms:? = view_age.map(|it| it.as_millis() as u64);
-            "turned away"
-        );
+            self.instance.ask(|it| (it.catalog().map(|it| it.version), it.view_age(now)));
+        let note = Note::TurnedAway {
+            id: Arc::clone(id),
+            host: head.host().to_owned(),
+            path: head.path().to_owned(),
+            refusal,
+            version,
+            view_age,
+        };
+        self.instance.note(now, &note);
         let by = now + PROBLEM_TIMEOUT;
         match self.read_body(head, by).await {
             Ok(_) => Rejected::Problem(refusal.into()),
--- a/crates/edge/src/instance.rs
+++ b/crates/edge/src/instance.rs
@@ -10,7 +10,7 @@
 use async_channel::{Receiver, Sender};
 use async_executor::LocalExecutor;
 use async_io::Async;
-use dispatch::{Effect, Event, Order, RequestKey, State};
+use dispatch::{Effect, Event, Note, Order, RequestKey, State};
 use gossip::Outgoing;
 use model::prelude::*;
 use slotmap::SlotMap;
@@ -156,13 +156,16 @@
             Effect::Ready(ready) => self.is_ready.set(ready),
             Effect::StopListening => self.stopped_listening.raise(),
             Effect::Exit => self.exits.raise(),
-            Effect::Log(note) => {
-                self.metrics.count(&note);
-                self.journal.borrow_mut().write(now, &note);
-            }
+            Effect::Log(note) => self.note(now, &note),
         }
     }
 
+    /// Counts a decision and logs it, unless too many were logged lately.
+    pub(crate) fn note(&self, now: Time, note: &Note) {
+        self.metrics.count(note);
+        self.journal.borrow_mut().write(now, note);
+    }
+
     fn order(&self, key: RequestKey, order: Order) {
         if let Some(orders) = self.tasks.borrow().get(key) {
             // A task whose caller left takes no more orders.
--- a/crates/edge/src/journal.rs
+++ b/crates/edge/src/journal.rs
@@ -34,9 +34,10 @@
         }
         let (count, max) = match note {
             Note::Attempt { .. } | Note::Answered { .. } => (&mut self.routine, MAX_ROUTINE_LINES),
-            Note::AttemptFailed { .. } | Note::Refused { .. } | Note::CallerLeft { .. } => {
-                (&mut self.failures, MAX_FAILURE_LINES)
-            }
+            Note::AttemptFailed { .. }
+            | Note::Refused { .. }
+            | Note::TurnedAway { .. }
+            | Note::CallerLeft { .. } => (&mut self.failures, MAX_FAILURE_LINES),
             _ => return write(note),
         };
         *count += 1;
@@ -98,6 +99,13 @@
                 "refused"
             );
         }
+        Note::TurnedAway { id, host, path, refusal, version, view_age } => {
+            log::info!(
+                request:% = id, host, path, reason:? = refusal.reason,
+                config:? = version.map(|it| it.0), view_age_ms:? = view_age.map(millis);
+                "turned away"
+            );
+        }
         Note::CallerLeft { id, after } => {
             log::info!(request:% = id, after_ms = millis(*after); "caller left");
         }
--- a/crates/edge/src/metrics.rs
+++ b/crates/edge/src/metrics.rs
@@ -116,7 +116,9 @@
             Note::Answered { route, first_byte, total, in_target, .. } => {
                 self.answer(route, *first_byte, *total, *in_target);
             }
-            Note::Refused { refusal, .. } => self.refusal(*refusal),
+            Note::Refused { refusal, .. } | Note::TurnedAway { refusal, .. } => {
+                self.refusal(*refusal);
+            }
             Note::CallerLeft { .. } => {
                 self.callers_left.inc();
             }
@@ -130,8 +132,7 @@
         }
     }
 
-    /// Counts a refusal.
-    pub(crate) fn refusal(&self, refusal: Refusal) {
+    fn refusal(&self, refusal: Refusal) {
         let reason = format!("{:?}", refusal.reason);
         let execution = format!("{:?}", refusal.execution);
         self.refused.get_or_create(&Refused { reason, execution }).inc();
