--- a/crates/dispatch/src/effect.rs
+++ b/crates/dispatch/src/effect.rs
@@ -83,7 +83,7 @@
         /// How many live now.
         alive: usize,
     },
-    /// Another instance fell silent or left.
+    /// Another instance stopped sending packets.
     MemberLost {
         /// Where it took packets.
         address: SocketAddrV4,
--- a/crates/dispatch/src/share.rs
+++ b/crates/dispatch/src/share.rs
@@ -6,7 +6,7 @@
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
 /// Instances that may run beyond those in sight, for each availability zone: spares are started
-/// without a word.
+/// without notice.
 const SPARES_PER_ZONE: u32 = 1;
 /// The fleet is taken to be this large until gossip had time to name the members: three times the
 /// size that the project is designed for.
--- a/crates/dispatch/src/state.rs
+++ b/crates/dispatch/src/state.rs
@@ -30,7 +30,7 @@
 /// nothing more after two seconds, and a configuration must be in force after two; each read is
 /// priced.
 const READ_INTERVAL: Duration = Duration::from_millis(550);
-/// Added for each member that goes first: more than what a word of it takes to come here.
+/// Added for each member that goes first: longer than its packets are under way.
 const READ_STAGGER: Duration = Duration::from_millis(350);
 /// Members that take turns; those behind them all read at the same age.
 const MAX_READ_RANK: u32 = 3;
@@ -148,7 +148,7 @@
     }
 
     /// Returns when the platform is to be read. The first member in an order on which all agree
-    /// reads in turn; the others take its word for it while nothing changes, and read themselves
+    /// reads; the others rely on its reads while nothing changes, and read themselves
     /// if they hear of a change or if what they were told grows old.
     pub fn next_read(&self) -> Time {
         let Some(as_of) = self.freshness.as_of().filter(|_| !self.is_behind) else {
--- a/crates/dispatch/tests/decisions/copies.rs
+++ b/crates/dispatch/tests/decisions/copies.rs
@@ -56,7 +56,7 @@
 }
 
 #[test]
-fn a_cold_engine_gets_no_more_runs_that_go_on_than_it_bears() {
+fn runs_that_go_on_keep_to_the_cold_limits() {
     let servers = [("e1", 11), ("e2", 12)].map(|(name, host)| server(name, "engines", host));
     let mut bench = Bench::new(servers.clone().into());
     let running: Vec<_> = (0..60).map(|_| live(&mut bench).0).collect();
--- a/crates/edge/src/exchange.rs
+++ b/crates/edge/src/exchange.rs
@@ -26,7 +26,7 @@
 /// Time for a caller to take an answer of this process.
 const PROBLEM_TIMEOUT: Duration = Duration::from_secs(2);
 
-/// What becomes of the caller's connection.
+/// What happens to the caller's connection next.
 #[derive(Clone, Copy, PartialEq, Eq, Debug)]
 pub(crate) enum Next {
     /// It takes another request.
--- a/crates/edge/src/pool.rs
+++ b/crates/edge/src/pool.rs
@@ -77,7 +77,7 @@
         self.idle.borrow_mut().remove(&address);
     }
 
-    /// Closes connections that are of no more use.
+    /// Closes connections that have been idle for too long.
     pub(crate) fn expire(&self, now: Time) {
         self.idle.borrow_mut().retain(|_, idle| {
             idle.retain(|it| now < it.until && now >= it.since);
