Read a caller's fields once a request; one check for one more run

The fields of each request, its prompt included, were decoded twice; now the id is handed out by the one decoding. What callers may send was asked for in three places, whether a request may run once more was written twice, 'trailer' stood beside the list of its kind, and a pool entry kept a time that nothing needed.

--- a/crates/dispatch/src/outcome.rs
+++ b/crates/dispatch/src/outcome.rs
@@ -156,10 +156,10 @@
     }
 
     fn next(&mut self, now: Time, key: RequestKey, end: AttemptEnd) -> Next {
-        let can_retry = self.can_retry_after(now, key);
         let Some(req) = self.requests.get_mut(key) else {
             return Next::Refuse(Refusal::unknown(Reason::ServerFailed));
         };
+        let can_retry = req.may_run_again(now, req.runs);
         let execution = req.execution();
         let refusal = |reason| Next::Refuse(Refusal { reason, execution, retry_after: None });
         let is_late = now + MIN_REMAINING >= req.end_by;
@@ -192,14 +192,6 @@
         }
     }
 
-    /// Returns whether a request may run at one more server, the retry budget aside.
-    fn can_retry_after(&self, now: Time, key: RequestKey) -> bool {
-        let Some(req) = self.requests.get(key) else { return false };
-        req.is_repeatable()
-            && req.runs < req.routed.route.max_attempts
-            && now + MIN_REMAINING < req.end_by
-    }
-
     fn withdraw(&mut self, now: Time, key: RequestKey) -> bool {
         let Some(req) = self.requests.get(key) else { return false };
         let budget = self.budgets.entry(req.pool).or_default();
--- a/crates/dispatch/src/placement.rs
+++ b/crates/dispatch/src/placement.rs
@@ -7,7 +7,7 @@
 
 use crate::{
     Attempt, Candidate, Effect, Home, Note, Order, Pool, RequestKey, Server, ServerKey,
-    request::{MIN_REMAINING, Request, Run, Stage},
+    request::{Request, Run, Stage},
     state::State,
 };
 
@@ -176,9 +176,7 @@
     /// Returns whether a request may run at one more server after the next one, as things stand.
     fn can_retry(&self, now: Time, key: RequestKey) -> bool {
         let Some(req) = self.requests.get(key) else { return false };
-        req.is_repeatable()
-            && req.runs + 1 < req.routed.route.max_attempts
-            && now + MIN_REMAINING < req.end_by
+        req.may_run_again(now, req.runs + 1)
             && self.servers.of_pool(req.pool).len() > req.tried.len() + 1
     }
 }
--- a/crates/dispatch/src/request.rs
+++ b/crates/dispatch/src/request.rs
@@ -85,6 +85,14 @@
         self.routed.route.repeat != Repeat::Never
     }
 
+    /// Returns whether the request may run at one more server after it ran at `runs`, the retry
+    /// budget aside.
+    pub(crate) fn may_run_again(&self, now: Time, runs: u32) -> bool {
+        self.is_repeatable()
+            && runs < self.routed.route.max_attempts
+            && now + MIN_REMAINING < self.end_by
+    }
+
     pub(crate) fn execution(&self) -> Execution {
         if self.runs == 0 { Execution::NotRun } else { Execution::Unknown }
     }
--- a/crates/edge/src/answer.rs
+++ b/crates/edge/src/answer.rs
@@ -9,7 +9,7 @@
 use crate::problem::Problem;
 
 /// Header fields that concern one connection only.
-const HOP_BY_HOP: [&str; 9] = [
+const HOP_BY_HOP: [&str; 10] = [
     "connection",
     "content-length",
     "expect",
@@ -17,6 +17,7 @@
     "proxy-authenticate",
     "proxy-connection",
     "te",
+    "trailer",
     "transfer-encoding",
     "upgrade",
 ];
@@ -24,7 +25,6 @@
 /// Returns whether a header field concerns one connection only.
 pub(crate) fn is_hop_by_hop(fields: &Fields, name: &str) -> bool {
     HOP_BY_HOP.iter().any(|it| name.eq_ignore_ascii_case(it))
-        || name.eq_ignore_ascii_case("trailer")
         || fields.has_token("connection", name)
 }
 
--- a/crates/edge/src/caller.rs
+++ b/crates/edge/src/caller.rs
@@ -71,7 +71,7 @@
     if !input.data().is_empty() {
         return true;
     }
-    let limits = instance.ask(|it| it.catalog().map(|it| it.limits)).unwrap_or_default();
+    let limits = instance.limits();
     let came = async {
         matches!(deadline::io_within(limits.idle_time, input.fill()).await, Ok(n) if n > 0)
     };
@@ -88,7 +88,7 @@
     input: &mut Buffered<TcpStream>,
     stream: &TcpStream,
 ) -> Next {
-    let limits = instance.ask(|it| it.catalog().map(|it| it.limits)).unwrap_or_default();
+    let limits = instance.limits();
     let arrived = instance.clock.now();
     let reading = RequestHead::read(input, limits.head_bytes);
     let head = deadline::until(instance.clock, arrived + limits.head_time, reading).await;
--- a/crates/edge/src/exchange.rs
+++ b/crates/edge/src/exchange.rs
@@ -58,17 +58,21 @@
 impl Exchange<'_> {
     /// Reads the rest of the request and answers it.
     pub(crate) async fn run(mut self, head: RequestHead) -> Next {
-        let id: Option<Arc<str>> =
-            self.instance.dialect.caller(&head).ok().map(|it| Arc::from(it.id));
-        match self.accept(head).await {
+        let mut id = None;
+        match self.accept(head, &mut id).await {
             Ok((accepted, new)) => self.serve(accepted, new).await,
             Err(Rejected::Problem(problem)) => self.reject(&problem, id.as_deref()).await,
             Err(Rejected::CallerLeft) => Next::Abort,
         }
     }
 
-    /// Routes the request and reads its body.
-    async fn accept(&mut self, head: RequestHead) -> Result<(Accepted, NewRequest), Rejected> {
+    /// Routes the request and reads its body. `known_id` is set once the request's id is known, so
+    /// that a refusal names it.
+    async fn accept(
+        &mut self,
+        head: RequestHead,
+        known_id: &mut Option<Arc<str>>,
+    ) -> Result<(Accepted, NewRequest), Rejected> {
         let instance = Rc::clone(&self.instance);
         let fields = instance
             .dialect
@@ -77,6 +81,7 @@
         let now = instance.clock.now();
         let routed = instance.ask(|state| state.route(now, head.host(), head.path(), fields.key));
         let id: Arc<str> = Arc::from(fields.id);
+        *known_id = Some(Arc::clone(&id));
         let (patience, prompt) = (fields.patience, fields.prompt);
         let routed = match routed {
             Ok(routed) => routed,
@@ -124,7 +129,7 @@
         by: Time,
     ) -> Result<(Vec<u8>, BodyQuota), Rejected> {
         let instance = &self.instance;
-        let limit = instance.ask(|it| it.catalog().map(|it| it.limits)).unwrap_or_default();
+        let limit = instance.limits();
         let length = match head.framing() {
             Framing::Absent => 0,
             Framing::Length(length) => usize::try_from(length).unwrap_or(usize::MAX),
--- a/crates/edge/src/instance.rs
+++ b/crates/edge/src/instance.rs
@@ -10,7 +10,7 @@
 use async_channel::{Receiver, Sender};
 use async_executor::LocalExecutor;
 use async_io::Async;
-use dispatch::{Effect, Event, Note, Order, RequestKey, State};
+use dispatch::{CallerLimits, Effect, Event, Note, Order, RequestKey, State};
 use gossip::Outgoing;
 use model::prelude::*;
 use slotmap::SlotMap;
@@ -120,6 +120,11 @@
         question(&self.state.borrow())
     }
 
+    /// Returns what callers may send.
+    pub(crate) fn limits(&self) -> CallerLimits {
+        self.ask(|it| it.catalog().map(|it| it.limits)).unwrap_or_default()
+    }
+
     /// Names a request; orders for it go to `orders`.
     pub(crate) fn add_task(&self, orders: Sender<Order>) -> RequestKey {
         self.tasks.borrow_mut().insert(orders)
--- a/crates/edge/src/pool.rs
+++ b/crates/edge/src/pool.rs
@@ -27,7 +27,6 @@
 #[derive(Debug)]
 struct Idle {
     connection: Connection,
-    since: Time,
     until: Time,
 }
 
@@ -68,7 +67,7 @@
         let mut pool = self.idle.borrow_mut();
         let idle = pool.entry(address).or_default();
         if idle.len() < MAX_IDLE_CONNECTIONS {
-            idle.push(Idle { connection, since: now, until: now + span });
+            idle.push(Idle { connection, until: now + span });
         }
     }
 
@@ -80,7 +79,7 @@
     /// Closes connections that have been idle for too long.
     pub(crate) fn expire(&self, now: Time) {
         self.idle.borrow_mut().retain(|_, idle| {
-            idle.retain(|it| now < it.until && now >= it.since);
+            idle.retain(|it| now < it.until);
             !idle.is_empty()
         });
     }
