Count a pool's requests over the window, its retries over a little more

Cause: the retry budget counted requests over window and one step (10.5 s), as it does retries. Change: requests of whole steps within the window only.

--- a/crates/dispatch/src/budget.rs
+++ b/crates/dispatch/src/budget.rs
@@ -32,8 +32,10 @@
     /// Takes a retry out of the budget; `false` if there is none left.
     pub fn withdraw(&mut self, now: Time, bounds: &Bounds, share: &Share) -> bool {
         self.step(now, bounds);
-        // A retry counts where it arrives, which may be in a later window.
-        let requests: u32 = self.steps.iter().map(|it| it.requests).sum();
+        // Steps that began within the window lie in it whole. Retries count for longer: they arrive
+        // later than they are sent, which may be in a later window.
+        let inside = self.steps.iter().filter(|it| now.since(it.start) < bounds.retry_window);
+        let requests: u32 = inside.map(|it| it.requests).sum();
         let retries: u32 = self.steps.iter().map(|it| it.retries).sum();
         let allowed = f64::from(requests) * bounds.retry_ratio + share.of(bounds.retry_slack);
         if f64::from(retries + 1) > allowed {
--- a/crates/dispatch/tests/shares.rs
+++ b/crates/dispatch/tests/shares.rs
@@ -98,6 +98,26 @@
     }
 }
 
+#[test]
+fn retries_that_all_come_at_once_after_a_calm_time_keep_to_the_budget() {
+    let shares = fleet(1);
+    let bounds = Bounds { retry_slack: 54.0, ..Bounds::default() };
+    let mut budget = RetryBudget::default();
+    let start = Time::from_millis(10_000);
+    let requests: Vec<_> = (0..10_000).map(|it| start + Duration::from_millis(2) * it).collect();
+
+    for at in &requests {
+        budget.request(*at, &bounds);
+    }
+    let end = *requests.last().unwrap();
+    let retries = (0..10_000).filter(|_| budget.withdraw(end, &bounds, &shares[0])).count();
+
+    let asked = requests.iter().filter(|it| end.since(**it) < bounds.retry_window).count();
+    let allowed = bounds.retry_ratio * asked as f64 + bounds.retry_slack;
+    assert!(retries as f64 <= allowed, "{retries} retries, {allowed} allowed");
+    assert!(retries as f64 > allowed * 0.9, "only {retries} retries of {allowed} allowed");
+}
+
 #[test]
 fn a_cold_server_gets_no_more_than_its_limit_in_any_second() {
     for seed in 0..20 {
