--- a/crates/dispatch/src/admission.rs
+++ b/crates/dispatch/src/admission.rs
@@ -73,6 +73,7 @@
             rejections: 0,
             tried: Vec::new(),
             began_at: None,
+            has_retry: false,
             holds_failure: false,
         };
         self.requests.insert(key, req);
@@ -94,7 +95,7 @@
     }
 
     pub(crate) fn caller_left(&mut self, now: Time, key: RequestKey) {
-        let Some(req) = self.requests.remove(key) else { return };
+        let Some(req) = self.forget(key) else { return };
         match req.stage {
             Stage::Waiting(place) => self.queue.remove(req.pool, place),
             Stage::Running(run) => self.settle(now, run, AttemptEnd::CallerLeft, None),
@@ -126,7 +127,7 @@
 
     /// Ends a request with a refusal.
     pub(crate) fn refuse(&mut self, now: Time, key: RequestKey, refusal: Refusal) {
-        let Some(req) = self.requests.remove(key) else { return };
+        let Some(req) = self.forget(key) else { return };
         if let Stage::Waiting(place) = req.stage {
             self.queue.remove(req.pool, place);
         }
--- a/crates/dispatch/src/budget.rs
+++ b/crates/dispatch/src/budget.rs
@@ -14,6 +14,8 @@
 #[derive(Clone, Debug, Default)]
 pub struct RetryBudget {
     steps: VecDeque<Step>,
+    /// Retries that were reserved and not sent yet; they count in every window.
+    reserved: u32,
 }
 
 #[derive(Clone, Copy, Debug)]
@@ -29,8 +31,8 @@
         self.step(now, bounds).requests += 1;
     }
 
-    /// Takes a retry out of the budget; `false` if there is none left.
-    pub fn withdraw(&mut self, now: Time, bounds: &Bounds, share: &Share) -> bool {
+    /// Reserves a retry; `false` if there is none left.
+    pub fn reserve(&mut self, now: Time, bounds: &Bounds, share: &Share) -> bool {
         self.step(now, bounds);
         // Steps that began within the window lie in it whole. Retries count for longer: they arrive
         // later than they are sent, which may be in a later window.
@@ -38,13 +40,24 @@
         let requests: u32 = inside.map(|it| it.requests).sum();
         let retries: u32 = self.steps.iter().map(|it| it.retries).sum();
         let allowed = f64::from(requests) * bounds.retry_ratio + share.of(bounds.retry_slack);
-        if f64::from(retries + 1) > allowed {
+        if f64::from(retries + self.reserved + 1) > allowed {
             return false;
         }
-        self.step(now, bounds).retries += 1;
+        self.reserved += 1;
         true
     }
 
+    /// Counts a reserved retry that is sent now.
+    pub fn spend(&mut self, now: Time, bounds: &Bounds) {
+        self.release();
+        self.step(now, bounds).retries += 1;
+    }
+
+    /// Gives a reserved retry back that is not sent.
+    pub fn release(&mut self) {
+        self.reserved = self.reserved.saturating_sub(1);
+    }
+
     /// Returns the step that `now` is in.
     fn step(&mut self, now: Time, bounds: &Bounds) -> &mut Step {
         let width = bounds.retry_window / STEPS;
--- a/crates/dispatch/src/outcome.rs
+++ b/crates/dispatch/src/outcome.rs
@@ -7,7 +7,7 @@
 use crate::{
     AttemptEnd, Effect, Note, Order, RequestKey, ServerKey,
     placement::Choice,
-    request::{MIN_REMAINING, Run, Stage},
+    request::{MIN_REMAINING, Request, Run, Stage},
     route::Repeat,
     state::State,
 };
@@ -20,8 +20,10 @@
 impl State {
     pub(crate) fn sent(&mut self, now: Time, key: RequestKey) {
         let Some(req) = self.requests.get_mut(key) else { return };
-        if let Stage::Running(run) = &mut req.stage {
-            run.sent_at = Some(now);
+        let Stage::Running(run) = &mut req.stage else { return };
+        run.sent_at = Some(now);
+        if std::mem::take(&mut req.has_retry) {
+            self.budgets.entry(req.pool).or_default().spend(now, &self.setup.bounds);
         }
     }
 
@@ -98,7 +100,7 @@
     }
 
     fn answered(&mut self, now: Time, key: RequestKey) {
-        let Some(req) = self.requests.remove(key) else { return };
+        let Some(req) = self.forget(key) else { return };
         let first_byte = req.began_at.unwrap_or(now).since(req.arrived);
         self.note(Note::Answered {
             id: req.id,
@@ -154,7 +156,7 @@
             source: None,
             unread: 0,
         };
-        self.withdraw(now, key).then_some(choice)
+        self.reserve_retry(now, key).then_some(choice)
     }
 
     fn next(&mut self, now: Time, key: RequestKey, end: AttemptEnd) -> Next {
@@ -174,11 +176,11 @@
             AttemptEnd::Rejected { .. } => {
                 req.rejections += 1;
                 let is_over = req.rejections >= MAX_REJECTIONS || is_late;
-                !is_over && self.withdraw(now, key)
+                !is_over && self.reserve_retry(now, key)
             }
             _ => {
                 let resumes = req.routed.route.repeat == Repeat::Resume;
-                can_retry && (!end.began() || resumes) && self.withdraw(now, key)
+                can_retry && (!end.began() || resumes) && self.reserve_retry(now, key)
             }
         };
         if may_go_on {
@@ -194,10 +196,20 @@
         }
     }
 
-    fn withdraw(&mut self, now: Time, key: RequestKey) -> bool {
-        let Some(req) = self.requests.get(key) else { return false };
+    fn reserve_retry(&mut self, now: Time, key: RequestKey) -> bool {
+        let Some(req) = self.requests.get_mut(key) else { return false };
         let budget = self.budgets.entry(req.pool).or_default();
-        budget.withdraw(now, &self.setup.bounds, &self.share)
+        req.has_retry = req.has_retry || budget.reserve(now, &self.setup.bounds, &self.share);
+        req.has_retry
+    }
+
+    /// Removes a request, with what it has reserved.
+    pub(crate) fn forget(&mut self, key: RequestKey) -> Option<Request> {
+        let req = self.requests.remove(key)?;
+        if req.has_retry {
+            self.budgets.entry(req.pool).or_default().release();
+        }
+        Some(req)
     }
 
     pub(crate) fn deliver(&mut self, now: Time, key: RequestKey) {
--- a/crates/dispatch/src/request.rs
+++ b/crates/dispatch/src/request.rs
@@ -32,6 +32,8 @@
     pub(crate) tried: Vec<ServerKey>,
     /// When the first byte of an answer came.
     pub(crate) began_at: Option<Time>,
+    /// Whether it has reserved a retry that is not sent yet.
+    pub(crate) has_retry: bool,
     /// Whether an answer that says that a server failed is held back.
     pub(crate) holds_failure: bool,
 }
--- a/crates/dispatch/tests/shares.rs
+++ b/crates/dispatch/tests/shares.rs
@@ -80,7 +80,8 @@
             if rng.random_bool(0.5) {
                 budgets[no].request(now, &bounds);
                 requests.push(now);
-            } else if budgets[no].withdraw(now, &bounds, &shares[no]) {
+            } else if budgets[no].reserve(now, &bounds, &shares[no]) {
+                budgets[no].spend(now, &bounds);
                 retries.push(now);
             }
         }
@@ -110,7 +111,7 @@
         budget.request(*at, &bounds);
     }
     let end = *requests.last().unwrap();
-    let retries = (0..10_000).filter(|_| budget.withdraw(end, &bounds, &shares[0])).count();
+    let retries = (0..10_000).filter(|_| budget.reserve(end, &bounds, &shares[0])).count();
 
     let asked = requests.iter().filter(|it| end.since(**it) < bounds.retry_window).count();
     let allowed = bounds.retry_ratio * asked as f64 + bounds.retry_slack;
@@ -118,6 +119,44 @@
     assert!(retries as f64 > allowed * 0.9, "only {retries} retries of {allowed} allowed");
 }
 
+/// Pattern: every server is full, and requests that may be tried again wait for one.
+#[test]
+fn retries_that_wait_before_they_are_sent_keep_to_the_budget() {
+    for seed in 0..20 {
+        let mut rng = ChaCha8Rng::seed_from_u64(seed);
+        let shares = fleet(1);
+        let bounds = Bounds { retry_slack: 4.0, ..Bounds::default() };
+        let mut budget = RetryBudget::default();
+        let start = Time::from_millis(10_000);
+        let (mut waiting, mut retries) = (0, Vec::new());
+
+        for millis in 0..60_000 {
+            let now = start + Duration::from_millis(millis);
+            if millis % 5 == 0 {
+                budget.request(now, &bounds);
+            }
+            if budget.reserve(now, &bounds, &shares[0]) {
+                waiting += 1;
+            }
+            // Servers that come back take all that waits.
+            if rng.random_bool(0.000_5) {
+                for _ in 0..std::mem::take(&mut waiting) {
+                    budget.spend(now, &bounds);
+                    retries.push(now);
+                }
+            }
+        }
+
+        let asked = bounds.retry_window.as_millis() as f64 / 5.0;
+        let allowed = bounds.retry_ratio * asked + bounds.retry_slack;
+        for end in &retries {
+            let is_inside = |it: &&Time| **it <= *end && end.since(**it) < bounds.retry_window;
+            let retried = retries.iter().filter(is_inside).count() as f64;
+            assert!(retried <= allowed, "seed {seed}: {retried} retries, {allowed} allowed");
+        }
+    }
+}
+
 #[test]
 fn a_cold_server_gets_no_more_than_its_limit_in_any_second() {
     for seed in 0..20 {
