Keep the retry budget in each window that a retry may lie in

The budget looked at the one window that ends at the retry. Change: it holds for every window that the retry may lie in, in steps of a fortieth.

--- a/crates/dispatch/src/budget.rs
+++ b/crates/dispatch/src/budget.rs
@@ -1,26 +1,32 @@
 //! The retry budget of a pool.
 
-use std::collections::VecDeque;
+use std::{collections::VecDeque, ops::Range};
 
 use model::prelude::*;
 
 use crate::{Bounds, Share};
 
-/// Steps into which a window is cut.
-const STEPS: u32 = 20;
+/// Steps into which a window is cut. What lies in the steps at both ends of a window counts as a
+/// retry, but not as a request: a fortieth of the budget is left unused.
+const STEPS: usize = 40;
+/// Steps that are kept: the window before the oldest one that still gets retries.
+const KEPT_STEPS: usize = 2 * STEPS + 1;
 
 /// The retry budget of a pool: this instance's own requests times a ratio, and its part of the
-/// fleet's slack. Over every window the retries of all instances together keep to the sum.
+/// fleet's slack. Over every window the retries of all instances together keep to the sum, where
+/// the requests are those of that window, the one before it or the one half a window before it.
 #[derive(Clone, Debug, Default)]
 pub struct RetryBudget {
+    /// The latest last; each follows the one before it without a gap.
     steps: VecDeque<Step>,
+    /// The number of the last step since the clock's zero.
+    last: u64,
     /// Retries that were reserved and not sent yet; they count in every window.
     reserved: u32,
 }
 
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Copy, Default, Debug)]
 struct Step {
-    start: Time,
     requests: u32,
     retries: u32,
 }
@@ -34,14 +40,18 @@
     /// Reserves a retry; `false` if there is none left.
     pub fn reserve(&mut self, now: Time, bounds: &Bounds, share: &Share) -> bool {
         self.step(now, bounds);
-        // Steps that began within the window lie in it whole. Retries count for longer: they arrive
-        // later than they are sent, which may be in a later window.
-        let inside = self.steps.iter().filter(|it| now.since(it.start) < bounds.retry_window);
-        let requests: u32 = inside.map(|it| it.requests).sum();
-        let retries: u32 = self.steps.iter().map(|it| it.retries).sum();
-        let allowed = f64::from(requests) * bounds.retry_ratio + share.of(bounds.retry_slack);
-        if f64::from(retries + self.reserved + 1) > allowed {
-            return false;
+        let slack = share.of(bounds.retry_slack);
+        let mut retries = self.reserved + 1;
+        // For each window that the retry may lie in, by the step in which the window begins.
+        for first in (KEPT_STEPS - 1 - STEPS..KEPT_STEPS).rev() {
+            retries += self.steps[first].retries;
+            let inside = first + 1..first + STEPS;
+            let starts = [0, STEPS / 2, STEPS];
+            let requests = starts.map(|it| self.requests(inside.start - it..inside.end - it));
+            let most = requests.into_iter().max().unwrap_or_default();
+            if f64::from(retries) > f64::from(most) * bounds.retry_ratio + slack {
+                return false;
+            }
         }
         self.reserved += 1;
         true
@@ -58,17 +68,23 @@
         self.reserved = self.reserved.saturating_sub(1);
     }
 
+    /// Returns the requests of these steps, as far as they have come.
+    fn requests(&self, steps: Range<usize>) -> u32 {
+        self.steps.range(steps.start..steps.end.min(KEPT_STEPS)).map(|it| it.requests).sum()
+    }
+
     /// Returns the step that `now` is in.
     fn step(&mut self, now: Time, bounds: &Bounds) -> &mut Step {
-        let width = bounds.retry_window / STEPS;
-        while self.steps.front().is_some_and(|it| now.since(it.start) > bounds.retry_window + width)
-        {
+        let width = (bounds.retry_window.as_nanos() / STEPS as u128).max(1);
+        let number =
+            u64::try_from(now.since(Time::from_millis(0)).as_nanos() / width).unwrap_or(u64::MAX);
+        let passed = number.saturating_sub(self.last);
+        self.last = number.max(self.last);
+        self.steps.resize(KEPT_STEPS, Step::default());
+        for _ in 0..passed.min(KEPT_STEPS as u64) {
             self.steps.pop_front();
+            self.steps.push_back(Step::default());
         }
-        if self.steps.back().is_none_or(|it| now.since(it.start) >= width) {
-            self.steps.push_back(Step { start: now, requests: 0, retries: 0 });
-        }
-        let last = self.steps.len() - 1;
-        &mut self.steps[last]
+        &mut self.steps[KEPT_STEPS - 1]
     }
 }
--- a/crates/dispatch/tests/shares.rs
+++ b/crates/dispatch/tests/shares.rs
@@ -119,6 +119,47 @@
     assert!(retries as f64 > allowed * 0.9, "only {retries} retries of {allowed} allowed");
 }
 
+/// Pattern: a burst of requests ends, and the servers fail at its end.
+#[test]
+fn retries_after_a_burst_keep_to_the_budget_in_every_window() {
+    for seed in 0..20 {
+        let mut rng = ChaCha8Rng::seed_from_u64(seed);
+        let shares = fleet(1);
+        let bounds = Bounds { retry_slack: 4.0, ..Bounds::default() };
+        let mut budget = RetryBudget::default();
+        let start = Time::from_millis(10_000);
+        let (begin, end) = (rng.random_range(0..20_000), rng.random_range(20_000..40_000));
+        let failing = end - rng.random_range(0..5_000)..end + rng.random_range(0..5_000);
+        let (mut requests, mut retries) = (Vec::new(), Vec::new());
+
+        for millis in 0..60_000_u64 {
+            let now = start + Duration::from_millis(millis);
+            if (begin..end).contains(&millis) && millis % 5 == 0 || millis % 50 == 0 {
+                budget.request(now, &bounds);
+                requests.push(now);
+            }
+            if failing.contains(&millis) && budget.reserve(now, &bounds, &shares[0]) {
+                budget.spend(now, &bounds);
+                retries.push(now);
+            }
+        }
+
+        for millis in 10_000..60_000 {
+            let from = start + Duration::from_millis(millis);
+            let within = |times: &[Time], from: Time| {
+                let until = from + bounds.retry_window;
+                times.partition_point(|it| *it < until) - times.partition_point(|it| *it < from)
+            };
+            let retried = within(&retries, from) as f64;
+            // The users count the requests of this window, or of one that began earlier.
+            let asked = [0, 5, 10].map(|it| within(&requests, from - Duration::from_secs(it)));
+            let most = asked.into_iter().max().unwrap_or_default();
+            let allowed = bounds.retry_ratio * most as f64 + bounds.retry_slack;
+            assert!(retried <= allowed, "seed {seed}: {retried} retries, {allowed} allowed");
+        }
+    }
+}
+
 /// Pattern: every server is full, and requests that may be tried again wait for one.
 #[test]
 fn retries_that_wait_before_they_are_sent_keep_to_the_budget() {
