Answer instances that left the instance list

Cause: an instance that the list does not show for a while serves on and asks owners for tokens, but their answers were dropped, since the address was looked up in the list. All wrongful refusals of the red test were at the delisted instance (call numbers 1 modulo 6), reason no-owner. Change: the last addresses of instances that left are kept.

--- a/crates/own/src/members.rs
+++ b/crates/own/src/members.rs
@@ -7,6 +7,10 @@
 
 use crate::{Shard, shard::rendezvous};
 
+/// Instances that are remembered after they left the list: the size that the project is designed
+/// for.
+const MAX_UNLISTED: usize = 340;
+
 /// Instances that get a heartbeat in each round while the instance list can be read.
 const GOSSIP_FANOUT: usize = 3;
 
@@ -104,6 +108,9 @@
     read_at: Option<Time>,
     leaving: bool,
     members: BTreeMap<InstanceId, Member>,
+    /// Where instances were that the list does not show any more. They may serve on and ask for
+    /// tokens and grants.
+    unlisted: BTreeMap<InstanceId, SocketAddr>,
     next_nonce: u64,
     next_round: Time,
     owners_epoch: u64,
@@ -122,6 +129,7 @@
             read_at: None,
             leaving: false,
             members: BTreeMap::new(),
+            unlisted: BTreeMap::new(),
             next_nonce: 1,
             next_round: Time::default(),
             owners_epoch: 0,
@@ -182,9 +190,10 @@
         self.iter().filter(|(id, _)| *id != self.me.instance)
     }
 
-    /// The address of an instance.
+    /// The address of an instance that is listed, or was.
     pub fn address(&self, instance: InstanceId) -> Option<SocketAddr> {
-        self.members.get(&instance).map(|it| it.address)
+        let listed = self.members.get(&instance).map(|it| it.address);
+        listed.or_else(|| self.unlisted.get(&instance).copied())
     }
 
     /// Takes a list that was read from the platform; the read began at `asked_at`. Returns whether
@@ -225,6 +234,11 @@
                 || id == self.me.instance && self.leaving;
             self.members.insert(id, member);
         }
+        self.unlisted.extend(former.into_iter().map(|(id, it)| (id, it.address)));
+        self.unlisted.retain(|id, _| !self.members.contains_key(id));
+        while self.unlisted.len() > MAX_UNLISTED {
+            self.unlisted.pop_first();
+        }
         true
     }
 
--- a/crates/own/tests/own.rs
+++ b/crates/own/tests/own.rs
@@ -66,6 +66,17 @@
     (0..count).map(|i| Shard::Share(ShareId { account: AccountId(i), zone: zone(1) })).collect()
 }
 
+#[test]
+fn an_instance_that_is_not_listed_any_more_still_gets_answers() {
+    let mut members = member(3);
+
+    members.list_read(at(100), at(100), Version(2), list(3, &[2]));
+
+    assert!(members.iter().all(|it| it.0 != InstanceId(2)));
+    assert_eq!(members.address(InstanceId(2)), Some(SocketAddr::from(([127, 0, 0, 1], 1))));
+    assert_eq!(members.address(InstanceId(9)), None);
+}
+
 #[test]
 fn shards_are_spread_evenly_over_the_instances_of_their_zone() {
     let members = member(9);
