--- a/crates/dispatch/src/budget.rs
+++ b/crates/dispatch/src/budget.rs
@@ -1,6 +1,6 @@
 //! The retry budget of a pool.
 
-use std::{collections::VecDeque, ops::Range};
+use std::collections::VecDeque;
 
 use model::prelude::*;
 
@@ -41,13 +41,18 @@
     pub fn reserve(&mut self, now: Time, bounds: &Bounds, share: &Share) -> bool {
         self.step(now, bounds);
         let slack = share.of(bounds.retry_slack);
+        // The requests before each step.
+        let mut before = [0; KEPT_STEPS + 1];
+        for (no, step) in self.steps.iter().enumerate() {
+            before[no + 1] = before[no] + step.requests;
+        }
         let mut retries = self.reserved + 1;
         // For each window that the retry may lie in, by the step in which the window begins.
         for first in (KEPT_STEPS - 1 - STEPS..KEPT_STEPS).rev() {
             retries += self.steps[first].retries;
-            let inside = first + 1..first + STEPS;
-            let starts = [0, STEPS / 2, STEPS];
-            let requests = starts.map(|it| self.requests(inside.start - it..inside.end - it));
+            let (start, end) = (first + 1, first + STEPS);
+            let requests = [0, STEPS / 2, STEPS]
+                .map(|it| before[(end - it).min(KEPT_STEPS)] - before[start - it]);
             let most = requests.into_iter().max().unwrap_or_default();
             if f64::from(retries) > f64::from(most) * bounds.retry_ratio + slack {
                 return false;
@@ -68,11 +73,6 @@
         self.reserved = self.reserved.saturating_sub(1);
     }
 
-    /// Returns the requests of these steps, as far as they have come.
-    fn requests(&self, steps: Range<usize>) -> u32 {
-        self.steps.range(steps.start..steps.end.min(KEPT_STEPS)).map(|it| it.requests).sum()
-    }
-
     /// Returns the step that `now` is in.
     fn step(&mut self, now: Time, bounds: &Bounds) -> &mut Step {
         let width = (bounds.retry_window.as_nanos() / STEPS as u128).max(1);
--- a/crates/dispatch/src/choice.rs
+++ b/crates/dispatch/src/choice.rs
@@ -26,6 +26,12 @@
 const COMFORT: f64 = 0.5;
 /// What each millisecond beyond that counts.
 const DISCOMFORT: f64 = 4.0;
+/// What other requests have to gain in time at the engine that live streams choose first: some
+/// pauses of a stream beyond what its caller bears (150 to 200 ms on the sheets).
+const LIVE_ENGINE_COST: Duration = Duration::from_millis(600);
+/// What a live stream has to gain in time at the last engine of the order: less than the time to a
+/// first event on an idle engine, so that it never waits for the sake of the order.
+const LIVE_ORDER_COST: Duration = Duration::from_millis(60);
 /// What a server that fails every request has to gain in time against one that fails none.
 const FAILURE_COST: Duration = Duration::from_millis(1_500);
 /// The part of a prompt that is expected to be read again at the server that rendezvous hashing
@@ -65,6 +71,10 @@
     pub home: Home,
     /// Whether it can fetch the shared part of the prompt from another server.
     pub has_source: bool,
+    /// Whether the request is a live stream.
+    pub is_live: bool,
+    /// The share of the pool's engines that live streams fill.
+    pub live_share: f64,
 }
 
 /// Whether rendezvous hashing names a server for a prompt, so that instances that do not talk
@@ -125,11 +135,24 @@
         let discomfort = first_byte.saturating_sub(comfort).mul_f64(DISCOMFORT);
         let reading = Duration::from_secs_f64(unread * UNREAD_COST_MS / 1e3);
         let wait = first_byte.min(comfort) + discomfort;
-        let cost = wait + reading + zone + failures + 2 * health.silence(now);
+        let apart = if pool.engine.is_some() { self.apart() } else { Duration::ZERO };
+        let cost = wait + apart + reading + zone + failures + 2 * health.silence(now);
         let unread = prompt.own_tokens().saturating_add(unread as u32);
         Estimate { first_byte, cost, unread, is_full }
     }
 
+    /// Returns what speaks against the server for keeping live streams apart from long prompts.
+    fn apart(&self) -> Duration {
+        let place = self.server.entry.place();
+        if self.is_live {
+            LIVE_ORDER_COST.mul_f64(place)
+        } else if place < self.live_share {
+            LIVE_ENGINE_COST.mul_f64(1.0 - place / self.live_share)
+        } else {
+            Duration::ZERO
+        }
+    }
+
     /// Returns the time to the first event of an engine, and whether the engine is full.
     fn engine(&self, slots: u32, prompt: &Prompt, unread: f64) -> (Duration, bool) {
         let attempts = self.server.attempts + self.others.attempts;
--- a/crates/dispatch/src/outcome.rs
+++ b/crates/dispatch/src/outcome.rs
@@ -82,6 +82,9 @@
     /// Accounts for the end of an attempt at its server.
     pub(crate) fn settle(&mut self, now: Time, run: Run, end: AttemptEnd, cold: Option<Duration>) {
         let Some(server) = self.servers.get_mut(run.server) else { return };
+        if run.is_live {
+            self.live.entry(server.entry.pool).or_default().ended(now);
+        }
         server.attempts = server.attempts.saturating_sub(1);
         server.prefill = server.prefill.saturating_sub(u64::from(run.prefill));
         server.health.busy(now, server.attempts);
--- a/crates/dispatch/src/placement.rs
+++ b/crates/dispatch/src/placement.rs
@@ -13,6 +13,10 @@
 
 /// The part of its target after which a request that waits takes what it can get.
 const OVERDUE_SHARE: f64 = 0.3;
+/// The part of an engine's slots that live streams fill at engines that are kept for them.
+const LIVE_FILL: f64 = 0.8;
+/// The largest share of a pool's engines that is kept for live streams.
+const MAX_LIVE_SHARE: f64 = 0.5;
 /// Requests of a queue that are looked at for a free server at once.
 const MAX_LOOK: usize = 64;
 /// The part of its target after which a repeatable request that got no first byte is tried at
@@ -49,6 +53,8 @@
         let servers = self.servers.of_pool(req.pool);
         let homes = self.homes(now, req, servers);
         let connections = self.connections(req.pool);
+        let live_share = self.live_share(now, req.pool, pool, servers.len());
+        let is_live = req.is_live();
         let is_backed_up = req.is_backed_up() && pool.engine.is_some_and(|it| it.has_backups);
         let mut best: Option<Choice> = None;
         let mut second: Option<Choice> = None;
@@ -63,6 +69,8 @@
             let candidate = Candidate {
                 server,
                 has_source: source.is_some(),
+                is_live,
+                live_share,
                 others: self.loads.at(server.entry.id().into()),
                 is_near: server.entry.zone == self.setup.zone,
                 home: homes.of(it),
@@ -86,6 +94,14 @@
         best.map(|best| Choice { backup, ..best })
     }
 
+    /// Returns the share of a pool's engines that the live streams of all instances fill.
+    fn live_share(&self, now: Time, id: PoolId, pool: &Pool, servers: usize) -> f64 {
+        let (Some(engine), Some(live)) = (pool.engine, self.live.get(&id)) else { return 0.0 };
+        let all = live.mean(now) * self.members.alive() as f64;
+        let slots = f64::from(engine.slots.max(1)) * servers.max(1) as f64;
+        (all / (slots * LIVE_FILL)).min(MAX_LIVE_SHARE)
+    }
+
     fn is_sound(&self, now: Time, server: ServerKey) -> bool {
         self.servers.get(server).is_some_and(|it| it.health.blocked_until() <= now)
     }
@@ -147,8 +163,12 @@
             sent_at: None,
             expected: choice.expected,
             prefill: if continues { 0 } else { choice.unread },
+            is_live: req.is_live(),
             backup: choice.backup,
         };
+        if run.is_live {
+            self.live.entry(req.pool).or_default().started(now);
+        }
         req.stage = Stage::Running(run);
         server.attempts += 1;
         server.prefill += u64::from(run.prefill);
--- a/crates/dispatch/src/request.rs
+++ b/crates/dispatch/src/request.rs
@@ -42,9 +42,9 @@
 /// server.
 pub(crate) const MIN_REMAINING: Duration = Duration::from_millis(40);
 
-/// A prompt of up to this many tokens for each token of the answer is copied to a second engine:
-/// what a crash would cost the caller outweighs the copy.
-const BACKUP_PROMPT_RATIO: u32 = 6;
+/// A stream is live with a prompt of up to this many tokens for each token of the answer: what a
+/// crash would cost the caller outweighs a copy of the run's memory.
+const LIVE_PROMPT_RATIO: u32 = 6;
 
 /// How far a request has come.
 #[derive(Clone, Copy, Debug)]
@@ -65,6 +65,8 @@
     pub(crate) expected: Duration,
     /// Prompt tokens that the server still has to read for it.
     pub(crate) prefill: u32,
+    /// Whether it counts among the live streams.
+    pub(crate) is_live: bool,
     /// The server that gets a copy of its memory.
     pub(crate) backup: Option<ServerKey>,
 }
@@ -74,13 +76,17 @@
         self.routed.rank()
     }
 
+    /// Returns whether the caller follows a long answer to a short prompt as it comes, which long
+    /// prompts at the same engine hold up.
+    pub(crate) fn is_live(&self) -> bool {
+        self.routed.route.is_stream
+            && self.prompt.tokens <= self.prompt.max_output.saturating_mul(LIVE_PROMPT_RATIO)
+    }
+
     /// Returns whether a copy of the run's memory is kept at a second engine: the stream cannot be
     /// repeated, and what has to be copied is small against what it gives.
     pub(crate) fn is_backed_up(&self) -> bool {
-        let route = &self.routed.route;
-        route.is_stream
-            && route.repeat == Repeat::Never
-            && self.prompt.tokens <= self.prompt.max_output.saturating_mul(BACKUP_PROMPT_RATIO)
+        self.is_live() && self.routed.route.repeat == Repeat::Never
     }
 
     pub(crate) fn is_repeatable(&self) -> bool {
--- a/crates/dispatch/src/server.rs
+++ b/crates/dispatch/src/server.rs
@@ -37,6 +37,11 @@
     pub fn id(&self) -> ServerId {
         ServerId::of(&self.name)
     }
+
+    /// Returns the server's place between 0 and 1 in an order on which all instances agree.
+    pub fn place(&self) -> f64 {
+        self.id().0 as f64 / u64::MAX as f64
+    }
 }
 
 /// A backend server, as this instance sees it.
--- a/crates/dispatch/src/state.rs
+++ b/crates/dispatch/src/state.rs
@@ -9,8 +9,8 @@
 use slotmap::SecondaryMap;
 
 use crate::{
-    Catalog, Effect, Event, Freshness, Note, RequestKey, RetryBudget, Setup, Share, queue::Queue,
-    request::Request, servers::Servers,
+    Catalog, Effect, Event, Freshness, LiveDemand, Note, RequestKey, RetryBudget, Setup, Share,
+    queue::Queue, request::Request, servers::Servers,
 };
 
 /// Longest time between two ticks: requests that wait are looked at again, as loads change.
@@ -56,6 +56,7 @@
     pub(crate) loads: Loads,
     pub(crate) share: Share,
     pub(crate) budgets: HashMap<PoolId, RetryBudget>,
+    pub(crate) live: HashMap<PoolId, LiveDemand>,
     pub(crate) requests: SecondaryMap<RequestKey, Request>,
     pub(crate) queue: Queue,
     is_ready: bool,
@@ -98,6 +99,7 @@
             loads: Loads::default(),
             share: Share::new(setup.address, setup.zones),
             budgets: HashMap::new(),
+            live: HashMap::new(),
             requests: SecondaryMap::new(),
             queue: Queue::default(),
             is_ready: false,
--- a/crates/dispatch/tests/decisions/live.rs
+++ b/crates/dispatch/tests/decisions/live.rs
@@ -1,6 +1,10 @@
 //! Pattern: a burst of long prompts while live conversations go on.
 
-use crate::support::{Bench, attempts, prompt, refusals, server};
+use std::{collections::BTreeSet, sync::Arc};
+
+use dispatch::{Engine, Event, ServerEntry};
+
+use crate::support::{Bench, attempts, catalog, prompt, refusals, server};
 
 /// Long prompts of a burst on two engines, far more than they read within the target.
 const BURST: u64 = 400;
@@ -52,3 +56,45 @@
     // At 100 tokens a millisecond an engine reads 120,000 tokens within the target of 1,200 ms.
     assert!((4..40).contains(&sent), "{sent} long prompts of 9,000 tokens were sent at once");
 }
+
+#[test]
+fn long_prompts_keep_off_the_engines_that_live_streams_fill() {
+    const ENGINES: u8 = 40;
+    let servers = (0..ENGINES).map(|it| server(&format!("e{it}"), "engines", 10 + it));
+    let mut bench = Bench::new(servers.collect());
+    let mut small = catalog(2);
+    for pool in small.pools.values_mut() {
+        pool.engine = pool.engine.map(|it| Engine { slots: 8, ..it });
+    }
+    for it in 0..ENGINES {
+        bench.list(ServerEntry { slots: 8, ..server(&format!("e{it}"), "engines", 10 + it) });
+    }
+    bench.step(Event::Config(Arc::new(small)));
+    let mut streams = Vec::new();
+    for own in 0..24 {
+        let mut talk = prompt(172, 500 + own, 1);
+        talk.max_output = 280;
+        let (key, effects) = bench.request("live", talk);
+        streams.push(attempts(&effects)[0].1.clone());
+        bench.step(Event::Sent { key });
+        bench.step(Event::Began { key });
+        for _ in 0..4 {
+            bench.pass(100);
+            for it in &streams {
+                bench.step(Event::Heard { server: it.server });
+            }
+        }
+        bench.read();
+    }
+    let live: BTreeSet<_> = streams.iter().map(|it| it.name.to_string()).collect();
+
+    let mut long = BTreeSet::new();
+    for topic in 0..30 {
+        let (_, effects) = bench.request("batch", prompt(6_000, 2_890, topic));
+        long.extend(attempts(&effects).into_iter().map(|it| it.1.name.to_string()));
+    }
+
+    assert!(live.len() < usize::from(ENGINES) / 4, "live streams are spread over {live:?}");
+    let shared = live.intersection(&long).count();
+    assert!(shared <= 1, "{shared} of {} engines of live streams read long prompts", live.len());
+}
