Keep live streams apart from long prompts

Change: engines have a place in an order on which all agree; live streams choose the first, and other requests keep off the share of engines that the streams of the whole fleet fill, a tenth at most.

--- a/crates/dispatch/src/placement.rs
+++ b/crates/dispatch/src/placement.rs
@@ -13,10 +13,12 @@
 
 /// The part of its target after which a request that waits takes what it can get.
 const OVERDUE_SHARE: f64 = 0.3;
-/// The part of an engine's slots that live streams fill at engines that are kept for them.
-const LIVE_FILL: f64 = 0.8;
-/// The largest share of a pool's engines that is kept for live streams.
-const MAX_LIVE_SHARE: f64 = 0.5;
+/// The part of their slots that live streams fill at engines that are kept for them: half, so that
+/// a burst of them finds room.
+const LIVE_FILL: f64 = 0.5;
+/// The largest share of engines that is kept for live streams: long prompts are most of the work,
+/// and streams that are slow because engines are full would take ever more.
+const MAX_LIVE_SHARE: f64 = 0.1;
 /// Requests of a queue that are looked at for a free server at once.
 const MAX_LOOK: usize = 64;
 /// The part of its target after which a repeatable request that got no first byte is tried at
