Say once what the change said twice

Found in reading the whole diff; behaviour stays as it is. - A request that is removed leaves the queue with it: three places did so on their own. A refusal that says truly whether the request may have run is made in one place, a server that may have restarted is taken for cold in one place, and a tick uses dispatch_all. - The id of a server was hashed from its name for each candidate of each choice, up to four times; it is kept. Assertions are unchanged.

--- a/crates/daemon/src/forward.rs
+++ b/crates/daemon/src/forward.rs
@@ -3,18 +3,17 @@
 mod events;
 mod relay;
 
-use std::io;
-
 use async_net::TcpStream;
 use control::{Event, RunOrder};
 use futures_lite::AsyncWriteExt as _;
 use http_types::Response;
+use http1::ConnectionError;
 use model::prelude::*;
 
 use crate::{
     Traffic, deadline,
     front::{Answer, AttemptFields, Outgoing},
-    http::{BodyError, Buffered, HeadError, ResponseParts, encode_request, read_response},
+    http::{Buffered, ResponseParts, encode_request, read_response},
 };
 
 /// An attempt that is to be made.
@@ -56,20 +55,8 @@
     CallerLeft,
 }
 
-impl From<io::Error> for Fault {
-    fn from(_: io::Error) -> Self {
-        Self::Broken
-    }
-}
-
-impl From<HeadError> for Fault {
-    fn from(_: HeadError) -> Self {
-        Self::Broken
-    }
-}
-
-impl From<BodyError> for Fault {
-    fn from(_: BodyError) -> Self {
+impl<E: ConnectionError> From<E> for Fault {
+    fn from(_: E) -> Self {
         Self::Broken
     }
 }
--- a/crates/daemon/src/http/head.rs
+++ b/crates/daemon/src/http/head.rs
@@ -2,7 +2,7 @@
 
 use futures_lite::{AsyncRead, io::Cursor};
 use http_types::{Method, Request};
-use http1::{Buffered, Fields, Framing, HeadError, RequestHead};
+use http1::{Buffered, Fields, Framing, HeadError, RequestHead, push_field};
 
 /// Bytes of a head, the empty line included.
 pub(super) const MAX_HEAD_BYTES: usize = 8_000;
@@ -67,10 +67,7 @@
 /// Writes the ASCII header fields that do not frame the body, and the empty line.
 pub(super) fn write_fields(head: &mut Vec<u8>, fields: &Fields) {
     for (name, value) in fields.iter().filter(|it| !frames_body(it.0) && it.1.is_ascii()) {
-        head.extend_from_slice(name.as_bytes());
-        head.extend_from_slice(b": ");
-        head.extend_from_slice(value);
-        head.extend_from_slice(b"\r\n");
+        push_field(head, name, value);
     }
     head.extend_from_slice(b"\r\n");
 }
--- a/crates/dispatch/src/admission.rs
+++ b/crates/dispatch/src/admission.rs
@@ -96,10 +96,8 @@
 
     pub(crate) fn caller_left(&mut self, now: Time, key: RequestKey) {
         let Some(req) = self.forget(key) else { return };
-        match req.stage {
-            Stage::Waiting(place) => self.queue.remove(req.pool, place),
-            Stage::Running(run) => self.settle(now, run, AttemptEnd::CallerLeft, None),
-            Stage::Idle => {}
+        if let Stage::Running(run) = req.stage {
+            self.settle(now, run, AttemptEnd::CallerLeft, None);
         }
         self.note(Note::CallerLeft { id: req.id, after: now.since(req.arrived) });
     }
@@ -109,9 +107,6 @@
         while let Some(key) = self.queue.due(now) {
             let Some(req) = self.requests.get(key) else { return };
             if req.holds_failure {
-                if let Stage::Waiting(place) = req.stage {
-                    self.queue.remove(req.pool, place);
-                }
                 self.deliver(now, key);
                 continue;
             }
@@ -120,7 +115,7 @@
                     self.servers.get(*it).is_some_and(|server| self.servers.is_open(server))
                 });
             let reason = if is_any_open { Reason::Capacity } else { Reason::NoServer };
-            let refusal = Refusal { reason, execution: req.execution(), retry_after: None };
+            let refusal = req.refusal(reason);
             self.refuse(now, key, refusal);
         }
     }
@@ -128,9 +123,6 @@
     /// Ends a request with a refusal.
     pub(crate) fn refuse(&mut self, now: Time, key: RequestKey, refusal: Refusal) {
         let Some(req) = self.forget(key) else { return };
-        if let Stage::Waiting(place) = req.stage {
-            self.queue.remove(req.pool, place);
-        }
         let is_fatal = matches!(refusal.reason, Reason::NoKey | Reason::NoRoute);
         let comes_back = refusal.execution == Execution::NotRun && !is_fatal;
         let retry_after = match refusal.retry_after {
--- a/crates/dispatch/src/choice.rs
+++ b/crates/dispatch/src/choice.rs
@@ -69,6 +69,8 @@
     pub is_near: bool,
     /// Whether rendezvous hashing names it for the prompt.
     pub home: Home,
+    /// Shared tokens of the prompt that it has read for this instance.
+    pub cached: u32,
     /// Whether it can fetch the shared part of the prompt from another server.
     pub has_source: bool,
     /// Whether the request is a live stream.
@@ -143,7 +145,7 @@
 
     /// Returns what speaks against the server for keeping live streams apart from long prompts.
     fn apart(&self) -> Duration {
-        let place = self.server.entry.place();
+        let place = self.server.place();
         if self.is_live {
             LIVE_ORDER_COST.mul_f64(place)
         } else if place < self.live_share {
@@ -166,7 +168,7 @@
     /// Returns how many shared tokens of a prompt the server is expected not to have.
     fn missing(&self, prompt: &Prompt) -> f64 {
         let shared = prompt.tokens.saturating_sub(prompt.own_tokens());
-        let unread = shared.saturating_sub(self.server.prefixes.cached(prompt));
+        let unread = shared.saturating_sub(self.cached);
         f64::from(unread) * self.home.unread()
     }
 
--- a/crates/dispatch/src/cold.rs
+++ b/crates/dispatch/src/cold.rs
@@ -28,15 +28,6 @@
         u32::try_from(recent).unwrap_or(u32::MAX)
     }
 
-    /// Returns when the next request may go if `allowed` may go in a window; never if none may.
-    pub fn opens_at(&self, now: Time, allowed: u32) -> Option<Time> {
-        if self.recent(now) < allowed {
-            return Some(now);
-        }
-        let nth = self.sent.len().checked_sub(usize::try_from(allowed).ok()?)?;
-        self.sent.get(nth).filter(|_| allowed > 0).map(|it| *it + WINDOW)
-    }
-
     fn drop_old(&mut self, now: Time) {
         while self.sent.front().is_some_and(|it| now.since(*it) >= WINDOW) {
             self.sent.pop_front();
--- a/crates/dispatch/src/fleet.rs
+++ b/crates/dispatch/src/fleet.rs
@@ -39,8 +39,8 @@
         for entry in entries {
             self.server_listed(now, entry);
         }
-        let missing = self.servers.iter().filter(|it| !listed.contains(&it.1.entry.id()));
-        let missing: Vec<_> = missing.map(|it| it.1.entry.id()).collect();
+        let missing = self.servers.iter().filter(|it| !listed.contains(&it.1.id));
+        let missing: Vec<_> = missing.map(|it| it.1.id).collect();
         for id in missing {
             self.server_unlisted(now, id);
         }
@@ -127,19 +127,25 @@
         let count = zones.len();
         let former = std::mem::replace(&mut self.servers.withdrawn, zones);
         let returned: Vec<_> = former.difference(&self.servers.withdrawn).copied().collect();
-        let catalog = self.catalog.clone();
-        for (_, server) in self.servers.iter_mut() {
-            if returned.contains(&server.entry.zone) {
-                // Servers of a zone that comes back may have been restarted meanwhile.
-                let pool = catalog.as_ref().and_then(|it| it.pools.get(&server.entry.pool));
-                server.chill(now, pool.map_or(Duration::ZERO, |it| it.cold_start));
-            }
+        // Servers of a zone that comes back may have been restarted meanwhile.
+        let back = self.servers.iter().filter(|it| returned.contains(&it.1.entry.zone));
+        for key in back.map(|it| it.0).collect::<Vec<_>>() {
+            self.chill(now, key);
         }
         self.note(Note::Withdrawn { zones: count });
         self.dispatch_all(now);
     }
 
-    pub(crate) fn cold_start(&self, pool: PoolId) -> Duration {
+    /// Takes a server for cold that may have been restarted.
+    pub(crate) fn chill(&mut self, now: Time, key: ServerKey) {
+        let Some(pool) = self.servers.get(key).map(|it| it.entry.pool) else { return };
+        let cold_start = self.cold_start(pool);
+        if let Some(server) = self.servers.get_mut(key) {
+            server.chill(now, cold_start);
+        }
+    }
+
+    fn cold_start(&self, pool: PoolId) -> Duration {
         let pool = self.catalog.as_ref().and_then(|it| it.pools.get(&pool));
         pool.map_or(Duration::ZERO, |it| it.cold_start)
     }
@@ -183,7 +189,7 @@
     fn own_loads(&self) -> Vec<Load> {
         let busy = self.servers.iter().filter(|it| it.1.attempts > 0);
         let load = |it: (ServerKey, &crate::Server)| Load {
-            server: ServerTag::from(it.1.entry.id()),
+            server: ServerTag::from(it.1.id),
             attempts: u16::try_from(it.1.attempts).unwrap_or(u16::MAX),
             prefill: u32::try_from(it.1.prefill).unwrap_or(u32::MAX),
         };
@@ -205,12 +211,8 @@
             let Some(hash) = &req.routed.key else { continue };
             let account = catalog.accounts.as_ref().and_then(|it| it.get(hash));
             if account != req.routed.account.as_ref() && matches!(req.stage, Stage::Waiting(_)) {
-                let execution = req.execution();
-                self.refuse(
-                    now,
-                    key,
-                    Refusal { reason: Reason::NoKey, execution, retry_after: None },
-                );
+                let refusal = req.refusal(Reason::NoKey);
+                self.refuse(now, key, refusal);
             }
         }
     }
--- a/crates/dispatch/src/freshness.rs
+++ b/crates/dispatch/src/freshness.rs
@@ -26,14 +26,11 @@
     }
 
     /// Takes what a peer knows, which was up to date at `as_of`. It is evidence only for the same
-    /// view. Returns whether it was.
-    pub fn told(&mut self, view: View, as_of: Time) -> bool {
-        let is_same = self.as_of.is_some() && view.digest == self.view.digest;
-        if is_same && self.as_of < Some(as_of) {
-            self.as_of = Some(as_of);
-            return true;
+    /// view.
+    pub fn told(&mut self, view: View, as_of: Time) {
+        if self.as_of.is_some() && view.digest == self.view.digest {
+            self.as_of = self.as_of.max(Some(as_of));
         }
-        false
     }
 
     /// Returns whether a peer has read something that is not known here.
--- a/crates/dispatch/src/health.rs
+++ b/crates/dispatch/src/health.rs
@@ -51,9 +51,9 @@
         }
     }
 
-    /// Returns until when the server gets nothing.
-    pub(crate) fn blocked_until(&self) -> Time {
-        self.blocked_until
+    /// Returns whether the server gets nothing for now.
+    pub(crate) fn is_blocked(&self, now: Time) -> bool {
+        now < self.blocked_until
     }
 
     /// Returns the share of failures, lately.
@@ -99,7 +99,7 @@
     pub(crate) fn not_connected(&mut self, now: Time) {
         self.outcome(now, true);
         self.was_down = true;
-        if now >= self.blocked_until {
+        if !self.is_blocked(now) {
             self.blocked_until = now + self.backoff;
             self.backoff = (self.backoff * 2).min(MAX_BACKOFF);
         }
--- a/crates/dispatch/src/outcome.rs
+++ b/crates/dispatch/src/outcome.rs
@@ -48,11 +48,7 @@
         server.health.heard(now);
         if std::mem::take(&mut server.health.was_down) {
             // Whether the server was cut off or restarted cannot be told.
-            let pool = server.entry.pool;
-            let cold_start = self.cold_start(pool);
-            if let Some(server) = self.servers.get_mut(key) {
-                server.chill(now, cold_start);
-            }
+            self.chill(now, key);
         }
     }
 
@@ -149,7 +145,7 @@
         if !broke_midway || is_late || !self.may_send(now, server, pool) {
             return None;
         }
-        let others = self.loads.at(server.entry.id().into()).attempts;
+        let others = self.loads.at(server.id.into()).attempts;
         let choice = Choice {
             server: run.backup?,
             cost: Duration::ZERO,
@@ -163,17 +159,14 @@
     }
 
     fn next(&mut self, now: Time, key: RequestKey, end: AttemptEnd) -> Next {
-        let Some(req) = self.requests.get_mut(key) else {
-            return Next::Refuse(Refusal::unknown(Reason::ServerFailed));
-        };
+        let gone = Next::Refuse(Refusal::unknown(Reason::ServerFailed));
+        let Some(req) = self.requests.get_mut(key) else { return gone };
         let can_retry = req.may_run_again(now, req.runs);
-        let execution = req.execution();
-        let refusal = |reason| Next::Refuse(Refusal { reason, execution, retry_after: None });
         let is_late = now + MIN_REMAINING >= req.end_by;
         let may_start = req.runs == 0 || req.is_repeatable();
         let may_go_on = match end {
             _ if !may_start => false,
-            AttemptEnd::Unused => return refusal(Reason::NotReady),
+            AttemptEnd::Unused => return Next::Refuse(req.refusal(Reason::NotReady)),
             // Nothing arrived, so nothing is repeated.
             AttemptEnd::NotConnected => !is_late,
             AttemptEnd::Rejected { .. } => {
@@ -189,14 +182,15 @@
         if may_go_on {
             return Next::Retry;
         }
-        let Some(req) = self.requests.get(key) else { return refusal(Reason::ServerFailed) };
-        match end {
-            _ if req.holds_failure || end == AttemptEnd::Held => Next::Deliver,
-            AttemptEnd::Rejected { .. } => refusal(Reason::Capacity),
-            AttemptEnd::NotConnected => refusal(Reason::NoServer),
-            AttemptEnd::TimedOut { .. } => refusal(Reason::ServerTimeout),
-            _ => refusal(Reason::ServerFailed),
-        }
+        let Some(req) = self.requests.get(key) else { return gone };
+        let reason = match end {
+            _ if req.holds_failure || end == AttemptEnd::Held => return Next::Deliver,
+            AttemptEnd::Rejected { .. } => Reason::Capacity,
+            AttemptEnd::NotConnected => Reason::NoServer,
+            AttemptEnd::TimedOut { .. } => Reason::ServerTimeout,
+            _ => Reason::ServerFailed,
+        };
+        Next::Refuse(req.refusal(reason))
     }
 
     fn reserve_retry(&mut self, now: Time, key: RequestKey) -> bool {
@@ -206,9 +200,12 @@
         req.has_retry
     }
 
-    /// Removes a request, with what it has reserved.
+    /// Removes a request, with its place in the queue and what it has reserved.
     pub(crate) fn forget(&mut self, key: RequestKey) -> Option<Request> {
         let req = self.requests.remove(key)?;
+        if let Stage::Waiting(place) = req.stage {
+            self.queue.remove(req.pool, place);
+        }
         if req.has_retry {
             self.budgets.entry(req.pool).or_default().release();
         }
--- a/crates/dispatch/src/placement.rs
+++ b/crates/dispatch/src/placement.rs
@@ -67,16 +67,18 @@
             if !is_new || server.attempts >= connections || !self.may_send(now, server, pool) {
                 continue;
             }
-            let source = homes.source(it, server.prefixes.cached(&req.prompt));
+            let cached = server.prefixes.cached(&req.prompt);
+            let source = homes.source(it, cached);
             let source = source.filter(|it| can_fetch && self.is_sound(now, *it));
             let candidate = Candidate {
                 server,
                 has_source: source.is_some(),
                 is_live,
                 live_share,
-                others: self.loads.at(server.entry.id().into()),
+                others: self.loads.at(server.id.into()),
                 is_near: server.entry.zone == self.setup.zone,
                 home: homes.of(it),
+                cached,
             };
             let estimate = candidate.estimate(now, pool, &req.prompt, target);
             if !estimate.suits(target, is_top, is_overdue) {
@@ -106,13 +108,13 @@
     }
 
     fn is_sound(&self, now: Time, server: ServerKey) -> bool {
-        self.servers.get(server).is_some_and(|it| it.health.blocked_until() <= now)
+        self.servers.get(server).is_some_and(|it| !it.health.is_blocked(now))
     }
 
     /// Returns whether a server may get a request now: it stays, did not fail just now, and if it is
     /// cold has not had this instance's part of what it takes.
     pub(crate) fn may_send(&self, now: Time, server: &Server, pool: &Pool) -> bool {
-        if !self.servers.is_open(server) || server.health.blocked_until() > now {
+        if !self.servers.is_open(server) || server.health.is_blocked(now) {
             return false;
         }
         if !server.is_cold(now) || pool.cold_rate <= 0.0 {
@@ -120,7 +122,7 @@
         }
         let bounds = &self.setup.bounds;
         let limit = (pool.cold_rate * bounds.cold_factor + bounds.cold_extra).floor() as u32;
-        server.gate.recent(now) < self.share.units(limit, server.entry.id())
+        server.gate.recent(now) < self.share.units(limit, server.id)
     }
 
     /// Returns the servers that have or should have read the part of the prompt that other requests
@@ -131,8 +133,8 @@
         for &key in servers {
             let Some(server) = self.servers.get(key) else { continue };
             if self.servers.is_open(server) {
-                let rank = xxh3_64_with_seed(&part.id.to_be_bytes(), server.entry.id().0);
-                if self.is_sound(now, key) {
+                let rank = xxh3_64_with_seed(&part.id.to_be_bytes(), server.id.0);
+                if !server.health.is_blocked(now) {
                     homes.hold(server.prefixes.cached(&req.prompt), rank, key);
                 }
                 homes.add(rank, key);
--- a/crates/dispatch/src/request.rs
+++ b/crates/dispatch/src/request.rs
@@ -101,7 +101,8 @@
             && now + MIN_REMAINING < self.end_by
     }
 
-    pub(crate) fn execution(&self) -> Execution {
-        if self.runs == 0 { Execution::NotRun } else { Execution::Unknown }
+    /// Returns a refusal that says truly whether the request may have run.
+    pub(crate) fn refusal(&self, reason: Reason) -> Refusal {
+        if self.runs == 0 { Refusal::not_run(reason) } else { Refusal::unknown(reason) }
     }
 }
--- a/crates/dispatch/src/server.rs
+++ b/crates/dispatch/src/server.rs
@@ -37,16 +37,13 @@
     pub fn id(&self) -> ServerId {
         ServerId::of(&self.name)
     }
-
-    /// Returns the server's place between 0 and 1 in an order on which all instances agree.
-    pub fn place(&self) -> f64 {
-        self.id().0 as f64 / u64::MAX as f64
-    }
 }
 
 /// A backend server, as this instance sees it.
 #[derive(Clone, Debug)]
 pub struct Server {
+    /// The id of its entry.
+    pub id: ServerId,
     /// What the platform lists of it.
     pub entry: ServerEntry,
     /// Attempts of this instance that run there.
@@ -67,6 +64,7 @@
     /// Starts with what the platform lists.
     pub fn new(now: Time, entry: ServerEntry) -> Self {
         Self {
+            id: entry.id(),
             cold_until: now + entry.cold,
             entry,
             attempts: 0,
@@ -78,6 +76,11 @@
         }
     }
 
+    /// Returns the server's place between 0 and 1 in an order on which all instances agree.
+    pub fn place(&self) -> f64 {
+        self.id.0 as f64 / u64::MAX as f64
+    }
+
     /// Returns whether the server is cold.
     pub fn is_cold(&self, now: Time) -> bool {
         now < self.cold_until
--- a/crates/dispatch/src/servers.rs
+++ b/crates/dispatch/src/servers.rs
@@ -34,18 +34,15 @@
         self.all.iter()
     }
 
-    pub(crate) fn iter_mut(&mut self) -> impl Iterator<Item = (ServerKey, &mut Server)> {
-        self.all.iter_mut()
-    }
-
     /// Returns the servers of a pool.
     pub(crate) fn of_pool(&self, pool: PoolId) -> &[ServerKey] {
         self.pools.get(&pool).map_or(&[], Vec::as_slice)
     }
 
     pub(crate) fn insert(&mut self, now: Time, entry: ServerEntry) -> ServerKey {
-        let (id, pool) = (entry.id(), entry.pool);
-        let key = self.all.insert(Server::new(now, entry));
+        let server = Server::new(now, entry);
+        let (id, pool) = (server.id, server.entry.pool);
+        let key = self.all.insert(server);
         self.by_id.insert(id, key);
         self.pools.entry(pool).or_default().push(key);
         key
@@ -53,7 +50,7 @@
 
     pub(crate) fn remove(&mut self, key: ServerKey) -> Option<Server> {
         let server = self.all.remove(key)?;
-        self.by_id.remove(&server.entry.id());
+        self.by_id.remove(&server.id);
         if let Some(pool) = self.pools.get_mut(&server.entry.pool) {
             pool.retain(|it| *it != key);
         }
--- a/crates/dispatch/src/state.rs
+++ b/crates/dispatch/src/state.rs
@@ -207,9 +207,7 @@
         self.gossip(now);
         self.drop_lapsed(now);
         self.refuse_due(now);
-        for pool in self.queue.pools() {
-            self.dispatch(now, pool);
-        }
+        self.dispatch_all(now);
         self.advance_phase(now);
     }
 
--- a/crates/dispatch/tests/shares.rs
+++ b/crates/dispatch/tests/shares.rs
@@ -25,6 +25,11 @@
     (0..size).map(share).collect()
 }
 
+/// The share of an instance that knows no other.
+fn lone_share() -> Share {
+    fleet(1).remove(0)
+}
+
 #[test]
 fn units_about_a_server_add_up_to_no_more_than_the_whole() {
     for size in [1, 2, 7, 10, 34, 35, 36, 100, 340] {
@@ -101,8 +106,7 @@
 
 #[test]
 fn retries_that_all_come_at_once_after_a_calm_time_keep_to_the_budget() {
-    let shares = fleet(1);
-    let bounds = Bounds { retry_slack: 54.0, ..Bounds::default() };
+    let (share, bounds) = (lone_share(), Bounds { retry_slack: 54.0, ..Bounds::default() });
     let mut budget = RetryBudget::default();
     let start = Time::from_millis(10_000);
     let requests: Vec<_> = (0..10_000).map(|it| start + Duration::from_millis(2) * it).collect();
@@ -111,7 +115,7 @@
         budget.request(*at, &bounds);
     }
     let end = *requests.last().unwrap();
-    let retries = (0..10_000).filter(|_| budget.reserve(end, &bounds, &shares[0])).count();
+    let retries = (0..10_000).filter(|_| budget.reserve(end, &bounds, &share)).count();
 
     let asked = requests.iter().filter(|it| end.since(**it) < bounds.retry_window).count();
     let allowed = bounds.retry_ratio * asked as f64 + bounds.retry_slack;
@@ -124,10 +128,8 @@
 fn retries_after_a_burst_keep_to_the_budget_in_every_window() {
     for seed in 0..20 {
         let mut rng = ChaCha8Rng::seed_from_u64(seed);
-        let shares = fleet(1);
-        let bounds = Bounds { retry_slack: 4.0, ..Bounds::default() };
-        let mut budget = RetryBudget::default();
-        let start = Time::from_millis(10_000);
+        let (share, bounds) = (lone_share(), Bounds { retry_slack: 4.0, ..Bounds::default() });
+        let (mut budget, start) = (RetryBudget::default(), Time::from_millis(10_000));
         let (begin, end) = (rng.random_range(0..20_000), rng.random_range(20_000..40_000));
         let failing = end - rng.random_range(0..5_000)..end + rng.random_range(0..5_000);
         let (mut requests, mut retries) = (Vec::new(), Vec::new());
@@ -138,7 +140,7 @@
                 budget.request(now, &bounds);
                 requests.push(now);
             }
-            if failing.contains(&millis) && budget.reserve(now, &bounds, &shares[0]) {
+            if failing.contains(&millis) && budget.reserve(now, &bounds, &share) {
                 budget.spend(now, &bounds);
                 retries.push(now);
             }
@@ -165,10 +167,8 @@
 fn retries_that_wait_before_they_are_sent_keep_to_the_budget() {
     for seed in 0..20 {
         let mut rng = ChaCha8Rng::seed_from_u64(seed);
-        let shares = fleet(1);
-        let bounds = Bounds { retry_slack: 4.0, ..Bounds::default() };
-        let mut budget = RetryBudget::default();
-        let start = Time::from_millis(10_000);
+        let (share, bounds) = (lone_share(), Bounds { retry_slack: 4.0, ..Bounds::default() });
+        let (mut budget, start) = (RetryBudget::default(), Time::from_millis(10_000));
         let (mut waiting, mut retries) = (0, Vec::new());
 
         for millis in 0..60_000 {
@@ -176,7 +176,7 @@
             if millis % 5 == 0 {
                 budget.request(now, &bounds);
             }
-            if budget.reserve(now, &bounds, &shares[0]) {
+            if budget.reserve(now, &bounds, &share) {
                 waiting += 1;
             }
             // Servers that come back take all that waits.
--- a/crates/edge/src/answer.rs
+++ b/crates/edge/src/answer.rs
@@ -4,7 +4,7 @@
 
 use async_net::TcpStream;
 use futures_lite::AsyncWriteExt as _;
-use http1::{Fields, Framing, ResponseHead};
+use http1::{Fields, Framing, ResponseHead, push_field};
 
 use crate::problem::Problem;
 
@@ -167,11 +167,3 @@
         buf.extend_from_slice(b"\r\n");
     }
 }
-
-/// Writes a header field.
-pub(crate) fn push_field(buf: &mut Vec<u8>, name: &str, value: &[u8]) {
-    buf.extend_from_slice(name.as_bytes());
-    buf.extend_from_slice(b": ");
-    buf.extend_from_slice(value);
-    buf.extend_from_slice(b"\r\n");
-}
--- a/crates/edge/src/attempt.rs
+++ b/crates/edge/src/attempt.rs
@@ -6,7 +6,7 @@
 use async_net::TcpStream;
 use dispatch::{Attempt, AttemptEnd, Event, RequestKey};
 use futures_lite::{AsyncWriteExt as _, future};
-use http1::{BodyError, Buffered, Framing, HeadError, ResponseHead, read_whole};
+use http1::{Buffered, ConnectionError, Framing, ResponseHead, read_whole};
 use model::prelude::*;
 use rustix::net::sockopt::set_tcp_user_timeout;
 
@@ -66,20 +66,8 @@
     CallerLeft,
 }
 
-impl From<io::Error> for Fault {
-    fn from(_: io::Error) -> Self {
-        Self::Broken
-    }
-}
-
-impl From<HeadError> for Fault {
-    fn from(_: HeadError) -> Self {
-        Self::Broken
-    }
-}
-
-impl From<BodyError> for Fault {
-    fn from(_: BodyError) -> Self {
+impl<E: ConnectionError> From<E> for Fault {
+    fn from(_: E) -> Self {
         Self::Broken
     }
 }
--- a/crates/edge/src/exchange.rs
+++ b/crates/edge/src/exchange.rs
@@ -131,9 +131,8 @@
         let instance = &self.instance;
         let limit = instance.limits();
         let length = match head.framing() {
-            Framing::Absent => 0,
             Framing::Length(length) => usize::try_from(length).unwrap_or(usize::MAX),
-            Framing::Chunked | Framing::UntilClose => 0,
+            Framing::Absent | Framing::Chunked | Framing::UntilClose => 0,
         };
         if length > limit.body_bytes {
             self.answer.closes = true;
--- a/crates/edge/src/outgoing.rs
+++ b/crates/edge/src/outgoing.rs
@@ -1,11 +1,8 @@
 //! A request as backend servers get it.
 
-use http1::{Framing, RequestHead};
+use http1::{Framing, RequestHead, push_field};
 
-use crate::{
-    AttemptFields, Dialect,
-    answer::{is_hop_by_hop, push_field},
-};
+use crate::{AttemptFields, Dialect, answer::is_hop_by_hop};
 
 /// A request as backend servers get it.
 #[derive(Debug)]
--- a/crates/http1/src/error.rs
+++ b/crates/http1/src/error.rs
@@ -4,7 +4,7 @@
 
 use thiserror::Error;
 
-use crate::raw::MAX_FIELDS;
+use crate::{BodyError, raw::MAX_FIELDS};
 
 /// Why a head could not be read.
 #[derive(Debug, Error)]
@@ -37,3 +37,10 @@
         }
     }
 }
+
+/// An error after which nothing more can be read from a connection.
+pub trait ConnectionError {}
+
+impl ConnectionError for io::Error {}
+impl ConnectionError for HeadError {}
+impl ConnectionError for BodyError {}
--- a/crates/http1/src/fields.rs
+++ b/crates/http1/src/fields.rs
@@ -68,6 +68,14 @@
     }
 }
 
+/// Writes a header field and the end of its line.
+pub fn push_field(buf: &mut Vec<u8>, name: &str, value: &[u8]) {
+    buf.extend_from_slice(name.as_bytes());
+    buf.extend_from_slice(b": ");
+    buf.extend_from_slice(value);
+    buf.extend_from_slice(b"\r\n");
+}
+
 /// Returns where `part` lies in `raw`, which contains it.
 pub(crate) fn span(raw: &[u8], part: &[u8]) -> Range<u32> {
     let start = (part.as_ptr() as usize).saturating_sub(raw.as_ptr() as usize);
--- a/crates/http1/src/lib.rs
+++ b/crates/http1/src/lib.rs
@@ -15,8 +15,8 @@
 
 pub use body::{BodyError, Frames, read_whole};
 pub use buffered::Buffered;
-pub use error::HeadError;
-pub use fields::Fields;
+pub use error::{ConnectionError, HeadError};
+pub use fields::{Fields, push_field};
 pub use framing::Framing;
 pub use request::RequestHead;
 pub use response::ResponseHead;
