Set engines apart for live streams, as many as the whole fleet needs

Cause: a long prompt stops all streams at its engine while it is read. Live streams chose the first of these engines, blind to what the other instances sent there at the same time.

Change: probes along the broadcast tree carry the live streams and the prompt tokens a second of all members below, answers the sum. All instances set the same engines apart: those with the least place in the common order, as many as the streams need at half of the slots, or at 0.85 of them where prompts need the other engines. The number grows at once and falls by half of the excess each 5 s. Other requests go there only when they are overdue, and no prefix has its home there. Streams are spread over these engines by a hash of the request.

--- a/crates/dispatch/src/admission.rs
+++ b/crates/dispatch/src/admission.rs
@@ -80,6 +80,9 @@
             has_reserved_retry: false,
             holds_server_error: false,
         };
+        if let Some(pool) = pool {
+            self.count_prompt(now, pool, &req);
+        }
         self.requests.insert(key, req);
         let Some(pool) = pool else {
             return self.refuse(now, key, Refusal::not_run(Reason::NoServer));
--- a/crates/dispatch/src/choice.rs
+++ b/crates/dispatch/src/choice.rs
@@ -7,7 +7,7 @@
 
 /// Rate at which an engine is assumed to read uncached prompt tokens: rounded down from the 112 and
 /// 157 tokens per ms that engines are specified for.
-const PREFILL_TOKENS_PER_MS: f64 = 100.0;
+pub(crate) const PREFILL_TOKENS_PER_MS: f64 = 100.0;
 /// Expected time to the first event at an engine without other work: the 26 to 31 ms that engines
 /// are specified for, and some generation steps.
 const ENGINE_BASE_LATENCY: Duration = Duration::from_millis(55);
@@ -30,20 +30,15 @@
 const SAFE_TARGET_SHARE: f64 = 0.5;
 /// What each further millisecond adds to the cost, in milliseconds.
 const LATE_COST_FACTOR: f64 = 4.0;
-/// Added to the cost of the engine that live streams prefer most, for all other requests; less for
-/// the following engines. Prefill interrupts the streams at that engine, and this is a few times
-/// the longest pause that a caller should see (150 to 200 ms).
-const LIVE_ENGINE_COST: Duration = Duration::from_millis(600);
-/// Added to the cost of the last engine in the order of preference of live streams; less for those
-/// before it. It is about the time to first event at an idle engine, so that a stream never queues
-/// at a preferred engine while another one is idle.
-const LIVE_ORDER_COST: Duration = Duration::from_millis(60);
+/// Upper bound on a random addition to the cost of an engine for a live stream. It spreads streams
+/// that many instances start at the same time, before any of them knows of the others'.
+const SPREAD_COST: Duration = Duration::from_millis(15);
 /// Added to the cost of a server that fails every request, and in proportion to its failure rate
 /// for others.
 const FAILURE_COST: Duration = Duration::from_millis(1_500);
 /// The share of the uncached prefix that the first choice for it is expected to read: other
 /// instances have probably sent the prefix there even if this one has not.
-const FIRST_CHOICE_UNCACHED: f64 = 0.1;
+pub(crate) const FIRST_CHOICE_UNCACHED: f64 = 0.1;
 /// The same for the second choice, which gets requests only when the first one is overloaded.
 const SECOND_CHOICE_UNCACHED: f64 = 0.6;
 /// The share of the tokens to be fetched that the engine is expected to read all the same: the
@@ -81,10 +76,8 @@
     pub cached_tokens: u32,
     /// Whether it can fetch the shared prefix from another server.
     pub has_fetch_source: bool,
-    /// Whether the request is a live stream.
-    pub is_live_stream: bool,
-    /// The share of the pool's engines that live streams fill, from 0 to 1.
-    pub live_share: f64,
+    /// How much of the random addition to the cost applies, from 0 to 1.
+    pub spread: f64,
 }
 
 /// Whether a server is a preferred one for a shared prefix. Rendezvous hashing decides, so that all
@@ -149,25 +142,12 @@
         let late = first_byte.saturating_sub(safe).mul_f64(LATE_COST_FACTOR);
         let reading = Duration::from_secs_f64(uncached * UNCACHED_TOKEN_COST_MS / 1e3);
         let wait = first_byte.min(safe) + late;
-        let separation =
-            if pool.engine.is_some() { self.separation_cost() } else { Duration::ZERO };
-        let cost = wait + separation + reading + zone + failures + 2 * health.excess_silence(now);
+        let spread = SPREAD_COST.mul_f64(self.spread);
+        let cost = wait + spread + reading + zone + failures + 2 * health.excess_silence(now);
         let prefill_tokens = prompt.own_tokens().saturating_add(uncached as u32);
         Estimate { first_byte, cost, prefill_tokens, is_full }
     }
 
-    /// Returns the cost that keeps live streams and long prompts at different engines.
-    fn separation_cost(&self) -> Duration {
-        let position = self.server.order_position();
-        if self.is_live_stream {
-            LIVE_ORDER_COST.mul_f64(position)
-        } else if position < self.live_share {
-            LIVE_ENGINE_COST.mul_f64(1.0 - position / self.live_share)
-        } else {
-            Duration::ZERO
-        }
-    }
-
     /// Returns the time to the first event at an engine, and whether the engine is full.
     fn at_engine(&self, slots: u32, prompt: &Prompt, uncached: f64) -> (Duration, bool) {
         let attempts = self.server.attempts + self.others.attempts;
--- a/crates/dispatch/src/effect.rs
+++ b/crates/dispatch/src/effect.rs
@@ -5,7 +5,7 @@
 use gossip::{OutgoingPacket, OutgoingTreeMessage};
 use model::prelude::*;
 
-use crate::{Attempt, AttemptEnd, RequestKey};
+use crate::{Attempt, AttemptEnd, FleetDemand, RequestKey};
 
 /// An effect of a decision, which the instance carries out.
 #[derive(Debug)]
@@ -79,6 +79,15 @@
         /// The number of evacuated zones.
         zones: usize,
     },
+    /// The number of engines that are set apart for live streams changed.
+    LiveEngines {
+        /// The name of their pool.
+        pool: Box<str>,
+        /// How many are set apart now.
+        count: usize,
+        /// The demand of the whole fleet that decided it.
+        demand: FleetDemand,
+    },
     /// Another instance was found.
     MemberFound {
         /// The address at which it receives packets.
--- a/crates/dispatch/src/outcome.rs
+++ b/crates/dispatch/src/outcome.rs
@@ -88,7 +88,7 @@
         cold: Option<Duration>,
     ) {
         if let Some(pool) = running.live_pool {
-            self.live_streams.entry(pool).or_default().ended(now);
+            self.demand.entry(pool).or_default().stream_ended(now);
         }
         let Some(server) = self.servers.get_mut(running.server) else { return };
         server.attempts = server.attempts.saturating_sub(1);
@@ -173,6 +173,7 @@
         let others = self.loads.total(server.id.into()).attempts;
         let choice = Choice {
             server: running.backup?,
+            is_mixed: false,
             cost: Duration::ZERO,
             expected: running.expected,
             others,
--- a/crates/dispatch/src/placement.rs
+++ b/crates/dispatch/src/placement.rs
@@ -14,13 +14,6 @@
 /// The share of its target after which a waiting request is overdue: it will hardly meet its
 /// target, and accepts a server with a longer time to first byte.
 const OVERDUE_SHARE: f64 = 0.3;
-/// The share of slots that live streams fill at the engines they prefer. The other half takes
-/// bursts of streams.
-const LIVE_SLOT_SHARE: f64 = 0.5;
-/// The largest share of a pool's engines that other requests avoid for the sake of live streams.
-/// Long prompts are most of the work; without this limit, full engines would slow the streams,
-/// more streams would run at a time, and they would claim ever more engines.
-const MAX_LIVE_SHARE: f64 = 0.1;
 /// The number of requests at the head of a pool's queue that are considered when servers may have
 /// become free. It bounds the time of a step while the queue is long.
 const MAX_SCANNED_REQUESTS: usize = 64;
@@ -57,10 +50,15 @@
         let is_top_tier = catalog.is_top_tier(req.pool, req.routed.route.tier);
         let is_overdue = now.since(req.arrived) > target.mul_f64(OVERDUE_SHARE);
         let servers = self.servers.in_pool(req.pool);
-        let preferred = self.preferred_servers(now, req, servers);
-        let max_connections = self.max_connections(req.pool);
-        let live_share = self.live_share(now, req.pool, pool, servers.len());
         let is_live_stream = req.is_live_stream();
+        let live_engines = self.live_engines(req.pool, pool);
+        let is_meant = |server: &Server| {
+            pool.engine.is_none() || live_engines.contains(server) == is_live_stream
+        };
+        let preferred = self.preferred_servers(now, req, servers, is_meant);
+        let max_connections = self.max_connections(req.pool);
+        // Long prompts go to the engines of live streams only when no other one takes them in time.
+        let may_mix = is_live_stream || is_overdue;
         let can_fetch = pool.engine.is_some_and(|engine| engine.fetch_per_token.is_some());
         let is_backed_up =
             req.is_backed_up() && pool.engine.is_some_and(|engine| engine.has_backups);
@@ -75,6 +73,10 @@
             {
                 continue;
             }
+            let is_mixed = !is_meant(server);
+            if is_mixed && !may_mix {
+                continue;
+            }
             let cached_tokens = server.prefixes.cached_tokens(&req.prompt);
             let fetch_source = preferred.fetch_source(key, cached_tokens);
             let fetch_source =
@@ -82,8 +84,7 @@
             let candidate = Candidate {
                 server,
                 has_fetch_source: fetch_source.is_some(),
-                is_live_stream,
-                live_share,
+                spread: if is_live_stream { spread(&req.id, server) } else { 0.0 },
                 others: self.loads.total(server.id.into()),
                 is_same_zone: server.entry.zone == self.setup.zone,
                 affinity: preferred.affinity(key),
@@ -98,6 +99,7 @@
             let prefill_tokens = estimate.prefill_tokens;
             let choice = Choice {
                 server: key,
+                is_mixed,
                 cost,
                 expected,
                 prefill_tokens,
@@ -105,9 +107,9 @@
                 backup: None,
                 fetch_source,
             };
-            if best.as_ref().is_none_or(|best| cost < best.cost) {
+            if best.as_ref().is_none_or(|best| choice.is_better(best)) {
                 second = best.replace(choice);
-            } else if second.as_ref().is_none_or(|second| cost < second.cost) {
+            } else if second.as_ref().is_none_or(|second| choice.is_better(second)) {
                 second = Some(choice);
             }
         }
@@ -115,17 +117,6 @@
         best.map(|best| Choice { backup, ..best })
     }
 
-    /// Returns the share of a pool's engines that the live streams of all instances fill, if each
-    /// instance has as many as this one.
-    fn live_share(&self, now: Time, id: PoolId, pool: &Pool, servers: usize) -> f64 {
-        let (Some(engine), Some(streams)) = (pool.engine, self.live_streams.get(&id)) else {
-            return 0.0;
-        };
-        let all = streams.mean(now) * self.members.alive_count() as f64;
-        let slots = f64::from(engine.slots.max(1)) * servers.max(1) as f64;
-        (all / (slots * LIVE_SLOT_SHARE)).min(MAX_LIVE_SHARE)
-    }
-
     /// Returns whether a server is known and not backed off.
     fn is_available(&self, now: Time, server: ServerKey) -> bool {
         self.servers.get(server).is_some_and(|server| !server.health.is_backed_off(now))
@@ -146,19 +137,20 @@
         server.recent_requests.count(now) < self.share.whole_units(limit, server.id)
     }
 
-    /// Returns the servers that rendezvous hashing prefers for the shared prefix of a request, and
-    /// the one that has most of it cached.
+    /// Returns the servers that rendezvous hashing prefers for the shared prefix of a request, among
+    /// those for which `is_meant` holds, and the one that has most of it cached.
     fn preferred_servers(
         &self,
         now: Time,
         req: &Request,
         servers: &[ServerKey],
+        is_meant: impl Fn(&Server) -> bool,
     ) -> PreferredServers {
         let mut preferred = PreferredServers::default();
         let Some(part) = req.prompt.last_shared_part() else { return preferred };
         for &key in servers {
             let Some(server) = self.servers.get(key) else { continue };
-            if self.servers.is_eligible(server) {
+            if self.servers.is_eligible(server) && is_meant(server) {
                 let hash_rank = xxh3_64_with_seed(&part.id.to_be_bytes(), server.id.0);
                 if !server.health.is_backed_off(now) {
                     preferred.add_holder(
@@ -203,7 +195,7 @@
             backup: choice.backup,
         };
         if let Some(pool) = running.live_pool {
-            self.live_streams.entry(pool).or_default().started(now);
+            self.demand.entry(pool).or_default().stream_started(now);
         }
         req.stage = Stage::Running(running);
         server.attempts += 1;
@@ -260,6 +252,8 @@
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct Choice {
     pub(crate) server: ServerKey,
+    /// Whether it is an engine set apart for live streams and the request is none, or the reverse.
+    pub(crate) is_mixed: bool,
     /// The lower, the better: see [`crate::Estimate::cost`].
     pub(crate) cost: Duration,
     /// The expected time to first byte.
@@ -274,6 +268,18 @@
     pub(crate) fetch_source: Option<ServerKey>,
 }
 
+impl Choice {
+    /// Returns whether the server is to be preferred to that of another choice.
+    fn is_better(&self, other: &Self) -> bool {
+        (self.is_mixed, self.cost) < (other.is_mixed, other.cost)
+    }
+}
+
+/// Returns a number from 0 to 1 that is different for each pair of a request and a server.
+fn spread(id: &str, server: &Server) -> f64 {
+    xxh3_64_with_seed(id.as_bytes(), server.id.0) as f64 / u64::MAX as f64
+}
+
 /// The servers that rendezvous hashing prefers for a shared prefix, and the one that has most of it
 /// cached.
 #[derive(Clone, Copy, Default, Debug)]
--- a/crates/dispatch/src/reading.rs
+++ b/crates/dispatch/src/reading.rs
@@ -123,7 +123,8 @@
         let is_failing = self.failing_since.is_some();
         let substitute = if is_failing { self.members.any_available() } else { None };
         let was_root = self.upstream.is_root();
-        if let Some(outgoing) = self.upstream.tick(now, &candidates, substitute) {
+        let demand = self.own_demand(now);
+        if let Some(outgoing) = self.upstream.tick(now, &candidates, substitute, demand) {
             self.emit(Effect::SendTree(outgoing));
         }
         if self.upstream.is_root() && !was_root {
@@ -135,15 +136,16 @@
     pub(crate) fn tree_message(&mut self, now: Time, message: TreeMessage) {
         let sender = message.sender;
         match message.content {
-            TreeContent::Probe { number } => {
+            TreeContent::Probe(probe) => {
                 let is_cut_off = self.upstream.is_root() && self.failing_since.is_some();
                 let status = self.freshness.view_status(now);
-                let answer = self.upstream.probed(now, sender, number, status, is_cut_off);
+                let answer = self.upstream.probed(now, sender, probe, status, is_cut_off);
                 self.emit(Effect::SendTree(answer));
             }
-            TreeContent::Answer { number, view_status, is_cut_off } => {
-                let as_of = self.upstream.answered(now, sender, number, view_status, is_cut_off);
-                self.peer_view(sender, view_status.view, as_of);
+            TreeContent::Answer(answer) => {
+                let view = answer.view_status.view;
+                let as_of = self.upstream.answered(now, sender, answer);
+                self.peer_view(sender, view, as_of);
             }
         }
     }
--- a/crates/dispatch/src/state.rs
+++ b/crates/dispatch/src/state.rs
@@ -9,8 +9,8 @@
 use slotmap::SecondaryMap;
 
 use crate::{
-    Catalog, Effect, Event, Freshness, LiveDemand, LogEntry, RequestKey, RetryBudget, Setup, Share,
-    queue::Queue, request::Request, servers::Servers,
+    Catalog, Effect, EngineDemand, Event, Freshness, LiveEngines, LogEntry, RequestKey,
+    RetryBudget, Setup, Share, queue::Queue, request::Request, servers::Servers,
 };
 
 /// The longest time between two ticks. A tick tries to start waiting requests, since gossip may
@@ -56,7 +56,8 @@
     pub(crate) loads: PeerLoads,
     pub(crate) share: Share,
     pub(crate) budgets: HashMap<PoolId, RetryBudget>,
-    pub(crate) live_streams: HashMap<PoolId, LiveDemand>,
+    pub(crate) demand: HashMap<PoolId, EngineDemand>,
+    pub(crate) live_engines: HashMap<PoolId, LiveEngines>,
     pub(crate) requests: SecondaryMap<RequestKey, Request>,
     pub(crate) queue: Queue,
     is_ready: bool,
@@ -103,7 +104,8 @@
             loads: PeerLoads::default(),
             share: Share::new(setup.address, setup.zones),
             budgets: HashMap::new(),
-            live_streams: HashMap::new(),
+            demand: HashMap::new(),
+            live_engines: HashMap::new(),
             requests: SecondaryMap::new(),
             queue: Queue::default(),
             is_ready: false,
@@ -209,6 +211,7 @@
         self.gossip(now);
         self.remove_expired_servers(now);
         self.refuse_expired(now);
+        self.update_live_engines(now);
         self.dispatch_all(now);
         self.update_phase(now);
     }
--- a/crates/edge/src/journal.rs
+++ b/crates/edge/src/journal.rs
@@ -70,6 +70,14 @@
         }
         LogEntry::ServerLost { server, why } => log::info!(server:%, why; "server no longer used"),
         LogEntry::ZonesEvacuated { zones } => log::info!(zones; "evacuated zones changed"),
+        LogEntry::LiveEngines { pool, count, demand } => {
+            let live_streams = demand.live_streams.round() as u64;
+            let prompt_tokens_per_s = demand.prompt_tokens_per_s.round() as u64;
+            log::info!(
+                pool:%, count, live_streams, prompt_tokens_per_s;
+                "engines for live streams changed"
+            );
+        }
         LogEntry::MemberFound { address, alive } => log::info!(address:%, alive; "instance joined"),
         LogEntry::MemberLost { address, alive } => log::warn!(address:%, alive; "instance lost"),
         LogEntry::Ready { ready, why } => log::info!(ready, why; "readiness changed"),
--- a/crates/gossip/src/lib.rs
+++ b/crates/gossip/src/lib.rs
@@ -12,9 +12,11 @@
 //!
 //! * [`Members`]: the known members, and which packets are to be sent,
 //! * [`Upstream`]: the position in the broadcast tree,
+//! * [`Demand`]: what members tell up the tree of their work,
 //! * [`PeerLoads`]: the load that peers put on backend servers,
 //! * [`Packet`]: the message and its codec.
 
+mod demand;
 mod loads;
 mod member;
 mod members;
@@ -22,9 +24,10 @@
 mod tree;
 mod upstream;
 
+pub use demand::{Demand, PoolDemand, PoolTag};
 pub use loads::{Load, PeerLoads, ServerTag, TotalLoad};
 pub use member::Member;
 pub use members::{Members, OutgoingPacket, PeerUpdate};
 pub use packet::{DecodeError, MAX_PACKET_BYTES, Packet, ViewStatus, ViewSummary};
-pub use tree::{Datagram, OutgoingTreeMessage, TreeContent, TreeMessage};
+pub use tree::{Answer, Datagram, OutgoingTreeMessage, Probe, TreeContent, TreeMessage};
 pub use upstream::Upstream;
--- a/crates/gossip/src/tree.rs
+++ b/crates/gossip/src/tree.rs
@@ -4,15 +4,16 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::{DecodeError, Packet, ViewStatus};
+use crate::{DecodeError, Demand, Packet, ViewStatus};
 
 /// The version of the format of tree messages, and the first byte of each. A [`Packet`] begins with
 /// another one, and instances that know only packets ignore these messages.
 const FORMAT_VERSION: u8 = 2;
 
 /// A message between an instance and its parent in the broadcast tree. The order of the fields,
-/// here and in [`TreeContent`], is the format; their names are not part of it.
-#[derive(Clone, Copy, PartialEq, Eq, Debug, Serialize, Deserialize)]
+/// here and in the types of the
+/// fields, is the format; their names are not part of it.
+#[derive(Clone, PartialEq, Eq, Debug, Serialize, Deserialize)]
 pub struct TreeMessage {
     format: u8,
     /// Where the sender receives messages.
@@ -22,26 +23,38 @@
 }
 
 /// The content of a [`TreeMessage`].
-#[derive(Clone, Copy, PartialEq, Eq, Debug, Serialize, Deserialize)]
+#[derive(Clone, PartialEq, Eq, Debug, Serialize, Deserialize)]
 pub enum TreeContent {
     /// Asks the parent for its view. It is answered at once, and again when the view changes.
-    Probe {
-        /// Identifies the probe in its answers.
-        number: u32,
-    },
+    Probe(Probe),
     /// Answers a probe.
-    Answer {
-        /// The latest probe that was received from the child.
-        number: u32,
-        /// The parent's view of the platform.
-        view_status: ViewStatus,
-        /// Whether the parent is a root of the tree that cannot read the platform.
-        is_cut_off: bool,
-    },
+    Answer(Answer),
+}
+
+/// What a child tells its parent.
+#[derive(Clone, PartialEq, Eq, Debug, Serialize, Deserialize)]
+pub struct Probe {
+    /// Identifies the probe in its answers.
+    pub number: u32,
+    /// The demand of the child and of all members below it.
+    pub demand: Demand,
+}
+
+/// What a parent answers.
+#[derive(Clone, PartialEq, Eq, Debug, Serialize, Deserialize)]
+pub struct Answer {
+    /// The number of the latest probe that was received from the child.
+    pub number: u32,
+    /// The parent's view of the platform.
+    pub view_status: ViewStatus,
+    /// Whether the parent is a root of the tree that cannot read the platform.
+    pub is_cut_off: bool,
+    /// The demand of all members, as far as the parent knows.
+    pub demand: Demand,
 }
 
 /// A tree message to be sent.
-#[derive(Clone, Copy, PartialEq, Eq, Debug)]
+#[derive(Clone, PartialEq, Eq, Debug)]
 pub struct OutgoingTreeMessage {
     /// The receiver's address.
     pub to: SocketAddrV4,
--- a/crates/gossip/src/upstream.rs
+++ b/crates/gossip/src/upstream.rs
@@ -7,7 +7,7 @@
 
 use model::prelude::*;
 
-use crate::{OutgoingTreeMessage, TreeContent, TreeMessage, ViewStatus};
+use crate::{Answer, Demand, OutgoingTreeMessage, Probe, TreeContent, TreeMessage, ViewStatus};
 
 /// Children of each member. In a fleet of 340 no member is more than three levels below the first.
 const TREE_FANOUT: usize = 8;
@@ -49,6 +49,9 @@
     /// Members that are not chosen as parent, with the end of that time.
     avoided: BTreeMap<SocketAddrV4, Time>,
     children: BTreeMap<SocketAddrV4, Child>,
+    /// The demand of all members: as the parent told it last, or at a root the sum of what its
+    /// children told.
+    fleet_demand: Demand,
     last_number: u32,
 }
 
@@ -59,11 +62,13 @@
     at: Time,
 }
 
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Debug)]
 struct Child {
     /// The number of its latest probe.
     number: u32,
     probed_at: Time,
+    /// The demand of the child and of all members below it.
+    demand: Demand,
 }
 
 impl Upstream {
@@ -78,6 +83,7 @@
             missed: 0,
             avoided: BTreeMap::new(),
             children: BTreeMap::new(),
+            fleet_demand: Demand::default(),
             last_number: first_number,
         }
     }
@@ -92,15 +98,22 @@
         self.parent
     }
 
+    /// Returns the demand of all members, as far as this instance knows.
+    pub fn fleet_demand(&self) -> &Demand {
+        &self.fleet_demand
+    }
+
     /// Chooses the parent among `candidates`, alive members in the order of the tree that precede
     /// this instance, and returns a probe for it. A root probes `substitute` if there is one, the
-    /// member whose view it follows while it cannot read the platform. Called once in each round of
-    /// packets, after the answer to the previous probe had the time of a round to arrive.
+    /// member whose view it follows while it cannot read the platform. `own` is the demand of this
+    /// instance. Called once in each round of packets, after the answer to the previous probe had
+    /// the time of a round to arrive.
     pub fn tick(
         &mut self,
         now: Time,
         candidates: &[SocketAddrV4],
         substitute: Option<SocketAddrV4>,
+        own: Demand,
     ) -> Option<OutgoingTreeMessage> {
         self.avoided.retain(|_, until| now < *until);
         self.children.retain(|_, child| now.since(child.probed_at) <= CHILD_TIMEOUT);
@@ -118,6 +131,13 @@
             self.missed = 0;
         }
         self.is_answered = parent.is_none();
+        let mut demand = own;
+        for child in self.children.values() {
+            demand.add(&child.demand);
+        }
+        if parent.is_none() {
+            self.fleet_demand = demand.clone();
+        }
         let to = parent.or(substitute)?;
         self.last_number = self.last_number.wrapping_add(1);
         let number = self.last_number;
@@ -125,31 +145,27 @@
         if self.probes.len() > MAX_PROBES {
             self.probes.pop_front();
         }
-        let message = TreeMessage::new(self.own, TreeContent::Probe { number });
-        Some(OutgoingTreeMessage { to, message })
+        let content = TreeContent::Probe(Probe { number, demand });
+        Some(OutgoingTreeMessage { to, message: TreeMessage::new(self.own, content) })
     }
 
     /// Processes an answer. Returns a time at which the sender's view was up to date, on this
     /// process's clock; `None` if the answer gives no bound.
-    pub fn answered(
-        &mut self,
-        now: Time,
-        sender: SocketAddrV4,
-        number: u32,
-        view_status: ViewStatus,
-        is_cut_off: bool,
-    ) -> Option<Time> {
-        let probe = *self.probes.iter().find(|it| it.number == number && it.to == sender)?;
+    pub fn answered(&mut self, now: Time, sender: SocketAddrV4, answer: Answer) -> Option<Time> {
+        let mut probes = self.probes.iter();
+        let sent_at = probes.find(|it| it.number == answer.number && it.to == sender)?.at;
+        let staleness = answer.view_status.staleness_ms;
+        let staleness = staleness.map(|it| Duration::from_millis(it.into()));
         if Some(sender) == self.parent {
             self.is_answered = true;
             self.missed = 0;
+            self.fleet_demand = answer.demand;
+            let is_stale = staleness.is_none_or(|it| it > MAX_PARENT_STALENESS);
+            if is_stale || answer.is_cut_off {
+                self.avoid(sender, now + STALE_AVOIDANCE);
+            }
         }
-        let staleness = view_status.staleness_ms.map(|it| Duration::from_millis(it.into()));
-        let is_stale = staleness.is_none_or(|it| it > MAX_PARENT_STALENESS);
-        if (is_stale || is_cut_off) && Some(sender) == self.parent {
-            self.avoid(sender, now + STALE_AVOIDANCE);
-        }
-        Some(probe.at - staleness?)
+        Some(sent_at - staleness?)
     }
 
     /// Processes a probe and returns its answer.
@@ -157,12 +173,13 @@
         &mut self,
         now: Time,
         sender: SocketAddrV4,
-        number: u32,
+        probe: Probe,
         view_status: ViewStatus,
         is_cut_off: bool,
     ) -> OutgoingTreeMessage {
+        let Probe { number, demand } = probe;
         if self.children.len() < MAX_CHILDREN || self.children.contains_key(&sender) {
-            self.children.insert(sender, Child { number, probed_at: now });
+            self.children.insert(sender, Child { number, probed_at: now, demand });
         }
         self.answer(sender, number, view_status, is_cut_off)
     }
@@ -180,7 +197,8 @@
         view_status: ViewStatus,
         is_cut_off: bool,
     ) -> OutgoingTreeMessage {
-        let content = TreeContent::Answer { number, view_status, is_cut_off };
+        let demand = self.fleet_demand.clone();
+        let content = TreeContent::Answer(Answer { number, view_status, is_cut_off, demand });
         OutgoingTreeMessage { to, message: TreeMessage::new(self.own, content) }
     }
 
