Set engines apart before the demand is known; fewer reads in an outage and after a start

Change: a large fleet without demand sets a tenth of the engines apart. An instance whose parent answers retries a failed read after 6 s, without one after 2 s. A view that was read in the first second after the start is read again as late as the last rank of a small fleet reads.

--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -47,7 +47,7 @@
 pub use prefix::PrefixCache;
 pub use prompt::{Part, Prompt};
 pub use rank::Rank;
-pub use reading::ReadSource;
+pub use reading::{ReadSource, RetryPolicy};
 pub use request::RequestKey;
 pub use route::{Repeat, Route, Routed, Target};
 pub use server::{Server, ServerEntry, ServerKey};
--- a/crates/dispatch/src/live_engines.rs
+++ b/crates/dispatch/src/live_engines.rs
@@ -21,6 +21,10 @@
 /// The largest share of a pool's engines that is set apart. Long prompts are most of the work, and
 /// a stream beside long prompts is better than a long prompt without an engine.
 const MAX_SHARE: f64 = 0.4;
+/// The share that is set apart in a large fleet without any demand. It takes seconds to add up the
+/// demand of all instances, and live streams that begin with the first prompts would otherwise
+/// share engines with them.
+const IDLE_SHARE: f64 = 0.1;
 /// A pool with fewer engines is not divided: the loss of one would stop all streams.
 const MIN_ENGINES: usize = 3;
 /// Half of the engines in excess are given back to other requests when fewer have been enough for
@@ -64,18 +68,22 @@
     pub fn update(&mut self, now: Time, demand: FleetDemand, slots: u32, positions: &mut [f64]) {
         let engines = positions.len();
         let most = (engines as f64 * MAX_SHARE) as usize;
-        let needed = if engines < MIN_ENGINES { 0 } else { demand.live_engines(slots, engines) };
-        let needed = needed.min(most);
-        if needed >= self.count {
-            self.count = needed;
+        let divides = engines >= MIN_ENGINES;
+        let needed = if divides { demand.live_engines(slots, engines).min(most) } else { 0 };
+        let former = self.count;
+        let count = if needed >= former {
             self.excess_since = None;
+            needed
         } else if now.since(*self.excess_since.get_or_insert(now)) >= RELEASE_TIME {
-            self.count = needed.midpoint(self.count);
             self.excess_since = None;
-        }
-        self.count = self.count.min(most);
+            needed.midpoint(former)
+        } else {
+            former
+        };
+        let count = count.min(most);
+        self.count = count;
         positions.sort_unstable_by(f64::total_cmp);
-        let last = self.count.checked_sub(1).and_then(|last| positions.get(last));
+        let last = count.checked_sub(1).and_then(|last| positions.get(last));
         self.last_position = last.copied().unwrap_or(-1.0);
     }
 }
@@ -87,12 +95,18 @@
     pub live_streams: f64,
     /// Prompt tokens of other requests that arrive in a second and have to be read.
     pub prompt_tokens_per_s: f64,
+    /// Whether there may be demand that this instance has not been told yet: nothing has been added
+    /// up in a large fleet.
+    pub is_being_added_up: bool,
 }
 
 impl FleetDemand {
     /// Returns how many of these engines live streams should have to themselves: as many as let
     /// each of them have few streams, unless prompts need the engines.
     fn live_engines(&self, slots: u32, engines: usize) -> usize {
+        if self.is_being_added_up {
+            return (engines as f64 * IDLE_SHARE).ceil() as usize;
+        }
         let slots = f64::from(slots.max(1));
         let wanted = self.live_streams / (slots * FILL_SHARE);
         let least = self.live_streams / (slots * MAX_FILL_SHARE);
@@ -114,9 +128,9 @@
             let usable = servers.filter(|server| self.servers.is_eligible(server));
             let mut positions: Vec<_> = usable.map(Server::order_position).collect();
             let engines = self.live_engines.entry(*id).or_default();
-            let former = engines.count;
+            let former = engines.count();
             engines.update(now, demand, engine.slots, &mut positions);
-            let count = engines.count;
+            let count = engines.count();
             if count != former {
                 self.log(LogEntry::LiveEngines { pool: pool.name.clone(), count, demand });
             }
@@ -156,16 +170,19 @@
         if self.members.is_large() {
             let fleet = self.upstream.fleet_demand();
             let factor = fleet.extrapolation(alive);
-            return fleet.of_pool(PoolTag::from(pool)).map_or_else(FleetDemand::default, |it| {
-                FleetDemand {
-                    live_streams: f64::from(it.live_streams) * factor,
-                    prompt_tokens_per_s: f64::from(it.prompt_tokens_per_s) * factor,
-                }
-            });
+            let Some(demand) = fleet.of_pool(PoolTag::from(pool)) else {
+                return FleetDemand { is_being_added_up: true, ..FleetDemand::default() };
+            };
+            return FleetDemand {
+                live_streams: f64::from(demand.live_streams) * factor,
+                prompt_tokens_per_s: f64::from(demand.prompt_tokens_per_s) * factor,
+                is_being_added_up: false,
+            };
         }
         self.demand.get(&pool).map_or_else(FleetDemand::default, |own| FleetDemand {
             live_streams: own.mean_streams(now) * alive as f64,
             prompt_tokens_per_s: own.prompt_tokens_per_s(now) * alive as f64,
+            is_being_added_up: false,
         })
     }
 }
--- a/crates/dispatch/src/reading.rs
+++ b/crates/dispatch/src/reading.rs
@@ -22,6 +22,9 @@
 /// The number of members that read at staggered ages. All others read at the same age as the last
 /// of them.
 const MAX_READ_RANK: u32 = 3;
+/// Time after the start in which gossip finds the first members. A view that was read within it
+/// is read again as late as by a member that many others precede.
+const JOIN_TIME: Duration = Duration::from_millis(1_000);
 /// The age of the view at which a member of a large fleet reads the platform although it has a
 /// parent in the tree. It is more than the tree takes to replace a root that fell silent, and
 /// leaves time for two reads before keys are refused.
@@ -46,6 +49,18 @@
     Peer(SocketAddrV4),
 }
 
+/// How soon failed reads of the platform are retried. A large fleet whose members all retry soon
+/// would send the platform hundreds of requests a second while it is down.
+#[derive(Clone, Copy, PartialEq, Eq, Debug)]
+pub enum RetryPolicy {
+    /// Other instances may depend on this one.
+    Soon,
+    /// Others retry soon, but none of them can be reached.
+    Later,
+    /// Others retry soon, and tell this instance.
+    Rarely,
+}
+
 impl State {
     /// Returns when changes must be read next, from [`State::read_source`].
     ///
@@ -59,8 +74,11 @@
         };
         let rank = self.members.rank();
         if !self.members.is_large() {
-            let rank = u32::try_from(rank).unwrap_or(u32::MAX);
-            return as_of + READ_INTERVAL + READ_STAGGER * rank.min(MAX_READ_RANK);
+            // The members that read before this one may not be known yet.
+            let is_joining = as_of < self.started_at + JOIN_TIME;
+            let rank = u32::try_from(rank).map_or(MAX_READ_RANK, |it| it.min(MAX_READ_RANK));
+            let rank = if is_joining { MAX_READ_RANK } else { rank };
+            return as_of + READ_INTERVAL + READ_STAGGER * rank;
         }
         if self.upstream.is_root() {
             return as_of + READ_INTERVAL;
@@ -79,10 +97,15 @@
         }
     }
 
-    /// Returns whether failed reads of the platform are retried soon: other instances may depend
-    /// on this one.
-    pub fn is_eager_reader(&self) -> bool {
-        !self.members.is_large() || self.members.rank() < EAGER_READERS
+    /// Returns how soon failed reads of the platform are to be retried.
+    pub fn retry_policy(&self) -> RetryPolicy {
+        if !self.members.is_large() || self.members.rank() < EAGER_READERS {
+            RetryPolicy::Soon
+        } else if self.upstream.has_answering_parent() {
+            RetryPolicy::Rarely
+        } else {
+            RetryPolicy::Later
+        }
     }
 
     /// Handles a successful read, of the platform or of a peer.
--- a/crates/dispatch/tests/decisions/tree.rs
+++ b/crates/dispatch/tests/decisions/tree.rs
@@ -4,7 +4,7 @@
 
 use std::{collections::BTreeMap, net::SocketAddrV4, sync::Arc};
 
-use dispatch::{Effect, Event, ReadSource, Setup, State};
+use dispatch::{Effect, Event, ReadSource, RetryPolicy, Setup, State};
 use gossip::ViewSummary;
 use model::prelude::*;
 use rand::{RngExt as _, SeedableRng as _};
@@ -35,6 +35,8 @@
     /// Members whose reads of the platform fail, with the time of their next retry.
     cut_off: BTreeMap<usize, Time>,
     is_platform_down: bool,
+    /// When members that failed before may read again.
+    not_before: BTreeMap<usize, Time>,
     view: ViewSummary,
     /// Successful and failed reads of the platform.
     reads: usize,
@@ -74,6 +76,7 @@
             by_address: (0..size).map(|no| (address(no), no)).collect(),
             cut_off: BTreeMap::new(),
             is_platform_down: false,
+            not_before: BTreeMap::new(),
             view: ViewSummary::default(),
             reads: 0,
             loss: 0.05,
@@ -140,14 +143,20 @@
         }
         let event = match state.read_source() {
             ReadSource::Platform if self.is_platform_down || self.cut_off.contains_key(&no) => {
+                let delay = match state.retry_policy() {
+                    RetryPolicy::Soon => Duration::from_millis(800),
+                    RetryPolicy::Later => Duration::from_secs(2),
+                    RetryPolicy::Rarely => Duration::from_secs(6),
+                };
                 let earliest = self.cut_off.entry(no).or_default();
                 if *earliest > self.now {
                     return;
                 }
-                *earliest = self.now + Duration::from_millis(800);
+                *earliest = self.now + delay;
                 self.reads += 1;
                 Event::PlatformReadFailed
             }
+            ReadSource::Platform if self.not_before.get(&no) > Some(&self.now) => return,
             ReadSource::Platform => {
                 self.reads += 1;
                 Event::PlatformRead { as_of: self.now, view: self.view }
@@ -165,9 +174,9 @@
 
     /// Returns the member that reads the platform for the others.
     fn root(&self) -> usize {
-        let rank = |no: &usize| self.members[*no].as_ref().map(State::is_eager_reader);
+        let policy = |no: &usize| self.members[*no].as_ref().map(State::retry_policy);
         let next_read = |no: &usize| self.members[*no].as_ref().map(State::next_read);
-        let eager = (0..self.members.len()).filter(|no| rank(no) == Some(true));
+        let eager = (0..self.members.len()).filter(|no| policy(no) == Some(RetryPolicy::Soon));
         eager.min_by_key(next_read).unwrap_or_default()
     }
 
@@ -258,13 +267,18 @@
 fn all_members_have_evidence_again_within_two_seconds_after_an_outage() {
     let mut fleet = Fleet::new(295, 7);
     fleet.is_platform_down = true;
-    fleet.pass(Duration::from_secs(5));
+    fleet.pass(Duration::from_secs(7));
+    let reads_down = fleet.reads;
     fleet.is_platform_down = false;
-    fleet.cut_off.clear();
+    // Retries stay due when they were planned.
+    let planned = std::mem::take(&mut fleet.cut_off);
+    fleet.not_before = planned;
 
     fleet.pass(Duration::from_secs(2));
     fleet.oldest = Duration::ZERO;
     fleet.pass(STEP);
 
     assert!(fleet.oldest < MAX_STALENESS, "a view is {:?} old", fleet.oldest);
+    // One try of each, and those of the few that retry soon.
+    assert!(reads_down <= 2 * 295, "{reads_down} reads while the platform was down");
 }
--- a/crates/dispatch/tests/live_engines.rs
+++ b/crates/dispatch/tests/live_engines.rs
@@ -26,7 +26,8 @@
 
 /// Updates the engines for this many streams without prompts, and returns how many are set apart.
 fn update(live: &mut LiveEngines, now: Time, streams: f64, engines: &[Server]) -> usize {
-    update_for(live, now, FleetDemand { live_streams: streams, prompt_tokens_per_s: 0.0 }, engines)
+    let demand = FleetDemand { live_streams: streams, ..FleetDemand::default() };
+    update_for(live, now, demand, engines)
 }
 
 fn update_for(live: &mut LiveEngines, now: Time, demand: FleetDemand, engines: &[Server]) -> usize {
@@ -35,11 +36,21 @@
     engines.iter().filter(|engine| live.contains(engine)).count()
 }
 
+/// The engines that are set apart before the demand is known go to other requests in the end.
 #[test]
 fn there_are_no_live_engines_without_live_streams() {
     let mut live = LiveEngines::default();
+    let start = Time::from_millis(1_000);
+    let unknown = FleetDemand { is_being_added_up: true, ..FleetDemand::default() };
+    let at_first = update_for(&mut live, start, unknown, &engines(153));
+
+    let mut count = at_first;
+    for millis in (100..60_000).step_by(100) {
+        count = update(&mut live, start + Duration::from_millis(millis), 0.0, &engines(153));
+    }
 
-    assert_eq!(update(&mut live, Time::default(), 0.0, &engines(153)), 0);
+    assert!((1..=16).contains(&at_first), "{at_first} engines at first");
+    assert_eq!(count, 0);
 }
 
 /// The streams of a burst start within a second: engines must be there at once.
@@ -47,11 +58,11 @@
 fn a_burst_of_streams_gets_engines_for_all_of_them_at_once() {
     let (mut live, engines) = (LiveEngines::default(), engines(153));
     let now = Time::from_millis(1_000);
-    let before = update(&mut live, now, 170.0, &engines);
+    let before = update(&mut live, now, 270.0, &engines);
 
     let during = update(&mut live, now + Duration::from_millis(100), 500.0, &engines);
 
-    assert!(before * SLOTS as usize >= 170, "{before} engines for 170 streams");
+    assert!(before * SLOTS as usize >= 270, "{before} engines for 270 streams");
     assert!(during * SLOTS as usize >= 500, "{during} engines for 500 streams");
     assert!(during < engines.len() / 2, "{during} engines leave too few for long prompts");
 }
@@ -114,7 +125,11 @@
 #[test]
 fn streams_share_fewer_engines_while_prompts_need_the_others() {
     let engines = engines(90);
-    let demand = |prompt_tokens_per_s| FleetDemand { live_streams: 240.0, prompt_tokens_per_s };
+    let demand = |prompt_tokens_per_s| FleetDemand {
+        live_streams: 240.0,
+        prompt_tokens_per_s,
+        is_being_added_up: false,
+    };
     let (mut calm, mut busy) = (LiveEngines::default(), LiveEngines::default());
 
     let in_calm = update_for(&mut calm, Time::from_millis(1_000), demand(1e6), &engines);
--- a/crates/edge/src/instance.rs
+++ b/crates/edge/src/instance.rs
@@ -12,7 +12,9 @@
 use async_channel::{Receiver, Sender};
 use async_executor::LocalExecutor;
 use async_io::Async;
-use dispatch::{CallerLimits, Command, Effect, Event, LogEntry, ReadSource, RequestKey, State};
+use dispatch::{
+    CallerLimits, Command, Effect, Event, LogEntry, ReadSource, RequestKey, RetryPolicy, State,
+};
 use gossip::ViewStatus;
 use model::prelude::*;
 use slotmap::SlotMap;
@@ -120,9 +122,9 @@
         }
     }
 
-    /// Returns whether failed reads of the platform are to be retried soon.
-    pub fn is_eager_reader(&self) -> bool {
-        self.read_state(State::is_eager_reader)
+    /// Returns how soon failed reads of the platform are to be retried.
+    pub fn retry_policy(&self) -> RetryPolicy {
+        self.read_state(State::retry_policy)
     }
 
     /// Returns the address at which other instances reach this one.
--- a/crates/gossip/src/upstream.rs
+++ b/crates/gossip/src/upstream.rs
@@ -93,6 +93,11 @@
         self.parent.is_none()
     }
 
+    /// Returns whether there is a parent and the latest probes to it were answered.
+    pub fn has_answering_parent(&self) -> bool {
+        self.parent.is_some() && self.missed == 0
+    }
+
     /// Returns the member whose view this instance follows.
     pub fn parent(&self) -> Option<SocketAddrV4> {
         self.parent
