Let other tasks run while a peer sends without end; bound blank lines before a head

A task whose socket always has data never gave way on the one thread: neither timers nor other callers ran until the sender paused. Blank lines before a head were skipped without a bound.

Change: a buffered reader lets other tasks run after every 16 KiB, and blank lines count toward the limit of the head.

--- a/crates/http1/src/buffered.rs
+++ b/crates/http1/src/buffered.rs
@@ -2,10 +2,13 @@
 
 use std::io;
 
-use futures_lite::{AsyncRead, AsyncReadExt as _};
+use futures_lite::{AsyncRead, AsyncReadExt as _, future};
 
 /// Bytes by which the buffer grows when it is full; also the least room for a read into a body.
 const STEP_BYTES: usize = 4_096;
+/// Bytes after which a reader lets other tasks run. A peer that sends faster than they are
+/// processed would otherwise keep the thread to itself, and timers would not fire.
+const YIELD_BYTES: usize = 16 << 10;
 
 /// A buffered reader that keeps unconsumed bytes from one message to the next.
 #[derive(Debug)]
@@ -14,12 +17,14 @@
     buf: Vec<u8>,
     start: usize,
     end: usize,
+    /// Bytes that were read since other tasks could run last.
+    unyielded: usize,
 }
 
 impl<R: AsyncRead + Unpin> Buffered<R> {
     /// Wraps a reader.
     pub fn new(io: R) -> Self {
-        Self { io, buf: Vec::new(), start: 0, end: 0 }
+        Self { io, buf: Vec::new(), start: 0, end: 0, unyielded: 0 }
     }
 
     /// Returns the bytes that were read but not consumed.
@@ -46,9 +51,11 @@
     /// Reads more bytes and returns how many; 0 at the end of the input. Dropping the future loses
     /// no data.
     pub async fn fill(&mut self) -> io::Result<usize> {
+        self.let_others_run().await;
         self.make_room();
         let n = self.io.read(&mut self.buf[self.end..]).await?;
         self.end += n;
+        self.unyielded += n;
         Ok(n)
     }
 
@@ -63,10 +70,13 @@
             self.consume(ready);
             return Ok(ready);
         }
+        self.let_others_run().await;
         // Grows as bytes arrive, so that a large stated length alone allocates no memory.
         body.resize(start + missing.min(start.max(STEP_BYTES)), 0);
         let read = self.io.read(&mut body[start..]).await;
-        body.truncate(start + read.as_ref().copied().unwrap_or_default());
+        let n = read.as_ref().copied().unwrap_or_default();
+        body.truncate(start + n);
+        self.unyielded += n;
         read
     }
 
@@ -75,6 +85,13 @@
         &self.io
     }
 
+    async fn let_others_run(&mut self) {
+        if self.unyielded >= YIELD_BYTES {
+            self.unyielded = 0;
+            future::yield_now().await;
+        }
+    }
+
     fn make_room(&mut self) {
         if self.end < self.buf.len() {
             return;
--- a/crates/http1/src/raw.rs
+++ b/crates/http1/src/raw.rs
@@ -10,15 +10,20 @@
 pub(crate) const MAX_FIELDS: usize = 100;
 
 /// Reads a head up to and with the empty line that ends it. Empty lines before the head are skipped
-/// (RFC 9112, section 2.2).
+/// (RFC 9112, section 2.2), but no more than `max_bytes` of them.
 pub(crate) async fn read_raw<R: AsyncRead + Unpin>(
     input: &mut Buffered<R>,
     max_bytes: usize,
 ) -> Result<Vec<u8>, HeadError> {
     let mut has_started = false;
+    let mut skipped = 0;
     loop {
         while input.data().starts_with(b"\r\n") {
             input.consume(2);
+            skipped += 2;
+        }
+        if skipped > max_bytes {
+            return Err(HeadError::TooLarge(max_bytes));
         }
         has_started |= !input.data().is_empty();
         if let Some(len) = head_len(input.data(), max_bytes)? {
