Give live engines back at once when prompts need them

Cause: engines in excess were given back by halves each 5 s also while a burst of long prompts had too few.

Change: if prompts leave less than 0.8 of the live engines to spare, their number falls at once to what the streams need.

--- a/crates/dispatch/src/live_engines.rs
+++ b/crates/dispatch/src/live_engines.rs
@@ -25,6 +25,9 @@
 /// demand of all instances, and live streams that begin with the first prompts would otherwise
 /// share engines with them.
 const IDLE_SHARE: f64 = 0.1;
+/// Engines in excess are given back at once if prompts leave less than this share of the live ones
+/// to spare.
+const LACK_SHARE: f64 = 0.8;
 /// A pool with fewer engines is not divided: the loss of one would stop all streams.
 const MIN_ENGINES: usize = 3;
 /// Half of the engines in excess are given back to other requests when fewer have been enough for
@@ -71,7 +74,8 @@
         let divides = engines >= MIN_ENGINES;
         let needed = if divides { demand.live_engines(slots, engines).min(most) } else { 0 };
         let former = self.count;
-        let count = if needed >= former {
+        let is_lacked = demand.spare_engines(engines) < former as f64 * LACK_SHARE;
+        let count = if needed >= former || is_lacked {
             self.excess_since = None;
             needed
         } else if now.since(*self.excess_since.get_or_insert(now)) >= RELEASE_TIME {
@@ -110,10 +114,13 @@
         let slots = f64::from(slots.max(1));
         let wanted = self.live_streams / (slots * FILL_SHARE);
         let least = self.live_streams / (slots * MAX_FILL_SHARE);
+        self.spare_engines(engines).clamp(least, wanted).ceil() as usize
+    }
+
+    /// Returns how many of these engines prompts do not need; negative if there are too few.
+    fn spare_engines(&self, engines: usize) -> f64 {
         let tokens_per_s = PREFILL_TOKENS_PER_MS * 1e3 * READING_SHARE;
-        let for_prompts = self.prompt_tokens_per_s / tokens_per_s;
-        let spare = engines as f64 - for_prompts;
-        spare.clamp(least, wanted).ceil() as usize
+        engines as f64 - self.prompt_tokens_per_s / tokens_per_s
     }
 }
 
