Test that an older build rejects messages of the tree; clippy in the tests of gossip

Instances of both builds run side by side while a fleet is replaced. The first byte of a tree message is another format version, so an older instance logs it at debug level and ignores it; it does not answer probes and is avoided as a parent. The test passes; it could not fail first, as the format was chosen for it.

--- a/crates/gossip/tests/upstream.rs
+++ b/crates/gossip/tests/upstream.rs
@@ -5,8 +5,8 @@
 use std::{collections::BTreeMap, net::SocketAddrV4};
 
 use gossip::{
-    Answer, Datagram, Demand, MAX_PACKET_BYTES, OutgoingTreeMessage, PoolDemand, PoolTag, Probe,
-    TreeContent, TreeMessage, Upstream, ViewStatus, ViewSummary,
+    Answer, Datagram, DecodeError, Demand, MAX_PACKET_BYTES, OutgoingTreeMessage, Packet,
+    PoolDemand, PoolTag, Probe, TreeContent, TreeMessage, Upstream, ViewStatus, ViewSummary,
 };
 use model::prelude::*;
 use rand::{RngExt as _, SeedableRng as _};
@@ -64,13 +64,13 @@
                 let member = self.members.get_mut(&no).unwrap();
                 let own = streams(self.running);
                 if let Some(outgoing) = member.tick(self.now, &candidates, None, own) {
-                    self.deliver(no, outgoing);
+                    self.deliver(no, &outgoing);
                 }
             }
         }
     }
 
-    fn deliver(&mut self, from: usize, outgoing: OutgoingTreeMessage) {
+    fn deliver(&mut self, from: usize, outgoing: &OutgoingTreeMessage) {
         let bytes = outgoing.message.encode().unwrap();
         *self.sent.entry(from).or_default() += bytes.len();
         if self.rng.random_bool(self.loss) {
@@ -83,7 +83,7 @@
         match message.content {
             TreeContent::Probe(probe) => {
                 let answer = member.probed(self.now, message.sender, probe, fresh(), false);
-                self.deliver(to, answer);
+                self.deliver(to, &answer);
             }
             TreeContent::Answer(answer) => {
                 member.answered(self.now, message.sender, answer);
@@ -192,6 +192,18 @@
     assert_eq!(child.parent(), Some(address(2)));
 }
 
+/// Instances of an older build decode packets only. They must ignore messages of the tree, not take
+/// them for packets.
+#[test]
+fn an_instance_that_knows_only_packets_rejects_tree_messages() {
+    let mut child = Upstream::new(address(5), 1);
+    let probe = child.tick(Time::from_millis(10_000), &[address(1)], None, streams(1)).unwrap();
+
+    let decoded = Packet::decode(&probe.message.encode().unwrap());
+
+    assert!(matches!(decoded, Err(DecodeError::UnsupportedFormat(_))));
+}
+
 /// Anyone who reaches the port can send bytes that are no message, or one with odd values.
 #[test]
 fn arbitrary_bytes_and_counts_do_not_panic() {
@@ -221,7 +233,7 @@
                     assert!(answer.message.encode().unwrap().len() <= MAX_PACKET_BYTES);
                 }
                 TreeContent::Answer(answer) => {
-                    assert_eq!(member.answered(now, sender, answer), None)
+                    assert_eq!(member.answered(now, sender, answer), None);
                 }
             }
         }
