Ask another peer if neither the platform nor the first peer delivers a change

Cause, found by reading: an instance that knows that it is behind asked one peer. If that one did not deliver, it read the platform; where that failed too, it stayed behind until the platform came back, although other peers had the change, and lost its evidence for keys.

Change: while its reads of the platform fail, the next peer with a newer view is asked.

--- a/crates/dispatch/src/reading.rs
+++ b/crates/dispatch/src/reading.rs
@@ -130,7 +130,9 @@
         let Some(as_of) = as_of else { return };
         self.peer_read_at = self.peer_read_at.max(Some(as_of));
         self.freshness.record_peer_view(view, as_of);
-        if self.freshness.is_behind(view) && !self.is_behind {
+        // An instance that can read neither the platform nor the peer that it asked asks the next.
+        let may_ask = !self.is_behind || self.newer_peer.is_none() && self.failing_since.is_some();
+        if self.freshness.is_behind(view) && may_ask {
             self.is_behind = true;
             self.newer_peer = self.members.is_large().then_some(peer);
             self.emit(Effect::ReadPlatform);
--- a/crates/dispatch/tests/decisions/tree.rs
+++ b/crates/dispatch/tests/decisions/tree.rs
@@ -38,6 +38,8 @@
     /// When members that failed before may read again.
     not_before: BTreeMap<usize, Time>,
     view: ViewSummary,
+    /// Members that do not deliver changes to others.
+    undelivering: Vec<usize>,
     /// Successful and failed reads of the platform.
     reads: usize,
     loss: f64,
@@ -77,6 +79,7 @@
             cut_off: BTreeMap::new(),
             is_platform_down: false,
             not_before: BTreeMap::new(),
+            undelivering: Vec::new(),
             view: ViewSummary::default(),
             reads: 0,
             loss: 0.05,
@@ -162,6 +165,9 @@
                 Event::PlatformRead { as_of: self.now, view: self.view }
             }
             ReadSource::Peer(peer) => match &self.members[self.by_address[&peer]] {
+                Some(_) if self.undelivering.contains(&self.by_address[&peer]) => {
+                    Event::PeerReadFailed
+                }
                 Some(peer) => {
                     let age = peer.view_age(self.now).unwrap_or_default();
                     Event::PeerRead { as_of: self.now - age, view: peer.view() }
@@ -249,6 +255,24 @@
     assert!(took <= MAX_CHANGE_TIME, "{took:?} until all followed");
 }
 
+/// An instance that is cut off from the platform depends on its peers, some of which may run an
+/// older build, or be unable to answer in time.
+#[test]
+fn members_without_platform_follow_changes_although_some_peers_do_not_deliver_them() {
+    let mut fleet = Fleet::new(62, 8);
+    fleet.cut_off = (0..62).filter(|no| no % 3 == 0).map(|no| (no, fleet.now)).collect();
+    fleet.undelivering = (0..62).filter(|no| no % 4 == 1).collect();
+    fleet.pass(Duration::from_secs(4));
+    fleet.oldest = Duration::ZERO;
+
+    for digest in 11..14 {
+        fleet.view.digest = digest;
+        fleet.pass_until_all_follow();
+    }
+
+    assert!(fleet.oldest < MAX_STALENESS, "a view was {:?} old", fleet.oldest);
+}
+
 #[test]
 fn a_zone_that_dies_at_once_leaves_the_rest_with_evidence() {
     let mut fleet = Fleet::new(295, 6);
