Split peers out of gossip's members and preferred servers out of placement; tests of live bursts

New tests: streams of instances that know nothing of each other spread over engines, and a long prompt that is overdue goes to a live engine rather than to none. Both pass on the code as it is; before engines were set apart the first one's streams all began at the same engine by design. Tests of gossip and dispatch pass.

--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -21,6 +21,7 @@
 mod live_engines;
 mod outcome;
 mod placement;
+mod preferred_servers;
 mod prefix;
 mod prompt;
 mod queue;
--- a/crates/dispatch/tests/decisions/live.rs
+++ b/crates/dispatch/tests/decisions/live.rs
@@ -105,3 +105,62 @@
     let shared = live.intersection(&long).count();
     assert!(shared <= 1, "{shared} of {} engines with live streams got long prompts", live.len());
 }
+
+/// Starts live streams one after the other and returns the engines that they run at.
+fn start_streams(bench: &mut Bench, count: u32) -> Vec<String> {
+    let mut names = Vec::new();
+    for own in 0..count {
+        let mut talk = prompt(172, 500 + own, 1);
+        talk.max_output = 280;
+        let (key, effects) = bench.request("live", talk);
+        names.push(attempts(&effects)[0].1.name.to_string());
+        bench.step(Event::Sent { key });
+        bench.step(Event::FirstByte { key });
+        bench.pass(400);
+        bench.read();
+    }
+    names
+}
+
+/// Hundreds of instances start streams at the same time, and none knows of the others'. If all took
+/// the same engine, it would be full while others are idle.
+#[test]
+fn instances_that_know_nothing_of_each_other_spread_a_burst_of_live_streams() {
+    let mut used = BTreeSet::new();
+    for instance in 0..20 {
+        let mut bench = many_small_engines();
+        let names = start_streams(&mut bench, 8);
+        // Each request has another id, as it has at different instances.
+        used.insert(names[instance % 8].clone());
+    }
+    let mut bench = many_small_engines();
+    let names = start_streams(&mut bench, 24);
+    let engines: BTreeSet<_> = names.iter().collect();
+    let most = engines.iter().map(|it| names.iter().filter(|name| name == it).count()).max();
+
+    assert!(used.len() > 1, "all instances begin at {used:?}");
+    assert!(most.is_some_and(|most| most <= 8), "an engine of 8 slots got {most:?} of 24 streams");
+}
+
+/// Keeping live streams apart must not leave a long prompt without an engine.
+#[test]
+fn an_overdue_long_prompt_goes_to_an_engine_of_live_streams() {
+    let mut bench = many_small_engines();
+    // The first stream begins before engines are set apart.
+    let live: BTreeSet<_> = start_streams(&mut bench, 4).into_iter().skip(1).collect();
+    let mut last = None;
+    for topic in 0..600 {
+        let (key, effects) = bench.request("batch", prompt(6_000, 2_890, topic));
+        if attempts(&effects).is_empty() {
+            last = Some(key);
+            break;
+        }
+        let name = attempts(&effects)[0].1.name.to_string();
+        assert!(!live.contains(&name), "a long prompt went to {name} at once");
+    }
+    let waiting = last.expect("the engines take more prompts than they have slots for");
+
+    let sent = attempts(&bench.pass(600));
+
+    assert!(sent.iter().any(|it| it.0 == waiting), "the prompt was not sent");
+}
--- a/crates/gossip/src/lib.rs
+++ b/crates/gossip/src/lib.rs
@@ -21,6 +21,7 @@
 mod member;
 mod members;
 mod packet;
+mod peer;
 mod tree;
 mod upstream;
 
--- a/crates/gossip/src/members.rs
+++ b/crates/gossip/src/members.rs
@@ -11,9 +11,11 @@
     seq::{IndexedRandom as _, IteratorRandom as _},
 };
 use rand_chacha::ChaCha8Rng;
-use xxhash_rust::xxh3::xxh3_64;
 
-use crate::{Load, Member, Packet, ViewStatus};
+use crate::{
+    Load, Member, Packet, ViewStatus,
+    peer::{Peer, available, order_hash},
+};
 
 /// Up to this many peers, every alive peer gets every packet. In a larger fleet a random sample of
 /// [`FANOUT`] peers does.
@@ -87,16 +89,6 @@
     next_seed_packet: Time,
 }
 
-#[derive(Debug)]
-struct Peer {
-    member: Member,
-    /// When its heartbeat counter was last seen to grow.
-    heartbeat_at: Time,
-    /// The highest sequence number that was received from it.
-    last_sequence: Option<u32>,
-    is_dead: bool,
-}
-
 impl Members {
     /// Starts without any known peer; the first packets go to `seeds`. `seed` seeds the random
     /// choices.
@@ -239,27 +231,10 @@
             if is_full || member.is_leaving {
                 return false;
             }
-            let peer = Peer { member, heartbeat_at: now, last_sequence: None, is_dead: false };
-            self.peers.insert(member.address, peer);
+            self.peers.insert(member.address, Peer::new(now, member));
             return true;
         };
-        let is_same_run = peer.member.incarnation == member.incarnation;
-        let has_heartbeat =
-            is_same_run && member.heartbeat.wrapping_sub(peer.member.heartbeat) as i32 > 0;
-        // Others may still pass on entries of a previous run, so only the member itself is trusted
-        // with a restart.
-        let has_restarted = !is_same_run && is_direct;
-        if !has_heartbeat && !has_restarted {
-            return false;
-        }
-        if has_restarted {
-            peer.last_sequence = None;
-        }
-        let was_dead = peer.is_dead;
-        peer.member = member;
-        peer.heartbeat_at = now;
-        peer.is_dead = false;
-        was_dead || has_restarted
+        peer.update(now, member, is_direct)
     }
 
     /// Marks silent members as dead and returns them, and removes dead members that do not count
@@ -321,14 +296,3 @@
         Some(sent_at - Duration::from_millis(u64::from(staleness_ms)))
     }
 }
-
-/// Orders the members the same way at all instances. Seeds and neighbours in a rack get unrelated
-/// places.
-fn order_hash(address: &SocketAddrV4) -> u64 {
-    xxh3_64(&address.ip().octets())
-}
-
-/// Returns the alive peers that are not leaving.
-fn available(peers: &BTreeMap<SocketAddrV4, Peer>) -> impl Iterator<Item = SocketAddrV4> {
-    peers.iter().filter(|it| !it.1.is_dead && !it.1.member.is_leaving).map(|it| *it.0)
-}
