Bound the tokens of a prompt that count toward the fleet's demand; plainer names

Cause, found by reading: callers state the length of their prompts, and the number of live engines of the whole fleet follows from the sum. One request that states two thousand million tokens would have left live streams the fewest engines for half a minute.

Change: a prompt counts for 100,000 tokens at most (long ones have some ten thousand; the largest of the deployments 39,600). Two names and a comment are plainer.

Test: an_absurd_prompt_length_takes_no_engine_from_live_streams; it fails without the change (2 engines left for 3.2e9 tokens a second). Tests of dispatch pass.

--- a/crates/dispatch/src/live_engines.rs
+++ b/crates/dispatch/src/live_engines.rs
@@ -27,9 +27,12 @@
 const IDLE_SHARE: f64 = 0.1;
 /// Engines in excess are given back at once if prompts leave less than this share of the live ones
 /// to spare.
-const LACK_SHARE: f64 = 0.8;
+const MIN_SPARE_SHARE: f64 = 0.8;
 /// A pool with fewer engines is not divided: the loss of one would stop all streams.
 const MIN_ENGINES: usize = 3;
+/// Tokens of a prompt that are counted at most: callers state the number, and a wrong one must not
+/// change what the whole fleet does. Long prompts have some ten thousand.
+const MAX_COUNTED_TOKENS: f64 = 100_000.0;
 /// Half of the engines in excess are given back to other requests when fewer have been enough for
 /// this time. Each change moves the prefixes that are cached at an engine, so short lulls between
 /// bursts change little.
@@ -74,8 +77,8 @@
         let divides = engines >= MIN_ENGINES;
         let needed = if divides { demand.live_engines(slots, engines).min(most) } else { 0 };
         let former = self.count;
-        let is_lacked = demand.spare_engines(engines) < former as f64 * LACK_SHARE;
-        let count = if needed >= former || is_lacked {
+        let is_needed_by_prompts = demand.spare_engines(engines) < former as f64 * MIN_SPARE_SHARE;
+        let count = if needed >= former || is_needed_by_prompts {
             self.excess_since = None;
             needed
         } else if now.since(*self.excess_since.get_or_insert(now)) >= RELEASE_TIME {
@@ -99,16 +102,16 @@
     pub live_streams: f64,
     /// Prompt tokens of other requests that arrive in a second and have to be read.
     pub prompt_tokens_per_s: f64,
-    /// Whether there may be demand that this instance has not been told yet: nothing has been added
-    /// up in a large fleet.
-    pub is_being_added_up: bool,
+    /// Whether nothing has been added up yet in a large fleet, where there may be demand that this
+    /// instance has not been told.
+    pub is_unknown: bool,
 }
 
 impl FleetDemand {
     /// Returns how many of these engines live streams should have to themselves: as many as let
     /// each of them have few streams, unless prompts need the engines.
     fn live_engines(&self, slots: u32, engines: usize) -> usize {
-        if self.is_being_added_up {
+        if self.is_unknown {
             return (engines as f64 * IDLE_SHARE).ceil() as usize;
         }
         let slots = f64::from(slots.max(1));
@@ -155,7 +158,7 @@
         if req.prompt.tokens > 0 && !req.is_live_stream() {
             let own = f64::from(req.prompt.own_tokens());
             let shared = f64::from(req.prompt.tokens) - own;
-            let tokens = own + shared * FIRST_CHOICE_UNCACHED;
+            let tokens = (own + shared * FIRST_CHOICE_UNCACHED).min(MAX_COUNTED_TOKENS);
             self.demand.entry(pool).or_default().prompt_arrived(now, tokens);
         }
     }
@@ -167,7 +170,7 @@
             live_streams: demand.running_streams(),
             prompt_tokens_per_s: demand.prompt_tokens_per_s(now) as u32,
         });
-        Demand::of_member(pools.filter(|it| it.live_streams + it.prompt_tokens_per_s > 0))
+        Demand::of_member(pools.filter(|it| it.live_streams > 0 || it.prompt_tokens_per_s > 0))
     }
 
     /// Returns the demand of all instances for a pool. In a small fleet, where nobody adds it up,
@@ -178,18 +181,18 @@
             let fleet = self.upstream.fleet_demand();
             let factor = fleet.extrapolation(alive);
             let Some(demand) = fleet.of_pool(PoolTag::from(pool)) else {
-                return FleetDemand { is_being_added_up: true, ..FleetDemand::default() };
+                return FleetDemand { is_unknown: true, ..FleetDemand::default() };
             };
             return FleetDemand {
                 live_streams: f64::from(demand.live_streams) * factor,
                 prompt_tokens_per_s: f64::from(demand.prompt_tokens_per_s) * factor,
-                is_being_added_up: false,
+                is_unknown: false,
             };
         }
         self.demand.get(&pool).map_or_else(FleetDemand::default, |own| FleetDemand {
             live_streams: own.mean_streams(now) * alive as f64,
             prompt_tokens_per_s: own.prompt_tokens_per_s(now) * alive as f64,
-            is_being_added_up: false,
+            is_unknown: false,
         })
     }
 }
--- a/crates/dispatch/src/placement.rs
+++ b/crates/dispatch/src/placement.rs
@@ -53,10 +53,11 @@
         let servers = self.servers.in_pool(req.pool);
         let is_live_stream = req.is_live_stream();
         let live_engines = self.live_engines(req.pool, pool);
-        let is_meant = |server: &Server| {
+        // Engines are for either live streams or other requests.
+        let suits_kind = |server: &Server| {
             pool.engine.is_none() || live_engines.contains(server) == is_live_stream
         };
-        let preferred = self.preferred_servers(now, req, servers, is_meant);
+        let preferred = self.preferred_servers(now, req, servers, suits_kind);
         let max_connections = self.max_connections(req.pool);
         // Long prompts go to the engines of live streams only when no other one takes them in time.
         let may_mix = is_live_stream || is_overdue;
@@ -74,7 +75,7 @@
             {
                 continue;
             }
-            let is_mixed = !is_meant(server);
+            let is_mixed = !suits_kind(server);
             if is_mixed && !may_mix {
                 continue;
             }
@@ -139,19 +140,19 @@
     }
 
     /// Returns the servers that rendezvous hashing prefers for the shared prefix of a request, among
-    /// those for which `is_meant` holds, and the one that has most of it cached.
+    /// those for which `suits_kind` holds, and the one that has most of it cached.
     fn preferred_servers(
         &self,
         now: Time,
         req: &Request,
         servers: &[ServerKey],
-        is_meant: impl Fn(&Server) -> bool,
+        suits_kind: impl Fn(&Server) -> bool,
     ) -> PreferredServers {
         let mut preferred = PreferredServers::default();
         let Some(part) = req.prompt.last_shared_part() else { return preferred };
         for &key in servers {
             let Some(server) = self.servers.get(key) else { continue };
-            if self.servers.is_eligible(server) && is_meant(server) {
+            if self.servers.is_eligible(server) && suits_kind(server) {
                 let hash_rank = xxh3_64_with_seed(&part.id.to_be_bytes(), server.id.0);
                 if !server.health.is_backed_off(now) {
                     preferred.add_holder(
--- a/crates/dispatch/tests/decisions/live.rs
+++ b/crates/dispatch/tests/decisions/live.rs
@@ -2,7 +2,7 @@
 
 use std::{collections::BTreeSet, sync::Arc};
 
-use dispatch::{Engine, Event, ServerEntry};
+use dispatch::{Effect, Engine, Event, LogEntry, ServerEntry};
 
 use crate::support::{Bench, attempts, catalog, prompt, refusals, server};
 
@@ -164,3 +164,25 @@
 
     assert!(sent.iter().any(|it| it.0 == waiting), "the prompt was not sent");
 }
+
+/// Callers state the length of their prompts. One that states an absurd length must not take engines
+/// from live streams.
+#[test]
+fn an_absurd_prompt_length_takes_no_engine_from_live_streams() {
+    let mut bench = many_small_engines();
+    start_streams(&mut bench, 24);
+
+    for own in 0..3 {
+        bench.request("batch", prompt(6_000, u32::MAX / 2 - own, 1));
+    }
+    let effects = bench.pass(500);
+
+    let changes = effects.iter().filter_map(|effect| match effect {
+        Effect::Log(LogEntry::LiveEngines { count, demand, .. }) => Some((*count, *demand)),
+        _ => None,
+    });
+    // The streams that run go on to raise the average, which may add an engine.
+    for (count, demand) in changes {
+        assert!(demand.prompt_tokens_per_s < 1e6, "{count} engines are left for {demand:?}");
+    }
+}
--- a/crates/dispatch/tests/live_engines.rs
+++ b/crates/dispatch/tests/live_engines.rs
@@ -41,7 +41,7 @@
 fn there_are_no_live_engines_without_live_streams() {
     let mut live = LiveEngines::default();
     let start = Time::from_millis(1_000);
-    let unknown = FleetDemand { is_being_added_up: true, ..FleetDemand::default() };
+    let unknown = FleetDemand { is_unknown: true, ..FleetDemand::default() };
     let at_first = update_for(&mut live, start, unknown, &engines(153));
 
     let mut count = at_first;
@@ -128,7 +128,7 @@
     let demand = |prompt_tokens_per_s| FleetDemand {
         live_streams: 240.0,
         prompt_tokens_per_s,
-        is_being_added_up: false,
+        is_unknown: false,
     };
     let (mut calm, mut busy) = (LiveEngines::default(), LiveEngines::default());
 
