Read again soon after the start of an instance that is alone

It fails without load too: the test waits one second.

Change: an instance that has heard of no peer is taken to be alone.

--- a/crates/dispatch/src/reading.rs
+++ b/crates/dispatch/src/reading.rs
@@ -74,8 +74,9 @@
         };
         let rank = self.members.rank();
         if !self.members.is_large() {
-            // The members that read before this one may not be known yet.
-            let is_joining = as_of < self.started_at + JOIN_TIME;
+            // The members that read before this one may not be known yet. An instance that has
+            // heard of none by then is taken to be alone.
+            let is_joining = as_of < self.started_at + JOIN_TIME && self.members.alive_count() > 1;
             let rank = u32::try_from(rank).map_or(MAX_READ_RANK, |it| it.min(MAX_READ_RANK));
             let rank = if is_joining { MAX_READ_RANK } else { rank };
             return as_of + READ_INTERVAL + READ_STAGGER * rank;
--- a/crates/dispatch/tests/decisions/reading.rs
+++ b/crates/dispatch/tests/decisions/reading.rs
@@ -84,6 +84,17 @@
     assert!(eight.oldest_view() < MAX_STALENESS, "a view is {:?} old", eight.oldest_view());
 }
 
+/// An instance that runs alone must follow a change soon after its start as well.
+#[test]
+fn a_lone_instance_reads_again_within_a_second_of_its_start() {
+    let now = Time::from_millis(10_000_000);
+    let mut state = State::new(now, setup());
+
+    state.step(now, Event::PlatformRead { as_of: now, view: ViewSummary::default() });
+
+    assert!(state.next_read() <= now + Duration::from_secs(1));
+}
+
 #[test]
 fn every_instance_reads_a_change_that_one_has_found() {
     let mut fleet = Fleet::new(8);
