Log what tells the hypotheses of the two incidents apart

Cause of the change: no line said when a request was sent, that a missing entry was taken for an expired one, how old the view was at that moment, or what a refused request found at the servers. Added: 'request sent late', 'server entry expired, ...', unsent requests and view age of 'server no longer used', usable, full and least expected time of 'request refused'. The edge asks the reducer right before the first byte; the answer is always yes for now, so nothing is decided differently.

--- a/crates/dispatch/src/admission.rs
+++ b/crates/dispatch/src/admission.rs
@@ -131,6 +131,7 @@
     /// Ends a request with a refusal. If it certainly did not run and may succeed later, the caller
     /// is told when to retry.
     pub(crate) fn refuse(&mut self, now: Time, key: RequestKey, refusal: Refusal) {
+        let servers = self.survey(now, key);
         let Some(req) = self.remove_request(key) else { return };
         let is_fatal = matches!(refusal.reason, Reason::NoKey | Reason::NoRoute);
         let is_retryable = refusal.execution == Execution::NotRun && !is_fatal;
@@ -145,6 +146,7 @@
             refusal,
             after: now.since(req.arrived),
             view_age: self.view_age(now),
+            servers,
         });
         self.emit(Effect::Command { key, command: Command::Refuse(refusal) });
     }
--- a/crates/dispatch/src/effect.rs
+++ b/crates/dispatch/src/effect.rs
@@ -49,6 +49,18 @@
     Refuse(Refusal),
 }
 
+/// The servers of a pool as a refused request found them.
+#[derive(Clone, Copy, PartialEq, Eq, Default, Debug)]
+pub struct ServerSurvey {
+    /// Servers that may get requests: neither draining nor backed off, nor cold beyond their rate.
+    pub usable: u32,
+    /// Usable servers that are full.
+    pub full: u32,
+    /// The least time to first byte that was expected at a usable server that is not full; `None`
+    /// if there is none.
+    pub least_expected: Option<Duration>,
+}
+
 /// A log entry about a decision, with the facts it is based on.
 #[derive(Debug)]
 pub enum LogEntry {
@@ -73,6 +85,31 @@
         /// Whether it is draining, is not listed any more, or was not listed again after the store
         /// came back.
         why: &'static str,
+        /// The number of attempts that were decided for it and not sent yet.
+        unsent: u32,
+        /// Time since the view before this change was confirmed; `None` before the first read.
+        view_age: Option<Duration>,
+    },
+    /// A server's entry is missing, and has probably expired while the platform was unreachable.
+    ServerExpired {
+        /// The server's name in the platform's list.
+        server: Arc<str>,
+        /// Time since the view before this change was confirmed; `None` before the first read.
+        view_age: Option<Duration>,
+        /// For how long reads of the platform have failed; `None` if the last one succeeded.
+        failing: Option<Duration>,
+    },
+    /// A request was sent long after its server had been chosen.
+    SentLate {
+        /// The request's id.
+        id: Arc<str>,
+        /// The server's name.
+        server: Arc<str>,
+        /// Time since the server was chosen.
+        after: Duration,
+        /// Whether the server may still get requests: it is neither draining nor gone nor in an
+        /// evacuated zone.
+        is_eligible: bool,
     },
     /// The set of evacuated zones changed.
     ZonesEvacuated {
@@ -164,6 +201,8 @@
         after: Duration,
         /// Time since the view of the platform was last confirmed; `None` before the first read.
         view_age: Option<Duration>,
+        /// The servers that it could have gone to.
+        servers: ServerSurvey,
     },
     /// A request was refused when its head had been read.
     Rejected {
--- a/crates/dispatch/src/fleet.rs
+++ b/crates/dispatch/src/fleet.rs
@@ -80,7 +80,10 @@
             self.servers.insert(now, entry.clone());
         }
         if entry.is_draining && !old.is_draining {
-            self.log(LogEntry::ServerLost { server: entry.name, why: "draining" });
+            let unsent = self.servers.get(key).map_or(0, |server| server.unsent);
+            let view_age = self.view_age(now);
+            let why = "draining";
+            self.log(LogEntry::ServerLost { server: entry.name, why, unsent, view_age });
         }
     }
 
@@ -95,16 +98,24 @@
         let may_have_expired = self.was_platform_unreachable(now);
         let Some(server) = self.servers.get_mut(key) else { return };
         if may_have_expired && !server.entry.is_draining {
+            let is_first = server.expired_at.is_none();
             server.expired_at.get_or_insert(now);
+            let server = Arc::clone(&server.entry.name);
+            if is_first {
+                let view_age = self.view_age(now);
+                let failing = self.failing_since.map(|since| now.since(since));
+                self.log(LogEntry::ServerExpired { server, view_age, failing });
+            }
             return;
         }
-        self.remove_server(key, "not listed");
+        self.remove_server(now, key, "not listed");
     }
 
-    fn remove_server(&mut self, key: ServerKey, why: &'static str) {
+    fn remove_server(&mut self, now: Time, key: ServerKey, why: &'static str) {
         let Some(server) = self.servers.remove(key) else { return };
         self.emit(Effect::Disconnect { address: server.entry.address });
-        self.log(LogEntry::ServerLost { server: server.entry.name, why });
+        let (unsent, view_age) = (server.unsent, self.view_age(now));
+        self.log(LogEntry::ServerLost { server: server.entry.name, why, unsent, view_age });
     }
 
     /// Removes the servers that were not listed again after the store came back.
@@ -114,7 +125,7 @@
         let expired = self.servers.iter().filter(|pair| is_over(pair.1.expired_at));
         let expired: Vec<_> = expired.map(|pair| pair.0).collect();
         for key in expired {
-            self.remove_server(key, "lapsed while the store was away");
+            self.remove_server(now, key, "lapsed while the store was away");
         }
     }
 
--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -41,7 +41,7 @@
 pub use choice::{Affinity, Candidate, Estimate};
 pub use cold::RequestWindow;
 pub use demand::EngineDemand;
-pub use effect::{Command, Effect, LogEntry};
+pub use effect::{Command, Effect, LogEntry, ServerSurvey};
 pub use event::{Event, NewRequest, ServerChange};
 pub use freshness::Freshness;
 pub use live_engines::{FleetDemand, LiveEngines};
--- a/crates/dispatch/src/outcome.rs
+++ b/crates/dispatch/src/outcome.rs
@@ -20,6 +20,10 @@
 /// retry.
 const MAX_REJECTIONS: u32 = 3;
 
+/// A request that is sent this long after its server was chosen is logged: several times what it
+/// takes to connect to a server that accepts at once.
+const LATE_SENDING: Duration = Duration::from_millis(100);
+
 impl State {
     pub(crate) fn sent(&mut self, now: Time, key: RequestKey) {
         let Some(req) = self.requests.get_mut(key) else { return };
@@ -28,6 +32,23 @@
         if std::mem::take(&mut req.has_reserved_retry) {
             self.budgets.entry(req.pool).or_default().spend(now, &self.setup.bounds);
         }
+        let (id, running) = (Arc::clone(&req.id), *running);
+        if let Some(server) = self.servers.get_mut(running.server) {
+            server.unsent = server.unsent.saturating_sub(1);
+        }
+        self.log_late_sending(now, id, running);
+    }
+
+    /// Logs that a request is sent long after its server was chosen, or to a server that has begun
+    /// to leave since.
+    fn log_late_sending(&mut self, now: Time, id: Arc<str>, running: RunningAttempt) {
+        let after = now.since(running.started_at);
+        let server = self.servers.get(running.server);
+        let is_eligible = server.is_some_and(|server| self.servers.is_eligible(server));
+        if after >= LATE_SENDING || !is_eligible {
+            let server = server.map(|server| Arc::clone(&server.entry.name)).unwrap_or_default();
+            self.log(LogEntry::SentLate { id, server, after, is_eligible });
+        }
     }
 
     pub(crate) fn first_byte(&mut self, now: Time, key: RequestKey) {
@@ -92,6 +113,9 @@
         }
         let Some(server) = self.servers.get_mut(running.server) else { return };
         server.attempts = server.attempts.saturating_sub(1);
+        if running.sent_at.is_none() {
+            server.unsent = server.unsent.saturating_sub(1);
+        }
         server.prefill_tokens =
             server.prefill_tokens.saturating_sub(u64::from(running.prefill_tokens));
         server.health.set_attempts(now, server.attempts);
--- a/crates/dispatch/src/placement.rs
+++ b/crates/dispatch/src/placement.rs
@@ -6,7 +6,8 @@
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
 use crate::{
-    Attempt, Candidate, Command, Effect, LogEntry, Pool, RequestKey, Server, ServerKey,
+    Affinity, Attempt, Candidate, Command, Effect, LogEntry, Pool, RequestKey, Server, ServerKey,
+    ServerSurvey,
     preferred_servers::PreferredServers,
     request::{Request, RunningAttempt, Stage},
     state::State,
@@ -84,28 +85,21 @@
             let fetch_source =
                 fetch_source.filter(|source| can_fetch && self.is_available(now, *source));
             let candidate = Candidate {
-                server,
                 has_fetch_source: fetch_source.is_some(),
-                spread: if is_live_stream { spread(&req.id, server) } else { 0.0 },
-                others: self.loads.total(server.id.into()),
-                is_same_zone: server.entry.zone == self.setup.zone,
                 affinity: preferred.affinity(key),
-                cached_tokens,
+                ..self.candidate(req, server)
             };
             let estimate = candidate.estimate(now, pool, &req.prompt, target);
             if !estimate.is_acceptable(target, is_top_tier, is_overdue) {
                 continue;
             }
-            let others = candidate.others.attempts;
-            let (cost, expected) = (estimate.cost, estimate.first_byte);
-            let prefill_tokens = estimate.prefill_tokens;
             let choice = Choice {
                 server: key,
                 is_mixed,
-                cost,
-                expected,
-                prefill_tokens,
-                others,
+                cost: estimate.cost,
+                expected: estimate.first_byte,
+                prefill_tokens: estimate.prefill_tokens,
+                others: candidate.others.attempts,
                 backup: None,
                 fetch_source,
             };
@@ -119,6 +113,50 @@
         best.map(|best| Choice { backup, ..best })
     }
 
+    /// Returns a server as a candidate for a request, without what the preferred servers for its
+    /// prefix add.
+    fn candidate<'a>(&self, req: &Request, server: &'a Server) -> Candidate<'a> {
+        Candidate {
+            server,
+            others: self.loads.total(server.id.into()),
+            is_same_zone: server.entry.zone == self.setup.zone,
+            affinity: Affinity::Other,
+            cached_tokens: server.prefixes.cached_tokens(&req.prompt),
+            has_fetch_source: false,
+            spread: if req.is_live_stream() { spread(&req.id, server) } else { 0.0 },
+        }
+    }
+
+    /// Returns what a request finds at the servers of its pool.
+    pub(crate) fn survey(&self, now: Time, key: RequestKey) -> ServerSurvey {
+        let mut survey = ServerSurvey::default();
+        let Some(req) = self.requests.get(key) else { return survey };
+        let pool = self.catalog.as_ref().and_then(|catalog| catalog.pools.get(&req.pool));
+        let Some(pool) = pool else { return survey };
+        for key in self.servers.in_pool(req.pool) {
+            let Some(server) = self.servers.get(*key) else { continue };
+            if req.tried.contains(key) || !self.may_send(now, server, pool) {
+                continue;
+            }
+            survey.usable += 1;
+            let target = req.routed.route.target;
+            let estimate = self.candidate(req, server).estimate(now, pool, &req.prompt, target);
+            if estimate.is_full {
+                survey.full += 1;
+                continue;
+            }
+            let least = survey.least_expected.unwrap_or(estimate.first_byte);
+            survey.least_expected = Some(least.min(estimate.first_byte));
+        }
+        survey
+    }
+
+    /// Returns whether the attempt that was started for a request may still be sent to its server.
+    /// Asked when there is a connection, right before the first byte.
+    pub fn may_send_attempt(&self, _now: Time, _key: RequestKey) -> bool {
+        true
+    }
+
     /// Returns whether a server is known and not backed off.
     fn is_available(&self, now: Time, server: ServerKey) -> bool {
         self.servers.get(server).is_some_and(|server| !server.health.is_backed_off(now))
@@ -190,6 +228,7 @@
         req.attempts += 1;
         let running = RunningAttempt {
             server: choice.server,
+            started_at: now,
             sent_at: None,
             expected: choice.expected,
             prefill_tokens: if resumes_from_backup { 0 } else { choice.prefill_tokens },
@@ -201,6 +240,7 @@
         }
         req.stage = Stage::Running(running);
         server.attempts += 1;
+        server.unsent += 1;
         server.prefill_tokens += u64::from(running.prefill_tokens);
         server.recent_requests.record(now);
         server.prefixes.record(&req.prompt);
--- a/crates/dispatch/src/request.rs
+++ b/crates/dispatch/src/request.rs
@@ -62,6 +62,8 @@
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct RunningAttempt {
     pub(crate) server: ServerKey,
+    /// When the server was chosen.
+    pub(crate) started_at: Time,
     /// When its first byte was sent to the server; `None` before.
     pub(crate) sent_at: Option<Time>,
     /// The expected time to first byte.
--- a/crates/dispatch/src/server.rs
+++ b/crates/dispatch/src/server.rs
@@ -48,6 +48,8 @@
     pub entry: ServerEntry,
     /// The number of attempts of this instance that run there.
     pub attempts: u32,
+    /// The number of these attempts that have not been sent yet.
+    pub(crate) unsent: u32,
     /// Prompt tokens that it still has to read for these attempts.
     pub prefill_tokens: u64,
     /// Until when it is cold.
@@ -70,6 +72,7 @@
             cold_until: now + entry.cold,
             entry,
             attempts: 0,
+            unsent: 0,
             prefill_tokens: 0,
             expired_at: None,
             recent_requests: RequestWindow::default(),
--- a/crates/edge/src/attempt.rs
+++ b/crates/edge/src/attempt.rs
@@ -132,6 +132,9 @@
         if now >= self.attempt.start_by {
             return Err(Fault::Unused);
         }
+        if !self.instance.read_state(|state| state.may_send_attempt(now, self.key)) {
+            return Err(Fault::NotConnected);
+        }
         let fields = AttemptFields {
             server: &self.attempt.name,
             time_left: now.until(self.attempt.end_by),
--- a/crates/edge/src/journal.rs
+++ b/crates/edge/src/journal.rs
@@ -41,6 +41,7 @@
             LogEntry::AttemptFailed { .. }
             | LogEntry::Refused { .. }
             | LogEntry::Rejected { .. }
+            | LogEntry::SentLate { .. }
             | LogEntry::CallerLeft { .. } => (&mut self.failures, MAX_FAILURE_LINES),
             _ => return write(entry),
         };
@@ -68,7 +69,17 @@
         LogEntry::ServerFound { server, cold } => {
             log::info!(server:%, cold_ms = cold.as_millis() as u64; "server available");
         }
-        LogEntry::ServerLost { server, why } => log::info!(server:%, why; "server no longer used"),
+        LogEntry::ServerLost { server, why, unsent, view_age } => {
+            let view_age_ms = view_age.map(millis);
+            log::info!(server:%, why, unsent, view_age_ms:?; "server no longer used");
+        }
+        LogEntry::ServerExpired { server, view_age, failing } => {
+            let (view_age_ms, failing_ms) = (view_age.map(millis), failing.map(millis));
+            log::info!(
+                server:%, view_age_ms:?, failing_ms:?;
+                "server entry expired, used until it should be listed again"
+            );
+        }
         LogEntry::ZonesEvacuated { zones } => log::info!(zones; "evacuated zones changed"),
         LogEntry::LiveEngines { pool, count, demand } => {
             let live_streams = demand.live_streams.round() as u64;
@@ -107,11 +118,19 @@
                 "response completed"
             );
         }
-        LogEntry::Refused { id, route, refusal, after, view_age } => {
+        LogEntry::SentLate { id, server, after, is_eligible } => {
+            log::info!(
+                request:% = id, server:%, after_ms = millis(*after), eligible = is_eligible;
+                "request sent late"
+            );
+        }
+        LogEntry::Refused { id, route, refusal, after, view_age, servers } => {
+            let least_expected_ms = servers.least_expected.map(millis);
             log::info!(
                 request:% = id, route:%, reason:? = refusal.reason, execution:? = refusal.execution,
                 retry_after_ms:? = refusal.retry_after.map(millis), after_ms = millis(*after),
-                view_age_ms:? = view_age.map(millis);
+                view_age_ms:? = view_age.map(millis), usable = servers.usable, full = servers.full,
+                least_expected_ms:?;
                 "request refused"
             );
         }
