--- a/crates/dispatch/tests/decisions/tree.rs
+++ b/crates/dispatch/tests/decisions/tree.rs
@@ -4,13 +4,18 @@
 
 use std::{collections::BTreeMap, net::SocketAddrV4, sync::Arc};
 
-use dispatch::{Effect, Event, ReadSource, RetryPolicy, Setup, State};
+use dispatch::{
+    Effect, Event, NewRequest, Prompt, ReadSource, RequestKey, RetryPolicy, ServerChange, Setup,
+    State,
+};
 use gossip::ViewSummary;
 use model::prelude::*;
 use rand::{RngExt as _, SeedableRng as _};
 use rand_chacha::ChaCha8Rng;
 
-use crate::support::{catalog, setup};
+use slotmap::SlotMap;
+
+use crate::support::{KEY, attempts, catalog, server, setup};
 
 /// The largest fleet that must work: a requirement of the users.
 const LARGEST: usize = 342;
@@ -38,6 +43,8 @@
     /// When members that failed before may read again.
     not_before: BTreeMap<usize, Time>,
     view: ViewSummary,
+    /// A server that is listed in all views with digest 0 and in no other.
+    removed_server: Option<ServerId>,
     /// Members that do not deliver changes to others.
     undelivering: Vec<usize>,
     /// Successful and failed reads of the platform.
@@ -79,6 +86,7 @@
             cut_off: BTreeMap::new(),
             is_platform_down: false,
             not_before: BTreeMap::new(),
+            removed_server: None,
             undelivering: Vec::new(),
             view: ViewSummary::default(),
             reads: 0,
@@ -175,6 +183,13 @@
                 None => Event::PeerReadFailed,
             },
         };
+        let is_newer = matches!(
+            &event,
+            Event::PlatformRead { view, .. } | Event::PeerRead { view, .. } if view.digest != 0
+        );
+        if let Some(removed) = self.removed_server.filter(|_| is_newer) {
+            self.step(no, Event::Server(ServerChange::Unlisted(removed)));
+        }
         self.step(no, event);
     }
 
@@ -306,3 +321,91 @@
     // One try of each, and those of the few that retry soon.
     assert!(reads_down <= 2 * 295, "{reads_down} reads while the platform was down");
 }
+
+/// The time from the end of a disturbance of the platform until all bounds hold again at all
+/// instances of large fleets.
+const SETTLED_WITHIN: Duration = Duration::from_millis(4_000);
+
+/// Returns whether a member sends a request to the only server that it knows.
+fn sends_request(fleet: &mut Fleet, no: usize) -> bool {
+    let now = fleet.now;
+    let Some(state) = &mut fleet.members[no] else { return false };
+    let Ok(routed) = state.route(now, "host.example", "/order/x", Some(KEY)) else { return false };
+    let key = SlotMap::<RequestKey, ()>::with_key().insert(());
+    let new = NewRequest {
+        id: Arc::from("request"),
+        routed,
+        arrived: now,
+        caller_deadline: now + Duration::from_secs(4),
+        prompt: Prompt::default(),
+    };
+    let effects = state.step(now, Event::Request { key, new: Box::new(new) });
+    state.step(now, Event::CallerLeft { key });
+    !attempts(&effects).is_empty()
+}
+
+/// Returns a fleet in which a third of the members could not read the platform for this time and
+/// four seconds, and their peers did not deliver a change, as it was too large. Meanwhile a server
+/// was removed. The platform serves all again.
+fn fleet_with_members_behind(before_change: Duration) -> Fleet {
+    let mut fleet = Fleet::new(62, 9);
+    for no in 0..62 {
+        fleet.step(no, Event::Listed(vec![server("e1", "ledger", 11)]));
+    }
+    fleet.undelivering = (0..62).collect();
+    fleet.cut_off = (0..62).filter(|no| no % 3 == 1).map(|no| (no, fleet.now)).collect();
+    fleet.pass(before_change);
+    fleet.view.digest = 5;
+    fleet.removed_server = Some(ServerId::of("e1"));
+    fleet.pass(Duration::from_secs(4));
+    // Retries stay due when they were planned.
+    fleet.not_before = std::mem::take(&mut fleet.cut_off);
+    fleet
+}
+
+/// Guards against instances that know that they are behind and wait for a rare retry: they answer by
+/// an old configuration and send requests to servers that have left.
+#[test]
+fn members_that_are_behind_read_the_platform_soon_after_it_serves_them_again() {
+    for before_change_s in [2, 4, 6] {
+        let mut fleet = fleet_with_members_behind(Duration::from_secs(before_change_s));
+
+        let took = fleet.pass_until_all_follow();
+
+        assert!(took <= SETTLED_WITHIN, "{took:?} until all members followed");
+    }
+}
+
+/// Guards against requests to a server that left while only some instances could not read the
+/// platform: its entry has not expired in an outage.
+#[test]
+fn members_that_were_turned_away_alone_send_nothing_to_a_server_that_left_meanwhile() {
+    let mut fleet = fleet_with_members_behind(Duration::from_secs(6));
+    fleet.pass_until_all_follow();
+
+    let senders = (0..62).filter(|no| sends_request(&mut fleet, *no)).count();
+
+    assert_eq!(senders, 0, "members still send requests to a server that has left");
+}
+
+/// Guards against a fleet that drops servers whose entries expired because nobody could renew them.
+#[test]
+fn members_use_servers_whose_entries_expired_in_an_outage_for_two_seconds() {
+    let mut fleet = Fleet::new(62, 10);
+    for no in 0..62 {
+        fleet.step(no, Event::Listed(vec![server("e1", "ledger", 11)]));
+    }
+    fleet.is_platform_down = true;
+    fleet.pass(Duration::from_secs(6));
+    fleet.view.digest = 5;
+    fleet.removed_server = Some(ServerId::of("e1"));
+    fleet.is_platform_down = false;
+    fleet.not_before = std::mem::take(&mut fleet.cut_off);
+
+    fleet.pass_until_all_follow();
+    let early = (0..62).filter(|no| sends_request(&mut fleet, *no)).count();
+    fleet.pass(Duration::from_millis(2_200));
+    let late = (0..62).filter(|no| sends_request(&mut fleet, *no)).count();
+
+    assert_eq!((early, late), (62, 0));
+}
