--- a/crates/dispatch/tests/decisions/tree.rs
+++ b/crates/dispatch/tests/decisions/tree.rs
@@ -344,20 +344,20 @@
     !attempts(&effects).is_empty()
 }
 
-/// Returns a fleet in which a third of the members could not read the platform for this time and
-/// four seconds, and their peers did not deliver a change, as it was too large. Meanwhile a server
-/// was removed. The platform serves all again.
-fn fleet_with_members_behind(before_change: Duration) -> Fleet {
+/// Returns a fleet in which a third of the members could not read the platform for six seconds
+/// before a change and this time after it, and their peers did not deliver the change, as it was
+/// too large. Meanwhile a server was removed. The platform serves all again.
+fn fleet_with_members_behind(after_change: Duration) -> Fleet {
     let mut fleet = Fleet::new(62, 9);
     for no in 0..62 {
         fleet.step(no, Event::Listed(vec![server("e1", "ledger", 11)]));
     }
     fleet.undelivering = (0..62).collect();
     fleet.cut_off = (0..62).filter(|no| no % 3 == 1).map(|no| (no, fleet.now)).collect();
-    fleet.pass(before_change);
+    fleet.pass(Duration::from_secs(6));
     fleet.view.digest = 5;
     fleet.removed_server = Some(ServerId::of("e1"));
-    fleet.pass(Duration::from_secs(4));
+    fleet.pass(after_change);
     // Retries stay due when they were planned.
     fleet.not_before = std::mem::take(&mut fleet.cut_off);
     fleet
@@ -367,8 +367,8 @@
 /// an old configuration and send requests to servers that have left.
 #[test]
 fn members_that_are_behind_read_the_platform_soon_after_it_serves_them_again() {
-    for before_change_s in [2, 4, 6] {
-        let mut fleet = fleet_with_members_behind(Duration::from_secs(before_change_s));
+    for after_change_s in [1, 2, 4] {
+        let mut fleet = fleet_with_members_behind(Duration::from_secs(after_change_s));
 
         let took = fleet.pass_until_all_follow();
 
@@ -380,7 +380,7 @@
 /// platform: its entry has not expired in an outage.
 #[test]
 fn members_that_were_turned_away_alone_send_nothing_to_a_server_that_left_meanwhile() {
-    let mut fleet = fleet_with_members_behind(Duration::from_secs(6));
+    let mut fleet = fleet_with_members_behind(Duration::from_secs(4));
     fleet.pass_until_all_follow();
 
     let senders = (0..62).filter(|no| sends_request(&mut fleet, *no)).count();
