Do not send requests to servers that began to leave after they were chosen

What callers saw: a request reached a server after the server had said that it leaves. Cause: the choice of a server was final. Up to 400 ms for a connection and the wake-up of a task lie between it and the first byte, and nothing ended them but the bound on keys. Fix: the edge asks the reducer right before the first byte whether the attempt still holds: server listed, not draining, not restarted, zone not evacuated. If not, nothing was sent, so the request goes to another server without using the retry budget. Asking at the last moment holds whatever the delay, as nothing runs between the answer and the write. Failed before: four tests of decisions::leaving. The same cause for evacuated zones and restarted servers is mended with it; keys had their own bound.

--- a/crates/dispatch/src/attempt.rs
+++ b/crates/dispatch/src/attempt.rs
@@ -49,6 +49,8 @@
     },
     /// Nothing was sent, as [`Attempt::start_by`] had passed.
     Unused,
+    /// Nothing was sent, as the server began to leave after it had been chosen.
+    Withdrawn,
     /// Nothing was sent, as there was no connection.
     NotConnected,
     /// The server says that it did not run the request.
@@ -75,7 +77,7 @@
 impl AttemptEnd {
     /// Returns whether the server may have run the request.
     pub fn may_have_run(self) -> bool {
-        !matches!(self, Self::Unused | Self::NotConnected | Self::Rejected { .. })
+        !matches!(self, Self::Unused | Self::Withdrawn | Self::NotConnected | Self::Rejected { .. })
     }
 
     /// Returns whether the caller has got an incomplete response.
--- a/crates/dispatch/src/outcome.rs
+++ b/crates/dispatch/src/outcome.rs
@@ -129,7 +129,7 @@
             AttemptEnd::HeldBack | AttemptEnd::Broken { .. } | AttemptEnd::TimedOut { .. } => {
                 server.health.record_outcome(now, true);
             }
-            AttemptEnd::Unused | AttemptEnd::CallerLeft => {}
+            AttemptEnd::Unused | AttemptEnd::Withdrawn | AttemptEnd::CallerLeft => {}
         }
     }
 
@@ -220,7 +220,7 @@
             _ if !may_start => false,
             AttemptEnd::Unused => return NextStep::Refuse(req.refusal(Reason::NotReady)),
             // No byte reached the server, so this is not a retry for the budget.
-            AttemptEnd::NotConnected => !is_late,
+            AttemptEnd::NotConnected | AttemptEnd::Withdrawn => !is_late,
             AttemptEnd::Rejected { .. } => {
                 req.rejections += 1;
                 let is_over = req.rejections >= MAX_REJECTIONS || is_late;
@@ -238,7 +238,7 @@
         let reason = match end {
             _ if req.holds_server_error || end == AttemptEnd::HeldBack => return NextStep::Deliver,
             AttemptEnd::Rejected { .. } => Reason::Capacity,
-            AttemptEnd::NotConnected => Reason::NoServer,
+            AttemptEnd::NotConnected | AttemptEnd::Withdrawn => Reason::NoServer,
             AttemptEnd::TimedOut { .. } => Reason::ServerTimeout,
             _ => Reason::ServerFailed,
         };
--- a/crates/dispatch/src/placement.rs
+++ b/crates/dispatch/src/placement.rs
@@ -151,10 +151,16 @@
         survey
     }
 
-    /// Returns whether the attempt that was started for a request may still be sent to its server.
-    /// Asked when there is a connection, right before the first byte.
-    pub fn may_send_attempt(&self, _now: Time, _key: RequestKey) -> bool {
-        true
+    /// Returns whether the attempt that was started for a request may still be sent: its server has
+    /// neither begun to leave nor been restarted since it was chosen, and its zone has not been
+    /// evacuated. Asked when there is a connection, right before the first byte.
+    pub fn may_send_attempt(&self, key: RequestKey) -> bool {
+        let Some(Stage::Running(running)) = self.requests.get(key).map(|req| req.stage) else {
+            return false;
+        };
+        self.servers.get(running.server).is_some_and(|server| {
+            self.servers.is_eligible(server) && server.entry.incarnation == running.incarnation
+        })
     }
 
     /// Returns whether a server is known and not backed off.
@@ -228,6 +234,7 @@
         req.attempts += 1;
         let running = RunningAttempt {
             server: choice.server,
+            incarnation: server.entry.incarnation,
             started_at: now,
             sent_at: None,
             expected: choice.expected,
--- a/crates/dispatch/src/request.rs
+++ b/crates/dispatch/src/request.rs
@@ -62,6 +62,8 @@
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct RunningAttempt {
     pub(crate) server: ServerKey,
+    /// The incarnation of the server that was chosen.
+    pub(crate) incarnation: u64,
     /// When the server was chosen.
     pub(crate) started_at: Time,
     /// When its first byte was sent to the server; `None` before.
--- a/crates/dispatch/tests/decisions/leaving.rs
+++ b/crates/dispatch/tests/decisions/leaving.rs
@@ -3,7 +3,7 @@
 
 use std::collections::BTreeSet;
 
-use dispatch::{Effect, Event, RequestKey, ServerChange, ServerEntry};
+use dispatch::{AttemptEnd, Effect, Event, RequestKey, ServerChange, ServerEntry};
 use model::prelude::*;
 
 use crate::support::{Bench, attempts, prompt, server, zone};
@@ -21,7 +21,7 @@
 }
 
 fn may_be_sent(bench: &Bench, key: RequestKey) -> bool {
-    bench.state.may_send_attempt(bench.now, key)
+    bench.state.may_send_attempt(key)
 }
 
 /// Guards against requests that reach a server after it said that it leaves.
@@ -111,3 +111,20 @@
         .any(|it| matches!(it, Effect::Log(dispatch::LogEntry::ServerLost { unsent: 1, .. })));
     assert!(logged, "{effects:?}");
 }
+
+/// Guards against requests that fail because their server began to leave: nothing was sent, so
+/// another server can take them, also where a route allows one run only.
+#[test]
+fn a_request_whose_server_left_before_it_was_sent_goes_to_another_one() {
+    let mut bench = Bench::new(vec![entry(), server("e2", "ledger", 12)]);
+    let (key, effects) = bench.request("order", prompt(0, 0, 0));
+    let first = attempts(&effects)[0].1.name.to_string();
+    let draining = ServerEntry { is_draining: true, ..server(&first, "ledger", 13) };
+    bench.list(draining);
+
+    let effects = bench.ended(key, AttemptEnd::Withdrawn);
+
+    let sent = attempts(&effects);
+    assert_eq!(sent.len(), 1, "the request has no server");
+    assert_ne!(&*sent[0].1.name, first);
+}
--- a/crates/edge/src/attempt.rs
+++ b/crates/edge/src/attempt.rs
@@ -60,6 +60,7 @@
 #[derive(Clone, Copy, PartialEq, Eq, Debug)]
 pub(crate) enum Fault {
     Unused,
+    Withdrawn,
     NotConnected,
     Rejected { is_misdirected: bool },
     HeldBack,
@@ -103,6 +104,7 @@
             Ok(relayed) => AttemptEnd::Completed { is_success: relayed.is_success },
             Err(Fault::CallerLeft) => AttemptEnd::CallerLeft,
             Err(Fault::Unused) => AttemptEnd::Unused,
+            Err(Fault::Withdrawn) => AttemptEnd::Withdrawn,
             Err(Fault::NotConnected) => AttemptEnd::NotConnected,
             Err(_) if !progress.is_sent => AttemptEnd::NotConnected,
             Err(Fault::Rejected { is_misdirected }) => AttemptEnd::Rejected { is_misdirected },
@@ -132,8 +134,8 @@
         if now >= self.attempt.start_by {
             return Err(Fault::Unused);
         }
-        if !self.instance.read_state(|state| state.may_send_attempt(now, self.key)) {
-            return Err(Fault::NotConnected);
+        if !self.instance.read_state(|state| state.may_send_attempt(self.key)) {
+            return Err(Fault::Withdrawn);
         }
         let fields = AttemptFields {
             server: &self.attempt.name,
--- a/crates/edge/src/journal.rs
+++ b/crates/edge/src/journal.rs
@@ -159,6 +159,7 @@
         AttemptEnd::Completed { is_success: true } => "completed",
         AttemptEnd::Completed { is_success: false } => "server error",
         AttemptEnd::Unused => "unused",
+        AttemptEnd::Withdrawn => "the server leaves",
         AttemptEnd::NotConnected => "not connected",
         AttemptEnd::Rejected { is_misdirected: false } => "rejected",
         AttemptEnd::Rejected { is_misdirected: true } => "another server answers there",
