Count requests to cold servers when they are sent

Cause: the rate limit of a cold server counted the moment of the choice, so requests that waited up to 400 ms for a connection arrived together with those decided later: 16 within a second where the share of the instance is 8 (decisions::leaving:: requests_to_a_cold_server_count_when_they_are_sent, failed before). Fix: a request counts while it is decided and unsent, and for a second from its sending.

--- a/crates/dispatch/src/outcome.rs
+++ b/crates/dispatch/src/outcome.rs
@@ -35,6 +35,7 @@
         let (id, running) = (Arc::clone(&req.id), *running);
         if let Some(server) = self.servers.get_mut(running.server) {
             server.unsent = server.unsent.saturating_sub(1);
+            server.recent_requests.record(now);
         }
         self.log_late_sending(now, id, running);
     }
--- a/crates/dispatch/src/placement.rs
+++ b/crates/dispatch/src/placement.rs
@@ -180,7 +180,9 @@
         }
         let bounds = &self.setup.bounds;
         let limit = (pool.cold_rate * bounds.cold_factor + bounds.cold_extra).floor() as u32;
-        server.recent_requests.count(now) < self.share.whole_units(limit, server.id)
+        // Requests that wait for a connection may be sent together with this one.
+        let count = server.recent_requests.count(now) + server.unsent;
+        count < self.share.whole_units(limit, server.id)
     }
 
     /// Returns the servers that rendezvous hashing prefers for the shared prefix of a request, among
@@ -249,7 +251,6 @@
         server.attempts += 1;
         server.unsent += 1;
         server.prefill_tokens += u64::from(running.prefill_tokens);
-        server.recent_requests.record(now);
         server.prefixes.record(&req.prompt);
         server.health.set_attempts(now, server.attempts);
         let route = &req.routed.route;
