Take a missing server entry for an expired one only after an outage that all instances saw

Cause: after an outage of the platform, servers whose entries are missing get requests for two more seconds, as their entries may have expired. In large fleets any view of 2.4 s counted as an outage, also that of an instance which the store alone had turned away: it dropped 13 servers 2.1 s after it had read that they were gone, and 3.4 s after the others. The two seconds began with the instance's own first read, however late that was. Fix: instances note when any of them is known to have read the platform. Only a gap of 2.4 s in these times, within which an own read failed, is an outage, and the two seconds count from its end. The evidence is the same in small and large fleets, and one rule replaces two.

--- a/crates/dispatch/src/fleet.rs
+++ b/crates/dispatch/src/fleet.rs
@@ -6,12 +6,10 @@
 use model::prelude::*;
 
 use crate::{
-    Catalog, Effect, LogEntry, ServerChange, ServerEntry, ServerKey, request::Stage, state::State,
+    Catalog, Effect, LogEntry, ServerChange, ServerEntry, ServerKey, reading::EXPIRED_ENTRY_GRACE,
+    request::Stage, state::State,
 };
 
-/// A server whose entry expired while the store was unreachable keeps getting requests for this
-/// time. Servers that still run are listed again within two seconds of the store's return.
-const EXPIRED_ENTRY_GRACE: Duration = Duration::from_millis(2_000);
 /// Time from the start after which gossip has found the members of a small fleet, from a few
 /// packets of each. Until then the fleet is assumed to be larger than it seems.
 const SETTLE_TIME: Duration = Duration::from_millis(1_000);
@@ -95,11 +93,11 @@
 
     fn server_unlisted(&mut self, now: Time, id: ServerId) {
         let Some(key) = self.servers.by_id(id) else { return };
-        let may_have_expired = self.was_platform_unreachable(now);
+        let expired_at = self.entries_expired_at(now);
         let Some(server) = self.servers.get_mut(key) else { return };
-        if may_have_expired && !server.entry.is_draining {
+        if let (Some(expired_at), false) = (expired_at, server.entry.is_draining) {
             let is_first = server.expired_at.is_none();
-            server.expired_at.get_or_insert(now);
+            server.expired_at.get_or_insert(expired_at);
             let server = Arc::clone(&server.entry.name);
             if is_first {
                 let view_age = self.view_age(now);
--- a/crates/dispatch/src/reading.rs
+++ b/crates/dispatch/src/reading.rs
@@ -35,10 +35,13 @@
 /// The first members of a large fleet, which retry failed reads as often as those of a small one:
 /// one of them succeeds soon after the platform is back, and the others follow it.
 const EAGER_READERS: usize = 8;
-/// The view must have been this old for entries of servers to have expired while the platform was
-/// unreachable: a server is unlisted after three heartbeats, 1.2 s apart, and the last one came up
-/// to one interval before the platform failed.
-const MIN_EXPIRY_AGE: Duration = Duration::from_millis(2_400);
+/// The platform must have been away for this long for entries of servers to have expired: a server
+/// is unlisted after three heartbeats, 1.2 s apart, and the last one came up to one interval before
+/// the platform failed.
+const MIN_EXPIRY_TIME: Duration = Duration::from_millis(2_400);
+/// A server whose entry expired in an outage of the platform may get requests for this time from the
+/// platform's return. Servers that still run are listed again within two seconds of it.
+pub(crate) const EXPIRED_ENTRY_GRACE: Duration = Duration::from_millis(2_000);
 
 /// Where changes are read.
 #[derive(Clone, Copy, PartialEq, Eq, Debug)]
@@ -112,6 +115,7 @@
     /// Handles a successful read, of the platform or of a peer.
     pub(crate) fn view_read(&mut self, now: Time, as_of: Time, view: ViewSummary) {
         let is_changed = view.digest != self.freshness.view().digest;
+        self.platform_seen(as_of);
         self.freshness.record_read(as_of, view);
         self.is_behind = false;
         self.newer_peer = None;
@@ -129,7 +133,7 @@
     /// Processes the view of a peer, which was up to date at `as_of` if that is known.
     pub(crate) fn peer_view(&mut self, peer: SocketAddrV4, view: ViewSummary, as_of: Option<Time>) {
         let Some(as_of) = as_of else { return };
-        self.peer_read_at = self.peer_read_at.max(Some(as_of));
+        self.platform_seen(as_of);
         self.freshness.record_peer_view(view, as_of);
         // An instance that can read neither the platform nor the peer that it asked asks the next.
         let may_ask = !self.is_behind || self.newer_peer.is_none() && self.failing_since.is_some();
@@ -176,18 +180,31 @@
         }
     }
 
-    /// Returns whether the platform was unreachable until now, so that entries of servers may have
-    /// expired because the servers could not renew them. If another instance could read it
-    /// meanwhile, only this instance was cut off. In a large fleet most instances do not read the
-    /// platform, and see its outage only by the age of their view.
-    pub(crate) fn was_platform_unreachable(&self, now: Time) -> bool {
-        let is_old = |as_of: Time| now.since(as_of) >= MIN_EXPIRY_AGE;
-        let is_view_old =
-            self.members.is_large() && self.freshness.last_confirmed().is_some_and(is_old);
-        let is_failing = self
-            .failing_since
-            .is_some_and(|since| self.peer_read_at.is_none_or(|read_at| read_at <= since));
-        is_view_old || is_failing
+    /// Records that some instance read the platform at `as_of`. A long time without any such read is
+    /// an outage that ended then.
+    fn platform_seen(&mut self, as_of: Time) {
+        if self.is_end_of_outage(as_of) {
+            self.platform_back_at = Some(as_of);
+        }
+        self.platform_seen_at = self.platform_seen_at.max(Some(as_of));
+    }
+
+    /// Returns whether this instance could not read the platform, and no other one is known to have
+    /// read it for so long before `now` that entries of servers may have expired.
+    fn is_end_of_outage(&self, now: Time) -> bool {
+        let is_long = |seen_at: Time| now.since(seen_at) >= MIN_EXPIRY_TIME;
+        self.failing_since.is_some() && self.platform_seen_at.is_some_and(is_long)
+    }
+
+    /// Returns since when a server can be missing from the list, which is read now, although it runs:
+    /// its entry may have expired in an outage of the platform that ended then. `None` if the entry
+    /// was deleted for another reason. An instance that alone could not read the platform was told
+    /// by others that they could.
+    pub(crate) fn entries_expired_at(&self, now: Time) -> Option<Time> {
+        if self.is_end_of_outage(now) {
+            return Some(now);
+        }
+        self.platform_back_at.filter(|back_at| now.since(*back_at) < EXPIRED_ENTRY_GRACE)
     }
 
     fn notify_children(&mut self, now: Time) {
--- a/crates/dispatch/src/server.rs
+++ b/crates/dispatch/src/server.rs
@@ -54,8 +54,8 @@
     pub prefill_tokens: u64,
     /// Until when it is cold.
     pub(crate) cold_until: Time,
-    /// When its entry was found to be missing right after the store had been unreachable. The entry
-    /// has probably expired, and will be listed again if the server still runs.
+    /// When the platform came back, if the entry has been missing since: it has probably expired, and
+    /// will be listed again if the server still runs.
     pub(crate) expired_at: Option<Time>,
     /// The requests that this instance sent lately, for the rate limit of cold servers.
     pub(crate) recent_requests: RequestWindow,
--- a/crates/dispatch/src/state.rs
+++ b/crates/dispatch/src/state.rs
@@ -49,8 +49,10 @@
     pub(crate) newer_peer: Option<SocketAddrV4>,
     /// Since when reads of the platform fail; `None` if the last one succeeded.
     pub(crate) failing_since: Option<Time>,
-    /// The latest time at which another instance is known to have read the platform successfully.
-    pub(crate) peer_read_at: Option<Time>,
+    /// The latest time at which any instance is known to have read the platform, whatever it read.
+    pub(crate) platform_seen_at: Option<Time>,
+    /// When the platform was first seen again after its last outage; `None` if there was none.
+    pub(crate) platform_back_at: Option<Time>,
     pub(crate) members: Members,
     pub(crate) upstream: Upstream,
     pub(crate) loads: PeerLoads,
@@ -99,7 +101,8 @@
             is_behind: false,
             newer_peer: None,
             failing_since: None,
-            peer_read_at: None,
+            platform_seen_at: None,
+            platform_back_at: None,
             members: Members::new(now, member, &setup.seeds, setup.seed),
             loads: PeerLoads::default(),
             share: Share::new(setup.address, setup.zones),
@@ -129,8 +132,8 @@
             Event::Server(change) => self.server_changed(now, change),
             Event::EvacuatedZones(zones) => self.evacuated_zones(now, zones),
             Event::PlatformRead { as_of, view } => {
-                self.failing_since = None;
                 self.view_read(now, as_of, view);
+                self.failing_since = None;
             }
             Event::PeerRead { as_of, view } => self.view_read(now, as_of, view),
             Event::PlatformReadFailed => {
