Judge a request by the work that engines serve before it, not by all work

Cause: the expected time to first byte counted work of all ranks, but engines admit by the rank sent with each request. A kind with a target of 800 ms kept every engine at an expected 1,080 ms, a kind with a target of 300 ms was refused above 450 ms. Slots likewise. Evidence: 'request refused' with least_expected_ms 1,080 and no engine full, while short requests that started took a third of their target; a trial that sends them regardless. Fix: loads are kept and told to peers by rank; the limits on the wait and on slots count equal and higher ranks, and a low tier starts nowhere where a higher one waits. Priority inversion as a class ends with the estimate following the order in which engines serve. Failed before: three tests of decisions::tiers. Packets of the former build are read, and read ours: gossip::packets_without_ranks_*.

--- a/crates/dispatch/src/catalog.rs
+++ b/crates/dispatch/src/catalog.rs
@@ -1,6 +1,9 @@
 //! The configuration of the fleet.
 
-use std::{collections::HashMap, sync::Arc};
+use std::{
+    collections::{BTreeMap, HashMap},
+    sync::Arc,
+};
 
 use model::prelude::*;
 
@@ -20,8 +23,8 @@
     pub limits: CallerLimits,
     /// Routes by host, those with the longest prefix first.
     hosts: HashMap<Box<str>, Vec<Arc<Route>>>,
-    /// The highest tier among the routes to each pool. A lower number is a higher tier.
-    top_tiers: HashMap<PoolId, Tier>,
+    /// The tiers of the routes to each pool, the highest first, with the least target of each.
+    tiers: HashMap<PoolId, BTreeMap<Tier, Duration>>,
 }
 
 impl Catalog {
@@ -29,8 +32,9 @@
     pub fn with_routes(mut self, routes: impl IntoIterator<Item = Route>) -> Self {
         for route in routes {
             for target in &route.targets {
-                let top = self.top_tiers.entry(target.pool).or_insert(route.tier);
-                *top = route.tier.min(*top);
+                let tiers = self.tiers.entry(target.pool).or_default();
+                let least = tiers.entry(route.tier).or_insert(route.target);
+                *least = route.target.min(*least);
             }
             self.hosts.entry(route.host.clone()).or_default().push(Arc::new(route));
         }
@@ -55,7 +59,14 @@
 
     /// Returns whether no route to a pool has a higher tier.
     pub fn is_top_tier(&self, pool: PoolId, tier: Tier) -> bool {
-        self.top_tiers.get(&pool).is_none_or(|top| !top.is_above(tier))
+        self.least_target_above(pool, tier).is_none()
+    }
+
+    /// Returns the least target among the routes to a pool that have a higher tier; `None` if there
+    /// are none.
+    pub fn least_target_above(&self, pool: PoolId, tier: Tier) -> Option<Duration> {
+        let above = self.tiers.get(&pool)?.iter().take_while(|it| it.0.is_above(tier));
+        above.map(|it| *it.1).min()
     }
 
     /// Returns the number of routes.
--- a/crates/dispatch/src/choice.rs
+++ b/crates/dispatch/src/choice.rs
@@ -1,9 +1,9 @@
 //! The expected time and cost of a request at each server that could take it.
 
-use gossip::TotalLoad;
+use gossip::{LoadByRank, RankTag, TotalLoad};
 use model::prelude::*;
 
-use crate::{Pool, Prompt, Server};
+use crate::{Pool, Prompt, Rank, Server};
 
 /// Rate at which an engine is assumed to read uncached prompt tokens: rounded down from the 112 and
 /// 157 tokens per ms that engines are specified for.
@@ -55,6 +55,9 @@
 /// The share of an engine's slots that is filled. The rest absorbs the requests that other
 /// instances send before gossip has spread the load.
 const ENGINE_FILL_SHARE: f64 = 0.9;
+/// The same for a request whose work of equal and higher rank leaves slots: the engine admits it
+/// before the less urgent ones in its own queue, which is a few times as long as its slots.
+const URGENT_FILL_SHARE: f64 = 1.5;
 /// The longest expected time to first byte at which a request is sent, as a share of its target.
 /// Longer queues are kept at this instance, where they are ordered by rank.
 const MAX_FIRST_BYTE_SHARE: f64 = 0.6;
@@ -66,8 +69,8 @@
 pub struct Candidate<'a> {
     /// The server, with the attempts that this instance has there.
     pub server: &'a Server,
-    /// The load that other instances have there.
-    pub others: TotalLoad,
+    /// The load at the server, as seen by the request.
+    pub load: SeenLoad,
     /// Whether it is in this instance's zone.
     pub is_same_zone: bool,
     /// Whether it is a preferred server for the shared prefix.
@@ -80,6 +83,32 @@
     pub spread: f64,
 }
 
+/// The load of a server as a request of some rank sees it, of this and all other instances.
+#[derive(Clone, Copy, Default, Debug)]
+pub struct SeenLoad {
+    /// All load.
+    pub all: TotalLoad,
+    /// The part of it that is not less urgent. Engines admit the request before the rest.
+    pub ahead: TotalLoad,
+    /// The part of it that is more urgent.
+    pub more_urgent: TotalLoad,
+}
+
+impl SeenLoad {
+    /// Returns what a request of this rank sees of a server's load.
+    pub fn new(own: &LoadByRank, others: Option<&LoadByRank>, rank: Rank) -> Self {
+        let rank = RankTag::from(rank);
+        let both = |part: fn(&LoadByRank, RankTag) -> TotalLoad| {
+            part(own, rank) + others.map(|load| part(load, rank)).unwrap_or_default()
+        };
+        Self {
+            all: both(|load, _| load.total()),
+            ahead: both(LoadByRank::up_to),
+            more_urgent: both(LoadByRank::above),
+        }
+    }
+}
+
 /// Whether a server is a preferred one for a shared prefix. Rendezvous hashing decides, so that all
 /// instances prefer the same servers without exchanging messages.
 #[derive(Clone, Copy, PartialEq, Eq, Debug)]
@@ -104,18 +133,36 @@
     }
 }
 
+/// Whether a server has room for a request. A lower value is to be preferred.
+#[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Debug)]
+pub enum Room {
+    /// It has free slots.
+    Free,
+    /// Less urgent requests fill it, and the request goes before those of them that wait.
+    ByRank,
+    /// It is full.
+    None,
+}
+
 /// What a request is expected to cost at a server.
 #[derive(Clone, Copy, Debug)]
 pub struct Estimate {
-    /// The time to first byte.
+    /// The time to first byte after all other work. Prefill of less urgent prompts interrupts a
+    /// response even if the server admits the request before them.
     pub first_byte: Duration,
+    /// The time to first byte after the work that is not less urgent.
+    pub first_byte_by_rank: Duration,
     /// The time to first byte with all penalties of the server. The server with the least cost is
     /// chosen.
     pub cost: Duration,
     /// Prompt tokens that the server is expected to read.
     pub prefill_tokens: u32,
-    /// Whether the server is full.
-    pub is_full: bool,
+    /// Whether the server has room for the request.
+    pub room: Room,
+    /// Whether the server runs nothing, so that waiting changes nothing.
+    pub is_idle: bool,
+    /// The time that the server still reads for more urgent requests.
+    pub urgent_reading: Duration,
 }
 
 impl Candidate<'_> {
@@ -127,7 +174,7 @@
             FETCH_SETUP_TIME + per_token.mul_f64(missing) * CROSS_ZONE_FETCH_FACTOR
         });
         let uncached = if fetch.is_some() { missing * FETCH_MISS_SHARE } else { missing };
-        let (first_byte, is_full) = match pool.engine {
+        let (first_byte, room) = match pool.engine {
             Some(engine) => {
                 self.at_engine(engine.slots.max(self.server.entry.slots), prompt, uncached)
             }
@@ -136,6 +183,8 @@
         let first_byte = first_byte + fetch_time;
         let health = &self.server.health;
         let first_byte = first_byte.mul_f64(health.slowdown());
+        let less_urgent = pool.engine.map_or(Duration::ZERO, |_| self.less_urgent_reading());
+        let first_byte_by_rank = first_byte.saturating_sub(less_urgent.mul_f64(health.slowdown()));
         let zone = if self.is_same_zone { Duration::ZERO } else { CROSS_ZONE_COST };
         let failures = FAILURE_COST.mul_f64(health.failure_rate(now));
         let safe = target.mul_f64(SAFE_TARGET_SHARE);
@@ -145,17 +194,43 @@
         let spread = SPREAD_COST.mul_f64(self.spread);
         let cost = wait + spread + reading + zone + failures + 2 * health.excess_silence(now);
         let prefill_tokens = prompt.own_tokens().saturating_add(uncached as u32);
-        Estimate { first_byte, cost, prefill_tokens, is_full }
+        let is_idle = self.load.all.attempts == 0;
+        let urgent_reading = reading_time(self.load.more_urgent.prefill_tokens);
+        Estimate {
+            first_byte,
+            first_byte_by_rank,
+            cost,
+            prefill_tokens,
+            room,
+            is_idle,
+            urgent_reading,
+        }
     }
 
-    /// Returns the time to the first event at an engine, and whether the engine is full.
-    fn at_engine(&self, slots: u32, prompt: &Prompt, uncached: f64) -> (Duration, bool) {
-        let attempts = self.server.attempts + self.others.attempts;
-        let ahead = (self.server.prefill_tokens + self.others.prefill_tokens) as f64;
-        let tokens = ahead + uncached + f64::from(prompt.own_tokens());
-        let reading = Duration::from_secs_f64(tokens / PREFILL_TOKENS_PER_MS / 1e3);
-        let is_full = f64::from(attempts) >= f64::from(slots) * ENGINE_FILL_SHARE;
-        (ENGINE_BASE_LATENCY + reading + ENGINE_LATENCY_PER_REQUEST * attempts, is_full)
+    /// Returns the time to the first event at an engine that admits requests in the order in which
+    /// they come, and the room there. Requests of lower ranks do not fill it, as it admits a request
+    /// before those of them that wait.
+    fn at_engine(&self, slots: u32, prompt: &Prompt, uncached: f64) -> (Duration, Room) {
+        let SeenLoad { all, ahead, .. } = self.load;
+        let own = Duration::from_secs_f64(
+            (uncached + f64::from(prompt.own_tokens())) / PREFILL_TOKENS_PER_MS / 1e3,
+        );
+        let is_filled = |attempts: u32, share| f64::from(attempts) >= f64::from(slots) * share;
+        let is_full = is_filled(ahead.attempts, ENGINE_FILL_SHARE)
+            || is_filled(all.attempts, URGENT_FILL_SHARE);
+        let room = match is_filled(all.attempts, ENGINE_FILL_SHARE) {
+            _ if is_full => Room::None,
+            true => Room::ByRank,
+            false => Room::Free,
+        };
+        let latency = ENGINE_BASE_LATENCY + ENGINE_LATENCY_PER_REQUEST * all.attempts;
+        (latency + reading_time(all.prefill_tokens) + own, room)
+    }
+
+    /// Returns the time that an engine still reads for less urgent requests.
+    fn less_urgent_reading(&self) -> Duration {
+        let SeenLoad { all, ahead, .. } = self.load;
+        reading_time(all.prefill_tokens.saturating_sub(ahead.prefill_tokens))
     }
 
     /// Returns how many tokens of the shared prefix the server is expected not to have cached.
@@ -165,26 +240,55 @@
         f64::from(not_sent) * self.affinity.uncached_share()
     }
 
-    /// Returns the time to the response of a plain service, and whether the server is full.
-    fn at_plain_service(&self) -> (Duration, bool) {
-        let attempts = f64::from(self.server.attempts + self.others.attempts);
+    /// Returns the time to the response of a plain service, and the room there.
+    fn at_plain_service(&self) -> (Duration, Room) {
+        let attempts = f64::from(self.load.all.attempts);
         let slots = f64::from(self.server.entry.slots.max(1));
         let queue = (attempts + 1.0 - slots).max(0.0) / slots;
         // A service becomes slower as its slots fill up: by a fifth when all are taken.
         let crowding = 0.2 * attempts / slots;
         let is_full = attempts >= slots * (1.0 + PLAIN_QUEUE_SHARE);
-        (PLAIN_SERVICE_TIME.mul_f64(1.0 + queue + crowding), is_full)
+        let room = if is_full { Room::None } else { Room::Free };
+        (PLAIN_SERVICE_TIME.mul_f64(1.0 + queue + crowding), room)
     }
 }
 
 impl Estimate {
-    /// Returns whether a request with this target is sent to the server now instead of waiting at
-    /// this instance. A request of the highest tier of its pool goes to any server that is not
-    /// full: waiting would only let requests of a higher tier go first, and no route to the pool
-    /// has one. An overdue request accepts a longer time to first byte.
-    pub fn is_acceptable(&self, target: Duration, is_top_tier: bool, is_overdue: bool) -> bool {
-        let share = if is_overdue { OVERDUE_MAX_FIRST_BYTE_SHARE } else { MAX_FIRST_BYTE_SHARE };
-        let is_soon = self.first_byte <= target.mul_f64(share).max(2 * ENGINE_BASE_LATENCY);
-        !self.is_full && (is_top_tier || is_soon)
+    /// Returns whether the server has no room for the request.
+    pub fn is_full(&self) -> bool {
+        self.room == Room::None
+    }
+
+    /// Returns whether a request is sent to the server now instead of waiting at this instance. A
+    /// request of the highest tier of its pool goes to any server that is not full: waiting would
+    /// only let requests of a higher tier go first, and no route to the pool has one. An overdue
+    /// request accepts a longer time to first byte. No request goes where more urgent ones wait for
+    /// as long as they tolerate.
+    pub fn is_acceptable(&self, demand: &Demand) -> bool {
+        let share =
+            if demand.is_overdue { OVERDUE_MAX_FIRST_BYTE_SHARE } else { MAX_FIRST_BYTE_SHARE };
+        let limit = |target: Duration, share| target.mul_f64(share).max(2 * ENGINE_BASE_LATENCY);
+        let Some(least_target_above) = demand.least_target_above else { return !self.is_full() };
+        let leaves_room = ENGINE_BASE_LATENCY + self.urgent_reading
+            <= limit(least_target_above, MAX_FIRST_BYTE_SHARE);
+        let is_soon = self.first_byte_by_rank <= limit(demand.target, share);
+        !self.is_full() && leaves_room && (self.is_idle || is_soon)
     }
 }
+
+/// What decides how long a request may be expected to take at a server.
+#[derive(Clone, Copy, Debug)]
+pub struct Demand {
+    /// The target of the request's route for the time to first byte.
+    pub target: Duration,
+    /// The least target among the routes to the pool that have a higher tier; `None` if the request
+    /// has the highest one.
+    pub least_target_above: Option<Duration>,
+    /// Whether the request has waited so long that it will hardly meet its target.
+    pub is_overdue: bool,
+}
+
+/// Returns the time in which an engine is assumed to read prompt tokens.
+fn reading_time(tokens: u64) -> Duration {
+    Duration::from_secs_f64(tokens as f64 / PREFILL_TOKENS_PER_MS / 1e3)
+}
--- a/crates/dispatch/src/fleet.rs
+++ b/crates/dispatch/src/fleet.rs
@@ -2,7 +2,7 @@
 
 use std::{collections::BTreeSet, sync::Arc};
 
-use gossip::{Load, Packet, ServerTag};
+use gossip::{Load, Packet, RankedLoad, ServerTag, TotalLoad};
 use model::prelude::*;
 
 use crate::{
@@ -167,7 +167,8 @@
             self.log(LogEntry::MemberFound { address: update.sender.address, alive });
         }
         self.peer_view(update.sender.address, update.view_status.view, update.as_of);
-        self.loads.update(now, update.sender.address, update.loads);
+        let from = update.sender.address;
+        self.loads.update(now, from, &update.loads, &update.ranked_loads);
         if self.members.possible_count() != self.share.known_members() {
             self.update_share(now);
         }
@@ -179,9 +180,10 @@
         if now < self.members.next_wake() {
             return;
         }
-        let loads = self.own_loads();
+        let (loads, ranked_loads) = self.own_loads();
         let (packets, died) = self.members.tick(now, self.freshness.view_status(now), &loads);
-        for outgoing in packets {
+        for mut outgoing in packets {
+            outgoing.packet.ranked_loads.clone_from(&ranked_loads);
             self.emit(Effect::Send(outgoing));
         }
         for member in died {
@@ -192,15 +194,32 @@
         self.probe_parent(now);
     }
 
-    /// Returns the load of this instance at each server.
-    fn own_loads(&self) -> Vec<Load> {
-        let busy = self.servers.iter().filter(|pair| pair.1.attempts > 0);
-        let load = |pair: (ServerKey, &crate::Server)| Load {
-            server: ServerTag::from(pair.1.id),
-            attempts: u16::try_from(pair.1.attempts).unwrap_or(u16::MAX),
-            prefill_tokens: u32::try_from(pair.1.prefill_tokens).unwrap_or(u32::MAX),
-        };
-        busy.map(load).collect()
+    /// Returns the load of this instance at each server, and its parts by rank.
+    fn own_loads(&self) -> (Vec<Load>, Vec<RankedLoad>) {
+        let (mut loads, mut ranked) = (Vec::new(), Vec::new());
+        let attempts = |load: TotalLoad| u16::try_from(load.attempts).unwrap_or(u16::MAX);
+        let prefill_tokens =
+            |load: TotalLoad| u32::try_from(load.prefill_tokens).unwrap_or(u32::MAX);
+        for server in self.servers.iter().map(|pair| pair.1) {
+            let total = server.load.total();
+            if total.attempts == 0 {
+                continue;
+            }
+            if let Ok(index) = u8::try_from(loads.len()) {
+                ranked.extend(server.load.iter().map(|(rank, load)| RankedLoad {
+                    load: index,
+                    rank,
+                    attempts: attempts(load),
+                    prefill_tokens: prefill_tokens(load),
+                }));
+            }
+            loads.push(Load {
+                server: ServerTag::from(server.id),
+                attempts: attempts(total),
+                prefill_tokens: prefill_tokens(total),
+            });
+        }
+        (loads, ranked)
     }
 
     /// Updates the members among which the limits of the fleet are divided.
--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -38,7 +38,7 @@
 pub use attempt::{Attempt, AttemptEnd};
 pub use budget::RetryBudget;
 pub use catalog::{Account, Accounts, CallerLimits, Catalog, Engine, Pool};
-pub use choice::{Affinity, Candidate, Estimate};
+pub use choice::{Affinity, Candidate, Demand, Estimate, Room, SeenLoad};
 pub use cold::RequestWindow;
 pub use demand::EngineDemand;
 pub use effect::{Command, Effect, LogEntry, ServerSurvey};
--- a/crates/dispatch/src/outcome.rs
+++ b/crates/dispatch/src/outcome.rs
@@ -3,10 +3,11 @@
 
 use std::sync::Arc;
 
+use gossip::TotalLoad;
 use model::prelude::*;
 
 use crate::{
-    AttemptEnd, Command, Effect, LogEntry, RequestKey, ServerKey,
+    AttemptEnd, Command, Effect, LogEntry, RequestKey, Room, ServerKey,
     placement::Choice,
     request::{MIN_REMAINING, Request, RunningAttempt, Stage},
     route::Repeat,
@@ -57,10 +58,10 @@
         req.first_byte_at.get_or_insert(now);
         let pool = req.pool;
         let Stage::Running(running) = &mut req.stage else { return };
-        let prefill_tokens = std::mem::take(&mut running.prefill_tokens);
-        let RunningAttempt { server: key, sent_at, expected, .. } = *running;
+        let prefill_tokens = std::mem::take(&mut running.prefill_tokens).into();
+        let RunningAttempt { server: key, sent_at, expected, rank, .. } = *running;
         let Some(server) = self.servers.get_mut(key) else { return };
-        server.prefill_tokens = server.prefill_tokens.saturating_sub(u64::from(prefill_tokens));
+        server.load.remove(rank.into(), TotalLoad { attempts: 0, prefill_tokens });
         if let Some(sent_at) = sent_at {
             server.health.record_first_byte(now.since(sent_at), expected);
         }
@@ -113,13 +114,11 @@
             self.demand.entry(pool).or_default().stream_ended(now);
         }
         let Some(server) = self.servers.get_mut(running.server) else { return };
-        server.attempts = server.attempts.saturating_sub(1);
+        server.load.remove(running.rank.into(), running.load());
         if running.sent_at.is_none() {
             server.unsent = server.unsent.saturating_sub(1);
         }
-        server.prefill_tokens =
-            server.prefill_tokens.saturating_sub(u64::from(running.prefill_tokens));
-        server.health.set_attempts(now, server.attempts);
+        server.health.set_attempts(now, server.attempts());
         if let Some(cold) = cold {
             server.mark_cold(now, cold);
         }
@@ -198,6 +197,7 @@
         let others = self.loads.total(server.id.into()).attempts;
         let choice = Choice {
             server: running.backup?,
+            room: Room::Free,
             is_mixed: false,
             cost: Duration::ZERO,
             expected: running.expected,
--- a/crates/dispatch/src/placement.rs
+++ b/crates/dispatch/src/placement.rs
@@ -3,11 +3,12 @@
 use std::sync::Arc;
 
 use model::prelude::*;
+use slotmap::SecondaryMap;
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
 use crate::{
-    Affinity, Attempt, Candidate, Command, Effect, LogEntry, Pool, RequestKey, Server, ServerKey,
-    ServerSurvey,
+    Affinity, Attempt, Candidate, Command, Demand, Effect, LogEntry, Pool, Rank, RequestKey, Room,
+    SeenLoad, Server, ServerKey, ServerSurvey,
     preferred_servers::PreferredServers,
     request::{Request, RunningAttempt, Stage},
     state::State,
@@ -37,20 +38,31 @@
     pub(crate) fn dispatch(&mut self, now: Time, pool: PoolId) {
         let Some(catalog) = self.catalog.clone() else { return };
         let Some(spec) = catalog.pools.get(&pool) else { return };
+        let mut awaited = AwaitedServers::default();
         for key in self.queue.first(pool, MAX_SCANNED_REQUESTS) {
-            if let Some(choice) = self.choose(now, key, spec) {
+            if let Some(choice) = self.choose(now, key, spec, &mut awaited) {
                 self.start(now, key, choice);
             }
         }
     }
 
-    /// Chooses the server with the least cost for a request, if any can take it now.
-    fn choose(&self, now: Time, key: RequestKey, pool: &Pool) -> Option<Choice> {
+    /// Chooses the server with the least cost for a request, if any can take it now. If not, the
+    /// servers for which it waits are added to `awaited`.
+    fn choose(
+        &self,
+        now: Time,
+        key: RequestKey,
+        pool: &Pool,
+        awaited: &mut AwaitedServers,
+    ) -> Option<Choice> {
         let req = self.requests.get(key)?;
+        let rank = req.rank();
         let target = req.routed.route.target;
         let catalog = self.catalog.as_ref()?;
-        let is_top_tier = catalog.is_top_tier(req.pool, req.routed.route.tier);
         let is_overdue = now.since(req.arrived) > target.mul_f64(OVERDUE_SHARE);
+        let tier = req.routed.route.tier;
+        let least_target_above = catalog.least_target_above(req.pool, tier);
+        let demand = Demand { target, least_target_above, is_overdue };
         let servers = self.servers.in_pool(req.pool);
         let is_live_stream = req.is_live_stream();
         let live_engines = self.live_engines(req.pool, pool);
@@ -67,11 +79,13 @@
             req.is_backed_up() && pool.engine.is_some_and(|engine| engine.has_backups);
         let mut best: Option<Choice> = None;
         let mut second: Option<Choice> = None;
+        let mut unacceptable = Vec::new();
         for &key in servers {
             let Some(server) = self.servers.get(key) else { continue };
             let is_untried = !req.tried.contains(&key);
             if !is_untried
-                || server.attempts >= max_connections
+                || server.attempts() >= max_connections
+                || awaited.is_awaited_above(key, rank)
                 || !self.may_send(now, server, pool)
             {
                 continue;
@@ -90,16 +104,18 @@
                 ..self.candidate(req, server)
             };
             let estimate = candidate.estimate(now, pool, &req.prompt, target);
-            if !estimate.is_acceptable(target, is_top_tier, is_overdue) {
+            if !estimate.is_acceptable(&demand) {
+                unacceptable.push(key);
                 continue;
             }
             let choice = Choice {
                 server: key,
+                room: estimate.room,
                 is_mixed,
                 cost: estimate.cost,
                 expected: estimate.first_byte,
                 prefill_tokens: estimate.prefill_tokens,
-                others: candidate.others.attempts,
+                others: candidate.load.all.attempts.saturating_sub(server.attempts()),
                 backup: None,
                 fetch_source,
             };
@@ -109,6 +125,9 @@
                 second = Some(choice);
             }
         }
+        if best.is_none() {
+            awaited.add(rank, unacceptable);
+        }
         let backup = second.filter(|_| is_backed_up).map(|second| second.server);
         best.map(|best| Choice { backup, ..best })
     }
@@ -118,7 +137,7 @@
     fn candidate<'a>(&self, req: &Request, server: &'a Server) -> Candidate<'a> {
         Candidate {
             server,
-            others: self.loads.total(server.id.into()),
+            load: SeenLoad::new(&server.load, self.loads.by_rank(server.id.into()), req.rank()),
             is_same_zone: server.entry.zone == self.setup.zone,
             affinity: Affinity::Other,
             cached_tokens: server.prefixes.cached_tokens(&req.prompt),
@@ -141,7 +160,7 @@
             survey.usable += 1;
             let target = req.routed.route.target;
             let estimate = self.candidate(req, server).estimate(now, pool, &req.prompt, target);
-            if estimate.is_full {
+            if estimate.is_full() {
                 survey.full += 1;
                 continue;
             }
@@ -236,6 +255,7 @@
         req.attempts += 1;
         let running = RunningAttempt {
             server: choice.server,
+            rank: req.rank(),
             incarnation: server.entry.incarnation,
             started_at: now,
             sent_at: None,
@@ -248,11 +268,10 @@
             self.demand.entry(pool).or_default().stream_started(now);
         }
         req.stage = Stage::Running(running);
-        server.attempts += 1;
+        server.load.add(running.rank.into(), running.load());
         server.unsent += 1;
-        server.prefill_tokens += u64::from(running.prefill_tokens);
         server.prefixes.record(&req.prompt);
-        server.health.set_attempts(now, server.attempts);
+        server.health.set_attempts(now, server.attempts());
         let route = &req.routed.route;
         let first_byte_timeout = route
             .target
@@ -281,7 +300,7 @@
             server: Arc::clone(&server.entry.name),
             version: req.routed.version,
             expected: choice.expected,
-            own: server.attempts,
+            own: server.attempts(),
             others: choice.others,
             waited: now.since(req.arrived),
         };
@@ -298,10 +317,35 @@
     }
 }
 
+/// The servers for which requests wait that were considered before, in the order of rank.
+#[derive(Debug, Default)]
+struct AwaitedServers {
+    /// The most urgent rank that waits for each.
+    ranks: SecondaryMap<ServerKey, Rank>,
+}
+
+impl AwaitedServers {
+    /// Adds the servers for which a request of this rank waits.
+    fn add(&mut self, rank: Rank, servers: Vec<ServerKey>) {
+        for key in servers {
+            if self.ranks.get(key).is_none_or(|it| rank < *it) {
+                self.ranks.insert(key, rank);
+            }
+        }
+    }
+
+    /// Returns whether a more urgent request than one of this rank waits for a server.
+    fn is_awaited_above(&self, server: ServerKey, rank: Rank) -> bool {
+        self.ranks.get(server).is_some_and(|it| *it < rank)
+    }
+}
+
 /// The server chosen for a request.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct Choice {
     pub(crate) server: ServerKey,
+    /// The room that it has.
+    pub(crate) room: Room,
     /// Whether it is an engine set apart for live streams and the request is none, or the reverse.
     pub(crate) is_mixed: bool,
     /// The lower, the better: see [`crate::Estimate::cost`].
@@ -321,7 +365,7 @@
 impl Choice {
     /// Returns whether the server is to be preferred to that of another choice.
     fn is_better(&self, other: &Self) -> bool {
-        (self.is_mixed, self.cost) < (other.is_mixed, other.cost)
+        (self.room, self.is_mixed, self.cost) < (other.room, other.is_mixed, other.cost)
     }
 }
 
--- a/crates/dispatch/src/request.rs
+++ b/crates/dispatch/src/request.rs
@@ -2,6 +2,7 @@
 
 use std::sync::Arc;
 
+use gossip::TotalLoad;
 use model::prelude::*;
 
 use crate::{Prompt, Rank, Routed, ServerKey, queue::QueueEntry, route::Repeat};
@@ -62,6 +63,8 @@
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct RunningAttempt {
     pub(crate) server: ServerKey,
+    /// The rank with which it was sent.
+    pub(crate) rank: Rank,
     /// The incarnation of the server that was chosen.
     pub(crate) incarnation: u64,
     /// When the server was chosen.
@@ -78,6 +81,13 @@
     pub(crate) backup: Option<ServerKey>,
 }
 
+impl RunningAttempt {
+    /// Returns what it adds to the load of its server.
+    pub(crate) fn load(&self) -> TotalLoad {
+        TotalLoad { attempts: 1, prefill_tokens: self.prefill_tokens.into() }
+    }
+}
+
 impl Request {
     pub(crate) fn rank(&self) -> Rank {
         self.routed.rank()
--- a/crates/dispatch/src/server.rs
+++ b/crates/dispatch/src/server.rs
@@ -2,6 +2,7 @@
 
 use std::{net::SocketAddrV4, sync::Arc};
 
+use gossip::LoadByRank;
 use model::prelude::*;
 
 use crate::{PrefixCache, RequestWindow, health::Health};
@@ -46,12 +47,11 @@
     pub id: ServerId,
     /// Its entry in the platform's list.
     pub entry: ServerEntry,
-    /// The number of attempts of this instance that run there.
-    pub attempts: u32,
+    /// The attempts of this instance that run there, and the prompt tokens that it still has to read
+    /// for them, by rank.
+    pub(crate) load: LoadByRank,
     /// The number of these attempts that have not been sent yet.
     pub(crate) unsent: u32,
-    /// Prompt tokens that it still has to read for these attempts.
-    pub prefill_tokens: u64,
     /// Until when it is cold.
     pub(crate) cold_until: Time,
     /// When the platform came back, if the entry has been missing since: it has probably expired, and
@@ -71,9 +71,8 @@
             id: entry.id(),
             cold_until: now + entry.cold,
             entry,
-            attempts: 0,
+            load: LoadByRank::default(),
             unsent: 0,
-            prefill_tokens: 0,
             expired_at: None,
             recent_requests: RequestWindow::default(),
             prefixes: PrefixCache::default(),
@@ -81,6 +80,11 @@
         }
     }
 
+    /// Returns the number of attempts of this instance that run there.
+    pub fn attempts(&self) -> u32 {
+        self.load.total().attempts
+    }
+
     /// Returns the server's position, from 0 to 1, in an order on which all instances agree.
     pub fn order_position(&self) -> f64 {
         self.id.0 as f64 / u64::MAX as f64
@@ -101,7 +105,7 @@
     pub(crate) fn restarted(&mut self, now: Time, cold: Duration) {
         self.prefixes.clear();
         self.health = Health::new(now);
-        self.health.set_attempts(now, self.attempts);
+        self.health.set_attempts(now, self.attempts());
         self.mark_cold(now, cold);
     }
 }
--- a/crates/dispatch/tests/decisions/tiers.rs
+++ b/crates/dispatch/tests/decisions/tiers.rs
@@ -4,9 +4,9 @@
 
 use std::sync::Arc;
 
-use dispatch::{Engine, Event, RequestKey, ServerEntry};
+use dispatch::{Effect, Engine, Event, RequestKey, ServerEntry};
 
-use crate::support::{Bench, attempts, catalog, prompt, refusals, server};
+use crate::support::{Bench, address, attempts, catalog, prompt, refusals, server};
 
 /// Long prompts that arrive, far more than two engines read within the target.
 const BURST: u64 = 400;
@@ -50,6 +50,27 @@
     assert_eq!(sent, 20, "short requests were refused behind long prompts of a lower tier");
 }
 
+/// Guards against urgent requests that get nothing behind long prompts that other instances sent.
+#[test]
+fn a_short_request_is_sent_while_long_prompts_of_other_instances_fill_the_engines() {
+    let mut other = engines_behind_long_prompts();
+    // It sends packets once it knows of a peer.
+    other.receive_peer_read();
+    for topic in 0..BURST {
+        other.request("batch", prompt(6_000, 3_000, topic));
+    }
+    let mut bench = Bench::new(engines());
+    for effect in other.pass(500) {
+        let Effect::Send(mut outgoing) = effect else { continue };
+        outgoing.packet.sender.address = address(2, 7000);
+        bench.step(Event::Packet(outgoing.packet));
+    }
+    let (_, effects) = bench.request("batch", prompt(6_000, 3_000, 1));
+    assert!(attempts(&effects).is_empty(), "the loads of the other instance are not known");
+
+    assert!(is_short_request_sent(&mut bench, 1_800));
+}
+
 /// Guards against urgent requests that get nothing while every slot runs less urgent ones.
 #[test]
 fn a_short_request_is_sent_while_lower_tiers_take_all_slots() {
--- a/crates/gossip/src/lib.rs
+++ b/crates/gossip/src/lib.rs
@@ -22,6 +22,7 @@
 mod members;
 mod packet;
 mod peer;
+mod rank;
 mod tree;
 mod upstream;
 
@@ -30,5 +31,6 @@
 pub use member::Member;
 pub use members::{Members, OutgoingPacket, PeerUpdate};
 pub use packet::{DecodeError, MAX_PACKET_BYTES, Packet, ViewStatus, ViewSummary};
+pub use rank::{LoadByRank, RankTag, RankedLoad};
 pub use tree::{Answer, Datagram, OutgoingTreeMessage, Probe, TreeContent, TreeMessage};
 pub use upstream::Upstream;
--- a/crates/gossip/src/loads.rs
+++ b/crates/gossip/src/loads.rs
@@ -5,6 +5,8 @@
 use model::prelude::*;
 use serde::{Deserialize, Serialize};
 
+use crate::{LoadByRank, RankTag, RankedLoad};
+
 /// The loads of a peer are dropped if it sends no packet for this time. In a small fleet five
 /// packets in a row may be lost.
 const LOAD_TIMEOUT: Duration = Duration::from_millis(1_000);
@@ -37,17 +39,17 @@
 #[derive(Debug, Default)]
 pub struct PeerLoads {
     peers: HashMap<SocketAddrV4, Report>,
-    totals: HashMap<ServerTag, TotalLoad>,
+    totals: HashMap<ServerTag, LoadByRank>,
 }
 
 /// The loads that a peer reported last.
 #[derive(Debug)]
 struct Report {
     received_at: Time,
-    loads: Vec<Load>,
+    loads: Vec<(ServerTag, RankTag, TotalLoad)>,
 }
 
-/// The load that all peers together put on one backend server.
+/// The load of one backend server.
 #[derive(Clone, Copy, PartialEq, Eq, Default, Debug)]
 pub struct TotalLoad {
     /// Attempts that run or wait there.
@@ -56,16 +58,50 @@
     pub prefill_tokens: u64,
 }
 
+impl From<Load> for TotalLoad {
+    fn from(load: Load) -> Self {
+        Self { attempts: load.attempts.into(), prefill_tokens: load.prefill_tokens.into() }
+    }
+}
+
+impl std::ops::Add for TotalLoad {
+    type Output = Self;
+
+    fn add(self, other: Self) -> Self {
+        Self {
+            attempts: self.attempts.saturating_add(other.attempts),
+            prefill_tokens: self.prefill_tokens.saturating_add(other.prefill_tokens),
+        }
+    }
+}
+
 impl PeerLoads {
-    /// Replaces the loads of a peer.
-    pub fn update(&mut self, now: Time, peer: SocketAddrV4, loads: Vec<Load>) {
+    /// Replaces the loads of a peer. What `ranked` leaves of them is of unknown rank and counts as
+    /// most urgent: no request is admitted before it.
+    pub fn update(&mut self, now: Time, peer: SocketAddrV4, loads: &[Load], ranked: &[RankedLoad]) {
         self.remove(peer);
-        for load in &loads {
-            let total = self.totals.entry(load.server).or_default();
-            total.attempts += u32::from(load.attempts);
-            total.prefill_tokens += u64::from(load.prefill_tokens);
+        let mut split = Vec::with_capacity(loads.len() + ranked.len());
+        let mut rest: Vec<_> = loads.iter().map(|it| TotalLoad::from(*it)).collect();
+        for part in ranked {
+            let index = usize::from(part.load);
+            let (Some(load), Some(rest)) = (loads.get(index), rest.get_mut(index)) else {
+                continue;
+            };
+            // A damaged packet may claim more than the load.
+            let attempts = u32::from(part.attempts).min(rest.attempts);
+            let prefill_tokens = u64::from(part.prefill_tokens).min(rest.prefill_tokens);
+            rest.attempts -= attempts;
+            rest.prefill_tokens -= prefill_tokens;
+            split.push((load.server, part.rank, TotalLoad { attempts, prefill_tokens }));
+        }
+        for (load, rest) in loads.iter().zip(rest) {
+            split.push((load.server, RankTag::default(), rest));
         }
-        self.peers.insert(peer, Report { received_at: now, loads });
+        split.retain(|it| it.2 != TotalLoad::default());
+        for (server, rank, load) in &split {
+            self.totals.entry(*server).or_default().add(*rank, *load);
+        }
+        self.peers.insert(peer, Report { received_at: now, loads: split });
     }
 
     /// Removes the loads of peers that have sent no packet for `LOAD_TIMEOUT`.
@@ -80,18 +116,21 @@
 
     /// Returns the load of all peers at a server.
     pub fn total(&self, server: ServerTag) -> TotalLoad {
-        self.totals.get(&server).copied().unwrap_or_default()
+        self.totals.get(&server).map(LoadByRank::total).unwrap_or_default()
+    }
+
+    /// Returns the load of all peers at a server by rank; `None` if there is none.
+    pub fn by_rank(&self, server: ServerTag) -> Option<&LoadByRank> {
+        self.totals.get(&server)
     }
 
     fn remove(&mut self, peer: SocketAddrV4) {
         let Some(report) = self.peers.remove(&peer) else { return };
-        for load in &report.loads {
-            let Some(total) = self.totals.get_mut(&load.server) else { continue };
-            total.attempts = total.attempts.saturating_sub(u32::from(load.attempts));
-            total.prefill_tokens =
-                total.prefill_tokens.saturating_sub(u64::from(load.prefill_tokens));
-            if *total == TotalLoad::default() {
-                self.totals.remove(&load.server);
+        for (server, rank, load) in &report.loads {
+            let Some(total) = self.totals.get_mut(server) else { continue };
+            total.remove(*rank, *load);
+            if total.total() == TotalLoad::default() {
+                self.totals.remove(server);
             }
         }
     }
--- a/crates/gossip/src/members.rs
+++ b/crates/gossip/src/members.rs
@@ -13,7 +13,7 @@
 use rand_chacha::ChaCha8Rng;
 
 use crate::{
-    Load, Member, Packet, ViewStatus,
+    Load, Member, Packet, RankedLoad, ViewStatus,
     peer::{Peer, available, order_hash},
 };
 
@@ -70,6 +70,8 @@
     pub as_of: Option<Time>,
     /// The sender's load at backend servers.
     pub loads: Vec<Load>,
+    /// The same by rank, as far as the sender tells it.
+    pub ranked_loads: Vec<RankedLoad>,
 }
 
 /// All known members of the fleet.
@@ -192,6 +194,7 @@
             view_status: packet.view_status,
             as_of,
             loads: packet.loads,
+            ranked_loads: packet.ranked_loads,
         })
     }
 
--- a/crates/gossip/src/packet.rs
+++ b/crates/gossip/src/packet.rs
@@ -3,7 +3,7 @@
 use serde::{Deserialize, Serialize};
 use thiserror::Error;
 
-use crate::{Load, Member};
+use crate::{Load, Member, RankedLoad};
 
 /// The version of the packet format. Packets of another version are rejected.
 const FORMAT_VERSION: u8 = 1;
@@ -12,6 +12,9 @@
 /// Loads in a packet, up to 13 bytes each, which keeps it below [`MAX_PACKET_BYTES`].
 const MAX_LOADS: usize = 80;
 
+/// Upper bound on the bytes of a [`RankedLoad`], and on those of their number.
+const MAX_RANKED_LOAD_BYTES: usize = 10;
+
 /// A message from one instance to another. The order of the fields, here and in the types of the
 /// fields, is the packet format; their names are not part of it.
 #[derive(Clone, PartialEq, Eq, Debug, Serialize, Deserialize)]
@@ -29,6 +32,10 @@
     pub loads: Vec<Load>,
     /// Entries of other members: a random sample.
     pub others: Vec<Member>,
+    /// The loads by rank, as far as they fit. They follow the packet, where instances that do not
+    /// know them ignore them.
+    #[serde(skip)]
+    pub ranked_loads: Vec<RankedLoad>,
 }
 
 /// An instance's view of the platform and its staleness.
@@ -81,18 +88,30 @@
             view_status,
             loads,
             others: Vec::new(),
+            ranked_loads: Vec::new(),
         }
     }
 
-    /// Encodes the packet.
+    /// Encodes the packet, with as many of the ranked loads as fit into a datagram.
     pub fn encode(&self) -> Result<Vec<u8>, postcard::Error> {
-        postcard::to_stdvec(self)
+        let mut bytes = postcard::to_stdvec(self)?;
+        let room = MAX_PACKET_BYTES.saturating_sub(bytes.len()) / MAX_RANKED_LOAD_BYTES;
+        let count = self.ranked_loads.len().min(room.saturating_sub(1));
+        bytes.extend(postcard::to_stdvec(&self.ranked_loads[..count])?);
+        Ok(bytes)
     }
 
     /// Decodes a packet. Bytes after it are ignored.
     pub fn decode(bytes: &[u8]) -> Result<Self, DecodeError> {
         match bytes.first() {
-            Some(&FORMAT_VERSION) | None => Ok(postcard::from_bytes(bytes)?),
+            Some(&FORMAT_VERSION) | None => {
+                let (mut packet, rest) = postcard::take_from_bytes::<Self>(bytes)?;
+                // Packets of instances that do not tell ranks end here.
+                if !rest.is_empty() {
+                    packet.ranked_loads = postcard::from_bytes(rest)?;
+                }
+                Ok(packet)
+            }
             Some(&other) => Err(DecodeError::UnsupportedFormat(other)),
         }
     }
--- a/crates/gossip/tests/members.rs
+++ b/crates/gossip/tests/members.rs
@@ -5,7 +5,8 @@
 use std::{collections::BTreeMap, net::SocketAddrV4};
 
 use gossip::{
-    Load, MAX_PACKET_BYTES, Member, Members, Packet, PeerLoads, ServerTag, ViewStatus, ViewSummary,
+    Load, MAX_PACKET_BYTES, Member, Members, Packet, PeerLoads, RankTag, RankedLoad, ServerTag,
+    ViewStatus, ViewSummary,
 };
 use model::prelude::*;
 use rand::{RngExt as _, SeedableRng as _};
@@ -38,6 +39,8 @@
     last_number: u64,
     /// Probability that a packet is lost.
     loss: f64,
+    /// What every member tells of the ranks of its loads.
+    ranked_loads: Vec<RankedLoad>,
     /// For each received packet that bounds the staleness of its sender's view: the derived time at
     /// which the view was up to date, and the latest possible one.
     bounds: Vec<(Time, Time)>,
@@ -58,6 +61,7 @@
             died: 0,
             last_number: 0,
             loss: 0.02,
+            ranked_loads: Vec::new(),
             bounds: Vec::new(),
             max_delay: Duration::from_millis(3),
         }
@@ -83,7 +87,8 @@
         let Some(members) = self.members.get_mut(&from) else { return };
         let (packets, died) = members.tick(self.now, view_status, &loads);
         self.died += died.len();
-        for outgoing in packets {
+        for mut outgoing in packets {
+            outgoing.packet.ranked_loads.clone_from(&self.ranked_loads);
             let bytes = outgoing.packet.encode().unwrap();
             assert!(bytes.len() <= MAX_PACKET_BYTES, "a packet takes {} bytes", bytes.len());
             *self.sent.entry(from).or_default() += bytes.len();
@@ -264,14 +269,97 @@
     assert!(bytes_per_s <= MAX_BYTES_PER_S, "an instance sent {bytes_per_s} bytes a second");
 }
 
+fn ranked_load(load: u8, rank: u8, attempts: u16, prefill_tokens: u32) -> RankedLoad {
+    RankedLoad { load, rank: RankTag(rank), attempts, prefill_tokens }
+}
+
+/// Returns an encoded packet with a load and what is told of its ranks.
+fn packet_with(loads: &[Load], ranked_loads: Vec<RankedLoad>) -> Vec<u8> {
+    let now = Time::from_millis(10_000);
+    let mut sender = Members::new(now, member(2, 1), &[address(1)], 2);
+    let (mut packets, _) = sender.tick(now, ViewStatus::default(), loads);
+    packets[0].packet.ranked_loads = ranked_loads;
+    packets[0].packet.encode().unwrap()
+}
+
+/// An instance of a large fleet runs a few requests at a time, of two or three ranks.
+#[test]
+fn the_ranks_of_loads_fit_into_the_bytes_of_a_large_fleet() {
+    let mut fleet = Fleet::new(LARGE_FLEET, 4);
+    fleet.advance(Duration::from_secs(30));
+    fleet.sent.clear();
+    fleet.ranked_loads = (0..12).map(|no| ranked_load(no, 17, 2, 9_000)).collect();
+
+    fleet.advance(Duration::from_secs(2));
+
+    let bytes_per_s = fleet.sent.values().max().unwrap() / 2;
+    assert!(bytes_per_s <= MAX_BYTES_PER_S, "an instance sent {bytes_per_s} bytes a second");
+}
+
+#[test]
+fn ranks_that_do_not_fit_into_a_packet_are_left_out() {
+    let loads: Vec<_> = (0..80).map(load).collect();
+    let ranked: Vec<_> = (0..240_u8).map(|no| ranked_load(no / 3, no % 3, 1, 20_000)).collect();
+
+    let bytes = packet_with(&loads, ranked.clone());
+
+    let decoded = Packet::decode(&bytes).unwrap();
+    assert!(bytes.len() <= MAX_PACKET_BYTES, "a packet takes {} bytes", bytes.len());
+    assert!(ranked.starts_with(&decoded.ranked_loads));
+    assert_eq!(decoded.loads, loads);
+}
+
+/// Instances of the former build send packets without ranks, and ignore what follows a packet.
+#[test]
+fn packets_without_ranks_are_accepted_and_count_as_most_urgent() {
+    let bytes = packet_with(&[load(1)], Vec::new());
+    let former = &bytes[..bytes.len() - 1];
+    let now = Time::from_millis(10_000);
+    let mut loads = PeerLoads::default();
+
+    let packet = Packet::decode(former).unwrap();
+    loads.update(now, address(2), &packet.loads, &packet.ranked_loads);
+
+    let by_rank = loads.by_rank(load(1).server).unwrap();
+    assert_eq!(by_rank.above(RankTag(1)).attempts, 3);
+    assert_eq!(by_rank.up_to(RankTag(0)).prefill_tokens, 20_000);
+}
+
+#[test]
+fn loads_of_peers_add_up_by_rank() {
+    let now = Time::from_millis(10_000);
+    let mut loads = PeerLoads::default();
+
+    loads.update(now, address(1), &[load(1)], &[ranked_load(0, 2, 1, 15_000)]);
+    loads.update(now, address(2), &[load(2), load(1)], &[ranked_load(1, 1, 3, 20_000)]);
+
+    let by_rank = loads.by_rank(load(1).server).unwrap();
+    assert_eq!((by_rank.up_to(RankTag(1)).attempts, by_rank.total().attempts), (5, 6));
+    assert_eq!(by_rank.up_to(RankTag(1)).prefill_tokens, 25_000);
+    assert_eq!(by_rank.above(RankTag(1)).prefill_tokens, 5_000);
+}
+
+/// A damaged packet may claim any ranks.
+#[test]
+fn ranks_beyond_the_loads_are_ignored() {
+    let now = Time::from_millis(10_000);
+    let mut loads = PeerLoads::default();
+
+    let ranked = [ranked_load(0, 1, u16::MAX, u32::MAX), ranked_load(200, 1, 5, 5)];
+    loads.update(now, address(1), &[load(1)], &ranked);
+    loads.update(now, address(1), &[], &[]);
+
+    assert!(loads.by_rank(load(1).server).is_none());
+}
+
 /// Loads of a peer that fell silent must not count forever, and newer ones must replace older ones.
 #[test]
 fn loads_of_peers_add_up_and_expire() {
     let mut loads = PeerLoads::default();
     let now = Time::from_millis(10_000);
-    loads.update(now, address(1), vec![load(1), load(2)]);
-    loads.update(now, address(2), vec![load(1)]);
-    loads.update(now + Duration::from_millis(900), address(2), vec![load(1)]);
+    loads.update(now, address(1), &[load(1), load(2)], &[]);
+    loads.update(now, address(2), &[load(1)], &[]);
+    loads.update(now + Duration::from_millis(900), address(2), &[load(1)], &[]);
 
     let both = loads.total(load(1).server);
     loads.expire(now + Duration::from_millis(1_100));
