Read the platform in time for the bounds of the settings

What callers saw: nothing yet; found by arithmetic while looking for late reads. Cause: in large fleets reads fall due when the view is 2.4 to 2.8 s old, which suits bounds of 3 and 4 s. A large fleet that has to follow changes within 2 s would not, in the second after its first members died. Failed before: tree::changes_are_read_in_ time_when_the_first_members_die (2.82 s against 2 s).

--- a/crates/dispatch/src/reading.rs
+++ b/crates/dispatch/src/reading.rs
@@ -32,6 +32,8 @@
 /// Added to [`TREE_READ_AGE`] in proportion to the member's place in the fleet, so that not all
 /// members read at once.
 const TREE_READ_SPREAD: Duration = Duration::from_millis(400);
+/// The time that is left for a read until a change must be followed.
+const FOLLOW_MARGIN: Duration = Duration::from_millis(400);
 /// The first members of a large fleet, which retry failed reads as often as those of a small one:
 /// one of them succeeds soon after the platform is back, and the others follow it.
 const EAGER_READERS: usize = 8;
@@ -83,13 +85,20 @@
             let is_joining = as_of < self.started_at + JOIN_TIME && self.members.alive_count() > 1;
             let rank = u32::try_from(rank).map_or(MAX_READ_RANK, |it| it.min(MAX_READ_RANK));
             let rank = if is_joining { MAX_READ_RANK } else { rank };
-            return as_of + READ_INTERVAL + READ_STAGGER * rank;
+            return as_of + self.in_time_to_follow(READ_INTERVAL + READ_STAGGER * rank);
         }
         if self.upstream.is_root() {
             return as_of + READ_INTERVAL;
         }
         let place = rank as f64 / self.members.alive_count().max(1) as f64;
-        as_of + TREE_READ_AGE + TREE_READ_SPREAD.mul_f64(place)
+        let latest = self.in_time_to_follow(TREE_READ_AGE + TREE_READ_SPREAD);
+        as_of + latest.saturating_sub(TREE_READ_SPREAD) + TREE_READ_SPREAD.mul_f64(place)
+    }
+
+    /// Returns the age of the view at which changes are read, so that they are followed in time.
+    fn in_time_to_follow(&self, age: Duration) -> Duration {
+        let latest = self.setup.bounds.follow.map(|follow| follow.saturating_sub(FOLLOW_MARGIN));
+        latest.map_or(age, |latest| age.min(latest.max(READ_INTERVAL)))
     }
 
     /// Returns where changes must be read next.
--- a/crates/dispatch/src/settings.rs
+++ b/crates/dispatch/src/settings.rs
@@ -29,6 +29,9 @@
     /// A revoked key stops working within this time, even if the platform cannot be read. With
     /// `None` a revoked key may be accepted until the platform is read again.
     pub revoke: Option<Duration>,
+    /// A change that the platform has acknowledged is followed within this time, if the platform can
+    /// be read: a server that leaves gets no more requests. `None` if any time will do.
+    pub follow: Option<Duration>,
     /// The number of retries that each request adds to the budget of its pool.
     pub retry_ratio: f64,
     /// The window over which retries and requests are counted.
@@ -50,6 +53,7 @@
     fn default() -> Self {
         Self {
             revoke: Some(Duration::from_secs(5)),
+            follow: None,
             retry_ratio: 0.2,
             retry_window: Duration::from_secs(10),
             retry_slack: 50.0,
--- a/crates/dispatch/src/state.rs
+++ b/crates/dispatch/src/state.rs
@@ -176,6 +176,11 @@
         self.members.alive_count()
     }
 
+    /// Returns the number of instances that precede this one in the order of the fleet.
+    pub fn preceding_count(&self) -> usize {
+        self.members.rank()
+    }
+
     /// Returns the view of the platform that was read last.
     pub fn view(&self) -> ViewSummary {
         self.freshness.view()
--- a/crates/dispatch/tests/decisions/tree.rs
+++ b/crates/dispatch/tests/decisions/tree.rs
@@ -5,8 +5,8 @@
 use std::{collections::BTreeMap, net::SocketAddrV4, sync::Arc};
 
 use dispatch::{
-    Effect, Event, NewRequest, Prompt, ReadSource, RequestKey, RetryPolicy, ServerChange, Setup,
-    State,
+    Bounds, Effect, Event, NewRequest, Prompt, ReadSource, RequestKey, RetryPolicy, ServerChange,
+    Setup, State,
 };
 use gossip::ViewSummary;
 use model::prelude::*;
@@ -66,13 +66,24 @@
 impl Fleet {
     /// Returns a fleet that has run long enough for all members to know each other.
     fn new(size: usize, seed: u64) -> Self {
+        Self::with_bounds(size, seed, Bounds::default())
+    }
+
+    /// Does the same as [`Self::new`] with other bounds.
+    fn with_bounds(size: usize, seed: u64, bounds: Bounds) -> Self {
         let now = Time::from_millis(10_000_000);
         let seeds = vec![address(0), address(1), address(2)];
         let member = |no: usize| {
             let incarnation = u32::try_from(no).unwrap_or_default();
             let seeds = seeds.clone();
-            let setup =
-                Setup { address: address(no), seeds, incarnation, seed: no as u64, ..setup() };
+            let setup = Setup {
+                address: address(no),
+                seeds,
+                incarnation,
+                seed: no as u64,
+                bounds,
+                ..setup()
+            };
             let mut state = State::new(now, setup);
             state.step(now, Event::Config(Arc::new(catalog(1))));
             state.step(now, Event::Listed(Vec::new()));
@@ -409,3 +420,23 @@
 
     assert_eq!((early, late), (62, 0));
 }
+
+/// Guards against requests to servers that left and against old configurations in a large fleet that
+/// has to follow changes as soon as a small one: reads were due by ages of the view that suit other
+/// bounds.
+#[test]
+fn changes_are_read_in_time_when_the_first_members_die() {
+    const FOLLOW: Duration = Duration::from_millis(2_000);
+    let bounds = Bounds { follow: Some(FOLLOW), ..Bounds::default() };
+    let mut fleet = Fleet::with_bounds(62, 11, bounds);
+    // The first nine members are the root and all its children.
+    let preceding = |no: &usize| fleet.members[*no].as_ref().map_or(0, State::preceding_count);
+    let first: Vec<_> = (0..62).filter(|no| preceding(no) < 9).collect();
+    for no in first {
+        fleet.members[no] = None;
+    }
+
+    fleet.pass(Duration::from_secs(8));
+
+    assert!(fleet.oldest < FOLLOW, "a view was {:?} old", fleet.oldest);
+}
