Hold back requests with a prompt part that ends the servers which begin to answer it

Cause: nothing related the end of a server to what ran there. Fix: an attempt that breaks before its first byte makes the instance connect to the server; if that is refused, the server has ended and the shared parts of the unanswered prompts are suspects. Three ends in a row that no later answer refutes hold a part back at all instances; evidence travels behind gossip packets with a checksum, merged by tags of the ends. One trial of the whole fleet after 15 s, then at least twice as long, ends a finding. Two parts at the same ends are told apart by one request that has only one of them. Why it works: the part ends each server, so one answer refutes it and three ends in a row without an answer do not happen to parts that others are answered with.

--- a/crates/daemon/src/front/problem.rs
+++ b/crates/daemon/src/front/problem.rs
@@ -82,6 +82,9 @@
                 StatusCode::Conflict,
                 "a request with this idempotency key may have been received before",
             ),
+            Reason::Quarantined => {
+                (StatusCode::ServiceUnavailable, "a part of the prompt has ended servers")
+            }
             Reason::ServerFailed => (StatusCode::BadGateway, "the backend server failed"),
             Reason::ServerTimeout => {
                 (StatusCode::GatewayTimeout, "the backend server did not respond in time")
--- a/crates/dispatch/src/admission.rs
+++ b/crates/dispatch/src/admission.rs
@@ -77,6 +77,7 @@
             rejections: 0,
             tried: Vec::new(),
             first_byte_at: None,
+            is_trial: false,
             has_reserved_retry: false,
             holds_server_error: false,
         };
@@ -94,6 +95,9 @@
 
     /// Puts a request into the queue of its pool. It is refused if it gets no server within `wait`.
     pub(crate) fn enqueue(&mut self, now: Time, key: RequestKey, wait: Duration) {
+        if self.refuse_if_quarantined(now, key) {
+            return;
+        }
         let Some(req) = self.requests.get_mut(key) else { return };
         let entry = QueueEntry { rank: req.rank(), refuse_at: (now + wait).min(req.end_by), key };
         req.stage = Stage::Waiting(entry);
--- a/crates/dispatch/src/attempt.rs
+++ b/crates/dispatch/src/attempt.rs
@@ -49,7 +49,7 @@
     },
     /// Nothing was sent, as [`Attempt::start_by`] had passed.
     Unused,
-    /// Nothing was sent, as the server began to leave after it had been chosen.
+    /// Nothing was sent, as [`crate::State::may_send_attempt`] did not hold any more.
     Withdrawn,
     /// Nothing was sent, as there was no connection.
     NotConnected,
--- a/crates/dispatch/src/effect.rs
+++ b/crates/dispatch/src/effect.rs
@@ -5,7 +5,7 @@
 use gossip::{OutgoingPacket, OutgoingTreeMessage};
 use model::prelude::*;
 
-use crate::{Attempt, AttemptEnd, FleetDemand, RequestKey};
+use crate::{Attempt, AttemptEnd, FleetDemand, QuarantineChange, RequestKey, ServerKey};
 
 /// An effect of a decision, which the instance carries out.
 #[derive(Debug)]
@@ -28,6 +28,14 @@
         /// The server's address.
         address: SocketAddrV4,
     },
+    /// Connect to a server, to learn whether it has ended, and report that as
+    /// [`crate::Event::ServerChecked`].
+    CheckServer {
+        /// Identifies the server in the event.
+        server: ServerKey,
+        /// Its address.
+        address: SocketAddrV4,
+    },
     /// Report from now on to the load balancer whether the instance is ready for callers.
     Ready(bool),
     /// Accept no more connections of callers, and close those that are idle.
@@ -116,6 +124,25 @@
         /// The number of evacuated zones.
         zones: usize,
     },
+    /// A server ended while requests were unanswered there.
+    ServerEnded {
+        /// The server's name in the platform's list.
+        server: Arc<str>,
+        /// The unanswered requests of this instance whose prompts have shared parts.
+        unanswered: usize,
+    },
+    /// The parts of prompts that are held back changed.
+    Quarantine {
+        /// The part that is held back or released from now on.
+        change: QuarantineChange,
+        /// The number of parts that are held back now.
+        held: usize,
+    },
+    /// A request with a part that is held back is sent, to learn whether it still ends servers.
+    QuarantineTrial {
+        /// The request's id.
+        id: Arc<str>,
+    },
     /// The number of engines that are set apart for live streams changed.
     LiveEngines {
         /// The name of their pool.
--- a/crates/dispatch/src/event.rs
+++ b/crates/dispatch/src/event.rs
@@ -80,6 +80,23 @@
         /// For how long the server says that it stays cold; `None` if it says nothing.
         cold: Option<Duration>,
     },
+    /// An [`crate::Effect::CheckServer`] was carried out.
+    ServerChecked {
+        /// The server that was checked.
+        server: ServerKey,
+        /// Whether its address refuses connections: the server has ended.
+        is_down: bool,
+    },
+    /// Operators demand that requests with a part of a prompt are held back.
+    HoldPart {
+        /// The id of the part.
+        part: u64,
+    },
+    /// Operators demand that requests with a part of a prompt are not held back any more.
+    ReleasePart {
+        /// The id of the part.
+        part: u64,
+    },
     /// The caller closed the connection.
     CallerLeft {
         /// Identifies the request, as in [`Event::Request`].
--- a/crates/dispatch/src/fleet.rs
+++ b/crates/dispatch/src/fleet.rs
@@ -169,6 +169,10 @@
         self.peer_view(update.sender.address, update.view_status.view, update.as_of);
         let from = update.sender.address;
         self.loads.update(now, from, &update.loads, &update.ranked_loads);
+        if !update.evidence.is_empty() {
+            self.quarantine.merge(now, &update.evidence);
+            self.update_quarantine(now);
+        }
         if self.members.possible_count() != self.share.known_members() {
             self.update_share(now);
         }
@@ -181,9 +185,11 @@
             return;
         }
         let (loads, ranked_loads) = self.own_loads();
+        let evidence = self.quarantine.report(now);
         let (packets, died) = self.members.tick(now, self.freshness.view_status(now), &loads);
         for mut outgoing in packets {
             outgoing.packet.ranked_loads.clone_from(&ranked_loads);
+            outgoing.packet.evidence.clone_from(&evidence);
             self.emit(Effect::Send(outgoing));
         }
         for member in died {
--- a/crates/dispatch/src/outcome.rs
+++ b/crates/dispatch/src/outcome.rs
@@ -58,8 +58,12 @@
         req.first_byte_at.get_or_insert(now);
         let pool = req.pool;
         let Stage::Running(running) = &mut req.stage else { return };
+        running.begun_at.get_or_insert(now);
         let prefill_tokens = std::mem::take(&mut running.prefill_tokens).into();
         let RunningAttempt { server: key, sent_at, expected, rank, .. } = *running;
+        if let Some(sent_at) = sent_at {
+            self.quarantine.begun(now, &req.prompt, sent_at);
+        }
         let Some(server) = self.servers.get_mut(key) else { return };
         server.load.remove(rank.into(), TotalLoad { attempts: 0, prefill_tokens });
         if let Some(sent_at) = sent_at {
@@ -92,6 +96,7 @@
             req.possible_runs += 1;
         }
         let pool = req.pool;
+        self.record_possible_end(now, key, running, end);
         self.release_server(now, running, end, cold);
         match end {
             AttemptEnd::Completed { .. } => self.completed(now, key),
@@ -229,7 +234,12 @@
             }
             _ => {
                 let resumes = req.routed.route.repeat == Repeat::Resume;
-                can_retry && (!end.is_partial() || resumes) && self.reserve_retry(now, key)
+                // Its prompt may have ended the server, and would end the next one.
+                let is_doubtful = self.quarantine.is_doubtful(&req.prompt);
+                can_retry
+                    && !is_doubtful
+                    && (!end.is_partial() || resumes)
+                    && self.reserve_retry(now, key)
             }
         };
         if is_retried {
--- a/crates/dispatch/src/placement.rs
+++ b/crates/dispatch/src/placement.rs
@@ -8,7 +8,7 @@
 
 use crate::{
     Affinity, Attempt, Candidate, Command, Demand, Effect, LogEntry, Pool, Rank, RequestKey, Room,
-    SeenLoad, Server, ServerKey, ServerSurvey,
+    SeenLoad, Server, ServerKey, ServerSurvey, Verdict,
     preferred_servers::PreferredServers,
     request::{Request, RunningAttempt, Stage},
     state::State,
@@ -171,15 +171,18 @@
     }
 
     /// Returns whether the attempt that was started for a request may still be sent: its server has
-    /// neither begun to leave nor been restarted since it was chosen, and its zone has not been
-    /// evacuated. Asked when there is a connection, right before the first byte.
-    pub fn may_send_attempt(&self, key: RequestKey) -> bool {
-        let Some(Stage::Running(running)) = self.requests.get(key).map(|req| req.stage) else {
-            return false;
-        };
-        self.servers.get(running.server).is_some_and(|server| {
-            self.servers.is_eligible(server) && server.entry.incarnation == running.incarnation
-        })
+    /// neither begun to leave nor been restarted since it was chosen, its zone has not been
+    /// evacuated, and no part of its prompt is held back. Asked when there is a connection, right
+    /// before the first byte.
+    pub fn may_send_attempt(&self, now: Time, key: RequestKey) -> bool {
+        let Some(req) = self.requests.get(key) else { return false };
+        let Stage::Running(running) = req.stage else { return false };
+        let is_free =
+            req.is_trial || self.quarantine.verdict(now, &req.prompt, false) == Verdict::Free;
+        is_free
+            && self.servers.get(running.server).is_some_and(|server| {
+                self.servers.is_eligible(server) && server.entry.incarnation == running.incarnation
+            })
     }
 
     /// Returns whether a server is known and not backed off.
@@ -259,6 +262,7 @@
             incarnation: server.entry.incarnation,
             started_at: now,
             sent_at: None,
+            begun_at: None,
             expected: choice.expected,
             prefill_tokens: if resumes_from_backup { 0 } else { choice.prefill_tokens },
             live_pool: req.is_live_stream().then_some(req.pool),
--- a/crates/dispatch/src/prompt.rs
+++ b/crates/dispatch/src/prompt.rs
@@ -28,6 +28,11 @@
         self.parts.last().map_or(self.tokens, |part| part.tokens.min(self.tokens))
     }
 
+    /// Returns the parts that other requests may share: all but the last one.
+    pub fn shared_parts(&self) -> &[Part] {
+        self.parts.split_last().map_or(&[], |(_, shared)| shared)
+    }
+
     /// Returns the last part of the shared prefix; `None` if nothing is shared.
     pub fn last_shared_part(&self) -> Option<Part> {
         let before_last = self.parts.len().checked_sub(2)?;
--- /dev/null
+++ b/crates/dispatch/src/quarantine.rs
@@ -0,0 +1,422 @@
+//! Prompt parts that end the servers which begin to answer them.
+
+use std::collections::{BTreeMap, BTreeSet, HashMap};
+
+use gossip::{EndTag, PartEvidence, ServerEnd};
+use model::prelude::*;
+use xxhash_rust::xxh3::xxh3_64_with_seed;
+
+use crate::{Part, Prompt};
+
+/// Ends of servers in a row after which a part is held back. Two could follow each other by chance
+/// while many servers crash.
+const ENDS_TO_HOLD: usize = 3;
+/// Ends in a row after which a request with the part is not repeated.
+const ENDS_TO_DOUBT: usize = 2;
+/// The least time between the end of one server and the sending of the request that counts for the
+/// next one. Instances tell each other times of ends that differ by less.
+const MIN_GAP: Duration = Duration::from_millis(100);
+/// For how long evidence is kept against a part that is not held back.
+const RETENTION: Duration = Duration::from_secs(30);
+/// The same for a part that is held back, from the last end.
+const HELD_RETENTION: Duration = Duration::from_secs(600);
+/// The least time from the last end until a request with a part that is held back is tried. It
+/// doubles with each further end.
+const MIN_TRIAL_DELAY: Duration = Duration::from_secs(15);
+/// Parts against which there is evidence. Those with the least are forgotten beyond that.
+const MAX_SUSPECTS: usize = 256;
+/// A server that still runs this long after it began to answer a request was not ended by it.
+pub(crate) const SURVIVAL_TIME: Duration = Duration::from_millis(300);
+/// Upper bound on the time for which a packet with the time of an answer is under way. The answer
+/// counts as that much older at each instance that passes it on.
+const MAX_TRANSIT_TIME: Duration = Duration::from_millis(200);
+/// Ends that are kept of each part: those at both ends of the time that they span.
+const MAX_ENDS: usize = 12;
+/// Ends of each part in a packet.
+const MAX_REPORTED_ENDS: usize = 4;
+/// Parts in a packet.
+const MAX_REPORTED_PARTS: usize = 12;
+/// Parts of which the latest answer is remembered, to judge ends that others report later.
+const MAX_ANSWERED: usize = 4_096;
+/// The tag of an end that stands for the decision of an operator to hold a part back.
+const OPERATOR: EndTag = EndTag(0);
+
+/// The end of a server at which a request with a part was unanswered.
+#[derive(Clone, Copy, PartialEq, Eq, Debug)]
+struct End {
+    sent_at: Time,
+    ended_at: Time,
+}
+
+/// The evidence against a part.
+#[derive(Clone, Default, Debug)]
+struct Suspect {
+    ends: BTreeMap<EndTag, End>,
+    /// When the latest request with the part was sent that is known to have been answered by a
+    /// server that lived on. It refutes all ends before.
+    answered_at: Option<Time>,
+    /// When the latest request with the part was sent whose answer has begun at this instance, and
+    /// when it began.
+    begun: Option<(Time, Time)>,
+    /// Since when it is held back; `None` if it is not.
+    held_since: Option<Time>,
+    /// When this instance last sent a request with the part although it is held back.
+    tried_at: Option<Time>,
+}
+
+/// A part that is held back, for operators.
+#[derive(Clone, Copy, PartialEq, Eq, Debug)]
+pub struct HeldPart {
+    /// The id of the part.
+    pub part: u64,
+    /// Since when this instance holds it back.
+    pub since: Time,
+    /// The ends of servers that speak against it.
+    pub ends: usize,
+    /// When the last of them ended.
+    pub last_end: Time,
+    /// When a request with it is tried next.
+    pub trial_due: Time,
+}
+
+/// A change of the parts that are held back.
+#[derive(Clone, Copy, PartialEq, Eq, Debug)]
+pub enum QuarantineChange {
+    /// A part is held back from now on.
+    Held(HeldPart),
+    /// A part is not held back any more.
+    Released {
+        /// The id of the part.
+        part: u64,
+    },
+}
+
+/// What happens to a request with regard to its parts.
+#[derive(Clone, Copy, PartialEq, Eq, Debug)]
+pub enum Verdict {
+    /// It may be sent.
+    Free,
+    /// It may be sent, as a trial of a part that is held back.
+    Trial,
+    /// It is held back.
+    Held {
+        /// When a request with the part is tried next.
+        trial_due: Time,
+    },
+}
+
+/// Finds prompt parts that end the servers which begin to answer them, and decides which requests
+/// are held back.
+///
+/// Evidence against a part is the end of a server at which a request with the part was unanswered.
+/// An answer to a request that was sent later refutes it. Ends count if each request was sent after
+/// the server before had ended, so servers that end at the same moment for another reason count as
+/// one. Evidence of other instances is merged by the tags of the ends, in any order.
+#[derive(Clone, Default, Debug)]
+pub struct Quarantine {
+    suspects: BTreeMap<u64, Suspect>,
+    /// When the latest answered request with each part was sent.
+    answered: HashMap<u64, Time>,
+}
+
+/// Returns the tag of the end of a server, the same at all instances.
+pub fn end_tag(server: ServerId, incarnation: u64) -> EndTag {
+    // 0 stands for operators.
+    EndTag((xxh3_64_with_seed(&incarnation.to_be_bytes(), server.0) as u32).max(1))
+}
+
+impl Quarantine {
+    /// Returns whether there is evidence against any part.
+    pub fn has_suspects(&self) -> bool {
+        !self.suspects.is_empty()
+    }
+
+    /// Returns whether there is evidence against a shared part of a prompt.
+    pub fn is_suspected(&self, prompt: &Prompt) -> bool {
+        prompt.shared_parts().iter().any(|part| self.suspects.contains_key(&part.id))
+    }
+
+    /// Records that a server ended at `ended_at` while a request with this prompt, sent at `sent_at`,
+    /// was unanswered.
+    pub fn server_ended(&mut self, tag: EndTag, prompt: &Prompt, sent_at: Time, ended_at: Time) {
+        for part in prompt.shared_parts() {
+            self.add(part.id, tag, End { sent_at, ended_at });
+        }
+    }
+
+    /// Records that a server begins to answer a request with this prompt, sent at `sent_at`. Nothing is
+    /// decided against its parts until it is known whether the server survives.
+    pub fn begun(&mut self, now: Time, prompt: &Prompt, sent_at: Time) {
+        for part in prompt.shared_parts() {
+            if let Some(suspect) = self.suspects.get_mut(&part.id) {
+                suspect.begun = suspect.begun.max(Some((sent_at, now)));
+            }
+        }
+    }
+
+    /// Records that a request with this prompt, sent at `sent_at`, is answered by a server that
+    /// still runs.
+    pub fn answered(&mut self, prompt: &Prompt, sent_at: Time) {
+        for part in prompt.shared_parts() {
+            if self.answered.len() >= MAX_ANSWERED && !self.answered.contains_key(&part.id) {
+                self.forget_answers();
+            }
+            let latest = self.answered.entry(part.id).or_default();
+            *latest = sent_at.max(*latest);
+            if let Some(suspect) = self.suspects.get_mut(&part.id) {
+                suspect.answered_at = suspect.answered_at.max(Some(sent_at));
+            }
+        }
+    }
+
+    /// Merges the evidence of another instance.
+    pub fn merge(&mut self, now: Time, evidence: &[PartEvidence]) {
+        for PartEvidence { part, answered_age_ms, ends } in evidence {
+            let answered_at = answered_age_ms.map(|age| now - millis(age) - MAX_TRANSIT_TIME);
+            for end in ends {
+                let ended_at = now - millis(end.age_ms);
+                let sent_at = ended_at - millis(end.took_ms);
+                self.add(*part, end.tag, End { sent_at, ended_at });
+            }
+            if let Some(suspect) = self.suspects.get_mut(part) {
+                suspect.answered_at = suspect.answered_at.max(answered_at);
+            }
+        }
+    }
+
+    /// Returns the evidence for other instances, the strongest first.
+    pub fn report(&self, now: Time) -> Vec<PartEvidence> {
+        let mut suspects: Vec<_> = self.suspects.iter().collect();
+        // Parts that are or were held back concern everybody, whether the ends are refuted or not.
+        suspects.sort_by_key(|(_, suspect)| {
+            let last = suspect.ends.values().map(|end| end.ended_at).max();
+            std::cmp::Reverse((suspect.held_since.is_some(), suspect.ends.len(), last))
+        });
+        let reported = suspects.into_iter().take(MAX_REPORTED_PARTS);
+        reported.map(|(part, suspect)| suspect.report(now, *part)).collect()
+    }
+
+    /// Forgets old evidence and returns which parts are held back or released from now on.
+    pub fn update(&mut self, now: Time) -> Vec<QuarantineChange> {
+        let guilty = self.guilty(now);
+        let mut changes = Vec::new();
+        for (part, suspect) in &mut self.suspects {
+            if guilty.contains(part) && suspect.held_since.is_none() {
+                suspect.held_since = Some(now);
+                changes.extend(suspect.held_part(*part).map(QuarantineChange::Held));
+            } else if !guilty.contains(part) && suspect.held_since.take().is_some() {
+                changes.push(QuarantineChange::Released { part: *part });
+            }
+            suspect.forget(now);
+        }
+        self.suspects.retain(|_, suspect| !suspect.ends.is_empty());
+        while self.suspects.len() > MAX_SUSPECTS {
+            let least = self.suspects.iter().min_by_key(|(_, it)| {
+                (it.held_since.is_some(), it.unrefuted().count(), it.ends.len())
+            });
+            let Some(part) = least.map(|it| *it.0) else { break };
+            self.suspects.remove(&part);
+        }
+        changes
+    }
+
+    /// Decides on a request with this prompt. A trial of a part that is held back is due at one
+    /// instance only, the one for which `is_trial_instance` holds.
+    pub fn verdict(&self, now: Time, prompt: &Prompt, is_trial_instance: bool) -> Verdict {
+        let suspect = |part: &Part| self.suspects.get(&part.id).map(|it| (part.id, it));
+        let suspects = prompt.shared_parts().iter().filter_map(suspect);
+        let mut verdict = Verdict::Free;
+        for (part, suspect) in suspects.filter(|it| it.1.held_since.is_some()) {
+            let trial_due = suspect.trial_due(self.tells_apart(part, suspect, prompt));
+            if !is_trial_instance || now < trial_due {
+                return Verdict::Held { trial_due };
+            }
+            verdict = Verdict::Trial;
+        }
+        verdict
+    }
+
+    /// Returns whether a request with this prompt tells a part that is held back from another one
+    /// against which the same ends speak: it has only one of them.
+    fn tells_apart(&self, part: u64, suspect: &Suspect, prompt: &Prompt) -> bool {
+        let is_in_prompt = |id| prompt.shared_parts().iter().any(|it| it.id == id);
+        let others = self.suspects.iter().filter(|it| *it.0 != part && it.1.held_since.is_some());
+        let mut equal = others.filter(|it| {
+            it.1.unrefuted().map(|end| end.0).eq(suspect.unrefuted().map(|end| end.0))
+        });
+        equal.any(|it| !is_in_prompt(*it.0))
+    }
+
+    /// Records that a request is sent as a trial.
+    pub fn tried(&mut self, now: Time, prompt: &Prompt) {
+        for part in prompt.shared_parts() {
+            if let Some(suspect) = self.suspects.get_mut(&part.id) {
+                suspect.tried_at = Some(now);
+            }
+        }
+    }
+
+    /// Returns whether a request that may have ended its server must not be repeated: too many
+    /// servers in a row have ended at requests with one of its parts.
+    pub fn is_doubtful(&self, prompt: &Prompt) -> bool {
+        let mut suspects =
+            prompt.shared_parts().iter().filter_map(|part| self.suspects.get(&part.id));
+        suspects.any(|suspect| row(suspect.unrefuted()).len() >= ENDS_TO_DOUBT)
+    }
+
+    /// Holds a part back, as operators demand.
+    pub fn hold(&mut self, now: Time, part: u64) {
+        self.add(part, OPERATOR, End { sent_at: now, ended_at: now });
+    }
+
+    /// Refutes all evidence against a part, as operators demand.
+    pub fn release(&mut self, now: Time, part: u64) {
+        if let Some(suspect) = self.suspects.get_mut(&part) {
+            suspect.answered_at = Some(now);
+        }
+    }
+
+    /// Returns the parts that are held back.
+    pub fn held(&self) -> Vec<HeldPart> {
+        self.suspects.iter().filter_map(|(part, suspect)| suspect.held_part(*part)).collect()
+    }
+
+    fn add(&mut self, part: u64, tag: EndTag, end: End) {
+        let answered_at = self.answered.get(&part).copied();
+        let suspect = self.suspects.entry(part).or_default();
+        suspect.answered_at = suspect.answered_at.max(answered_at);
+        suspect.add(tag, end);
+    }
+
+    /// Returns the parts against which there is enough evidence. Ends that a part with stronger
+    /// evidence explains count for no other: one that was present at more ends, or at as many and
+    /// was not answered for longer.
+    fn guilty(&self, now: Time) -> BTreeSet<u64> {
+        let strength = |suspect: &Suspect| {
+            (suspect.unrefuted().count(), std::cmp::Reverse(suspect.answered_at))
+        };
+        let mut suspects: Vec<_> = self.suspects.iter().collect();
+        suspects.sort_by_key(|it| std::cmp::Reverse(strength(it.1)));
+        let mut guilty: BTreeMap<u64, &Suspect> = BTreeMap::new();
+        for (part, suspect) in suspects {
+            let is_explained = |tag: EndTag| {
+                let mut stronger = guilty.values().filter(|it| strength(it) > strength(suspect));
+                stronger.any(|it| it.unrefuted().any(|end| end.0 == tag))
+            };
+            let is_ordered = suspect.unrefuted().any(|it| it.0 == OPERATOR);
+            let own = suspect.unrefuted().filter(|it| !is_explained(it.0));
+            let is_enough = row(own).len() >= ENDS_TO_HOLD;
+            let may_be_refuted = suspect.held_since.is_none() && suspect.is_answer_pending(now);
+            if is_ordered || is_enough && !may_be_refuted {
+                guilty.insert(*part, suspect);
+            }
+        }
+        guilty.into_keys().collect()
+    }
+
+    /// Forgets the older half of the answers.
+    fn forget_answers(&mut self) {
+        let mut times: Vec<_> = self.answered.values().copied().collect();
+        let (_, median, _) = times.select_nth_unstable(MAX_ANSWERED / 2);
+        let median = *median;
+        self.answered.retain(|_, sent_at| *sent_at > median);
+    }
+}
+
+impl Suspect {
+    fn add(&mut self, tag: EndTag, end: End) {
+        self.ends
+            .entry(tag)
+            .and_modify(|known| {
+                // Whoever saw the end itself knows its time best; packets only arrive later. Of the
+                // demands of operators the last one counts.
+                if (end.ended_at < known.ended_at) != (tag == OPERATOR) {
+                    *known = end;
+                }
+            })
+            .or_insert(end);
+        if self.ends.len() > MAX_ENDS {
+            let mut tags: Vec<_> = self.ends.iter().map(|it| (it.1.ended_at, *it.0)).collect();
+            tags.sort_unstable();
+            self.ends.remove(&tags[MAX_ENDS / 2].1);
+        }
+    }
+
+    /// Forgets old ends. Those that were refuted lately are kept, so that all instances learn of it.
+    fn forget(&mut self, now: Time) {
+        let is_recent = self.answered_at.is_some_and(|at| now.since(at) < RETENTION);
+        let retention = if self.held_since.is_some() { HELD_RETENTION } else { RETENTION };
+        self.ends.retain(|_, end| is_recent || now.since(end.ended_at) < retention);
+    }
+
+    fn unrefuted(&self) -> impl Iterator<Item = (EndTag, End)> {
+        let is_unrefuted = |end: &End| self.answered_at.is_none_or(|at| at <= end.ended_at);
+        self.ends.iter().filter(move |it| is_unrefuted(it.1)).map(|it| (*it.0, *it.1))
+    }
+
+    /// Returns whether a server has begun to answer a request that was sent after an end, and it is
+    /// not known yet whether it survives.
+    fn is_answer_pending(&self, now: Time) -> bool {
+        let Some((sent_at, begun_at)) = self.begun else { return false };
+        now.since(begun_at) <= SURVIVAL_TIME
+            && self.unrefuted().any(|(_, end)| end.ended_at < sent_at)
+    }
+
+    /// Returns when a request with the part is to be tried: at once, but only once, if it tells the
+    /// part from others.
+    fn trial_due(&self, tells_apart: bool) -> Time {
+        let last = self.unrefuted().map(|it| it.1.ended_at).max().unwrap_or_default();
+        let first = self.unrefuted().map(|it| it.1.ended_at).min().unwrap_or_default();
+        let delay = last.since(first).max(MIN_TRIAL_DELAY);
+        let after_end = if tells_apart { last } else { last + delay };
+        self.tried_at.map_or(after_end, |tried_at| after_end.max(tried_at + delay))
+    }
+
+    fn held_part(&self, part: u64) -> Option<HeldPart> {
+        let last_end = self.unrefuted().map(|it| it.1.ended_at).max()?;
+        Some(HeldPart {
+            part,
+            since: self.held_since?,
+            ends: self.unrefuted().count(),
+            last_end,
+            trial_due: self.trial_due(false),
+        })
+    }
+
+    fn report(&self, now: Time, part: u64) -> PartEvidence {
+        let mut ends = row(self.unrefuted());
+        // The first end and the last ones: the time until a trial follows from them.
+        if ends.len() > MAX_REPORTED_ENDS {
+            ends.drain(1..=ends.len() - MAX_REPORTED_ENDS);
+        }
+        if ends.is_empty() {
+            ends.extend(self.ends.iter().map(|it| (*it.0, *it.1)).take(MAX_REPORTED_ENDS));
+        }
+        let to_ms = |span: Duration| u32::try_from(span.as_millis()).unwrap_or(u32::MAX);
+        let ends = ends.into_iter().map(|(tag, end)| ServerEnd {
+            tag,
+            age_ms: to_ms(now.since(end.ended_at)),
+            took_ms: to_ms(end.ended_at.since(end.sent_at)),
+        });
+        let answered_age_ms = self.answered_at.map(|at| to_ms(now.since(at)));
+        PartEvidence { part, answered_age_ms, ends: ends.collect() }
+    }
+}
+
+/// Returns the longest row of ends that follow each other, each at a request that was sent after the
+/// end before.
+fn row(ends: impl Iterator<Item = (EndTag, End)>) -> Vec<(EndTag, End)> {
+    let mut ends: Vec<_> = ends.collect();
+    ends.sort_unstable_by_key(|it| it.1.ended_at);
+    let mut row: Vec<(EndTag, End)> = Vec::new();
+    for (tag, end) in ends {
+        if row.last().is_none_or(|(_, last)| end.sent_at >= last.ended_at + MIN_GAP) {
+            row.push((tag, end));
+        }
+    }
+    row
+}
+
+fn millis(count: u32) -> Duration {
+    Duration::from_millis(count.into())
+}
--- a/crates/dispatch/src/request.rs
+++ b/crates/dispatch/src/request.rs
@@ -33,6 +33,8 @@
     pub(crate) tried: Vec<ServerKey>,
     /// When the first byte of a response came.
     pub(crate) first_byte_at: Option<Time>,
+    /// Whether it is sent although one of its parts is held back.
+    pub(crate) is_trial: bool,
     /// Whether a retry of the budget is reserved for it that has not been sent yet.
     pub(crate) has_reserved_retry: bool,
     /// Whether a response that reports a server error is held back, to be delivered if no retry
@@ -71,6 +73,8 @@
     pub(crate) started_at: Time,
     /// When its first byte was sent to the server; `None` before.
     pub(crate) sent_at: Option<Time>,
+    /// When the first byte of its response came; `None` before.
+    pub(crate) begun_at: Option<Time>,
     /// The expected time to first byte.
     pub(crate) expected: Duration,
     /// Prompt tokens that the server still has to read for it.
--- /dev/null
+++ b/crates/dispatch/src/server_ends.rs
@@ -0,0 +1,139 @@
+//! Servers that end while requests are unanswered, and the requests that are held back for it.
+
+use std::sync::Arc;
+
+use gossip::EndTag;
+use model::prelude::*;
+
+use crate::{
+    AttemptEnd, Effect, LogEntry, Prompt, QuarantineChange, RequestKey, ServerKey, Verdict,
+    end_tag,
+    quarantine::SURVIVAL_TIME,
+    request::{RunningAttempt, Stage},
+    state::State,
+};
+
+/// The least retry-after time of a request that is held back: its trial is due at another instance.
+const MIN_RETRY_AFTER: Duration = Duration::from_secs(1);
+
+/// A server at which an attempt broke before its response began.
+#[derive(Debug)]
+pub(crate) struct PossibleEnd {
+    tag: EndTag,
+    server: Arc<str>,
+    ended_at: Time,
+    /// The prompts of the attempts that broke, and when they were sent.
+    unanswered: Vec<(Prompt, Time)>,
+}
+
+impl State {
+    /// Records that an attempt ended. If it broke before its response began, its server may have
+    /// ended, which is checked at once.
+    pub(crate) fn record_possible_end(
+        &mut self,
+        now: Time,
+        key: RequestKey,
+        running: RunningAttempt,
+        end: AttemptEnd,
+    ) {
+        let Some(req) = self.requests.get(key) else { return };
+        let Some(sent_at) = running.sent_at else { return };
+        if end == (AttemptEnd::Completed { is_success: true }) {
+            return self.quarantine.answered(&req.prompt, sent_at);
+        }
+        let is_unanswered = matches!(end, AttemptEnd::Broken { .. }) && running.begun_at.is_none();
+        if !is_unanswered || req.prompt.shared_parts().is_empty() {
+            return;
+        }
+        let unanswered = (req.prompt.clone(), sent_at);
+        if let Some(possible) = self.possible_ends.get_mut(running.server) {
+            return possible.unanswered.push(unanswered);
+        }
+        let Some(server) = self.servers.get(running.server) else { return };
+        let address = server.entry.address;
+        let possible = PossibleEnd {
+            tag: end_tag(server.id, running.incarnation),
+            server: Arc::clone(&server.entry.name),
+            ended_at: now,
+            unanswered: vec![unanswered],
+        };
+        self.possible_ends.insert(running.server, possible);
+        self.emit(Effect::CheckServer { server: running.server, address });
+    }
+
+    pub(crate) fn server_checked(&mut self, now: Time, server: ServerKey, is_down: bool) {
+        let Some(possible) = self.possible_ends.remove(server) else { return };
+        if !is_down {
+            return;
+        }
+        for (prompt, sent_at) in &possible.unanswered {
+            self.quarantine.server_ended(possible.tag, prompt, *sent_at, possible.ended_at);
+        }
+        let unanswered = possible.unanswered.len();
+        self.log(LogEntry::ServerEnded { server: possible.server, unanswered });
+        self.update_quarantine(now);
+    }
+
+    /// Records which servers survived the answers that they have begun.
+    pub(crate) fn record_survivals(&mut self, now: Time) {
+        if !self.quarantine.has_suspects() {
+            return;
+        }
+        for req in self.requests.values() {
+            let Stage::Running(running) = req.stage else { continue };
+            let (Some(sent_at), Some(begun_at)) = (running.sent_at, running.begun_at) else {
+                continue;
+            };
+            if now.since(begun_at) >= SURVIVAL_TIME {
+                self.quarantine.answered(&req.prompt, sent_at);
+            }
+        }
+        self.update_quarantine(now);
+    }
+
+    /// Decides again which parts are held back, and refuses the requests with these parts that wait.
+    pub(crate) fn update_quarantine(&mut self, now: Time) {
+        let changes = self.quarantine.update(now);
+        if changes.is_empty() {
+            return;
+        }
+        let held = self.quarantine.held().len();
+        let mut is_stricter = false;
+        for change in changes {
+            is_stricter |= matches!(change, QuarantineChange::Held(_));
+            self.log(LogEntry::Quarantine { change, held });
+        }
+        if is_stricter {
+            for key in self.queue.keys() {
+                self.refuse_if_quarantined(now, key);
+            }
+        }
+    }
+
+    /// Refuses a request if one of its parts is held back, unless it is the trial that is due.
+    /// Returns whether it was refused.
+    pub(crate) fn refuse_if_quarantined(&mut self, now: Time, key: RequestKey) -> bool {
+        let Some(req) = self.requests.get_mut(key) else { return false };
+        // One instance tries, so that the whole fleet sends few such requests.
+        let is_first = self.members.rank() == 0;
+        match self.quarantine.verdict(now, &req.prompt, is_first) {
+            _ if req.is_trial => false,
+            Verdict::Free => false,
+            Verdict::Trial => {
+                req.is_trial = true;
+                self.quarantine.tried(now, &req.prompt);
+                let id = Arc::clone(&req.id);
+                self.log(LogEntry::QuarantineTrial { id });
+                false
+            }
+            Verdict::Held { trial_due } => {
+                let mut refusal = req.refusal(Reason::Quarantined);
+                if refusal.execution == Execution::NotRun {
+                    refusal = refusal.retry_after(now.until(trial_due).max(MIN_RETRY_AFTER));
+                }
+                self.refuse(now, key, refusal);
+                true
+            }
+        }
+    }
+}
--- a/crates/dispatch/src/state.rs
+++ b/crates/dispatch/src/state.rs
@@ -9,8 +9,9 @@
 use slotmap::SecondaryMap;
 
 use crate::{
-    Catalog, Effect, EngineDemand, Event, Freshness, LiveEngines, LogEntry, RequestKey,
-    RetryBudget, Setup, Share, queue::Queue, request::Request, servers::Servers,
+    Catalog, Effect, EngineDemand, Event, Freshness, HeldPart, LiveEngines, LogEntry, Quarantine,
+    RequestKey, RetryBudget, ServerKey, Setup, Share, queue::Queue, request::Request,
+    server_ends::PossibleEnd, servers::Servers,
 };
 
 /// The longest time between two ticks. A tick tries to start waiting requests, since gossip may
@@ -60,6 +61,9 @@
     pub(crate) budgets: HashMap<PoolId, RetryBudget>,
     pub(crate) demand: HashMap<PoolId, EngineDemand>,
     pub(crate) live_engines: HashMap<PoolId, LiveEngines>,
+    pub(crate) quarantine: Quarantine,
+    /// Servers that may have ended, until that is known.
+    pub(crate) possible_ends: SecondaryMap<ServerKey, PossibleEnd>,
     pub(crate) requests: SecondaryMap<RequestKey, Request>,
     pub(crate) queue: Queue,
     is_ready: bool,
@@ -109,6 +113,8 @@
             budgets: HashMap::new(),
             demand: HashMap::new(),
             live_engines: HashMap::new(),
+            quarantine: Quarantine::default(),
+            possible_ends: SecondaryMap::new(),
             requests: SecondaryMap::new(),
             queue: Queue::default(),
             is_ready: false,
@@ -147,6 +153,15 @@
             Event::FirstByte { key } => self.first_byte(now, key),
             Event::BytesReceived { server } => self.bytes_received(now, server),
             Event::Ended { key, end, cold } => self.attempt_ended(now, key, end, cold),
+            Event::ServerChecked { server, is_down } => self.server_checked(now, server, is_down),
+            Event::HoldPart { part } => {
+                self.quarantine.hold(now, part);
+                self.update_quarantine(now);
+            }
+            Event::ReleasePart { part } => {
+                self.quarantine.release(now, part);
+                self.update_quarantine(now);
+            }
             Event::CallerLeft { key } => self.caller_left(now, key),
             Event::Shutdown => self.shutdown(now),
         }
@@ -191,6 +206,11 @@
         self.freshness.view_status(now)
     }
 
+    /// Returns the parts of prompts that are held back.
+    pub fn held_parts(&self) -> Vec<HeldPart> {
+        self.quarantine.held()
+    }
+
     /// Returns the time since the view of the platform was last confirmed; `None` before the first
     /// read.
     pub fn view_age(&self, now: Time) -> Option<Duration> {
@@ -219,6 +239,7 @@
         self.gossip(now);
         self.remove_expired_servers(now);
         self.refuse_expired(now);
+        self.record_survivals(now);
         self.update_live_engines(now);
         self.dispatch_all(now);
         self.update_phase(now);
--- a/crates/dispatch/tests/decisions/leaving.rs
+++ b/crates/dispatch/tests/decisions/leaving.rs
@@ -21,7 +21,7 @@
 }
 
 fn may_be_sent(bench: &Bench, key: RequestKey) -> bool {
-    bench.state.may_send_attempt(key)
+    bench.state.may_send_attempt(bench.now, key)
 }
 
 /// Guards against requests that reach a server after it said that it leaves.
--- a/crates/edge/src/attempt.rs
+++ b/crates/edge/src/attempt.rs
@@ -134,7 +134,7 @@
         if now >= self.attempt.start_by {
             return Err(Fault::Unused);
         }
-        if !self.instance.read_state(|state| state.may_send_attempt(self.key)) {
+        if !self.instance.read_state(|state| state.may_send_attempt(now, self.key)) {
             return Err(Fault::Withdrawn);
         }
         let fields = AttemptFields {
--- a/crates/edge/src/instance.rs
+++ b/crates/edge/src/instance.rs
@@ -13,7 +13,8 @@
 use async_executor::LocalExecutor;
 use async_io::Async;
 use dispatch::{
-    CallerLimits, Command, Effect, Event, LogEntry, ReadSource, RequestKey, RetryPolicy, State,
+    CallerLimits, Command, Effect, Event, LogEntry, ReadSource, RequestKey, RetryPolicy, ServerKey,
+    State,
 };
 use gossip::ViewStatus;
 use model::prelude::*;
@@ -47,6 +48,8 @@
     state: RefCell<State>,
     tasks: RefCell<SlotMap<RequestKey, Sender<Command>>>,
     journal: RefCell<Journal>,
+    /// Servers to be checked, for the task that does it. Each server is in it once at most.
+    checks: (Sender<ServerCheck>, Receiver<ServerCheck>),
     /// Wakes the task that reads the platform.
     read_now: (Sender<()>, Receiver<()>),
     /// When the next tick is scheduled.
@@ -55,6 +58,13 @@
     reschedule: Sender<()>,
 }
 
+/// A server to be checked, which may have ended.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct ServerCheck {
+    pub(crate) server: ServerKey,
+    pub(crate) address: SocketAddrV4,
+}
+
 /// What an [`Instance`] is built from.
 pub(crate) struct Parts {
     pub(crate) clock: Clock,
@@ -79,6 +89,7 @@
             is_ready: Cell::new(false),
             tasks: RefCell::default(),
             journal: RefCell::new(Journal::new(parts.clock.now())),
+            checks: async_channel::unbounded(),
             read_now: async_channel::bounded(1),
             scheduled: Cell::new(Time::default()),
             clock: parts.clock,
@@ -144,6 +155,11 @@
         self.is_ready.get()
     }
 
+    /// Waits for the next server that must be checked; `None` if there will be none.
+    pub(crate) async fn next_check(&self) -> Option<ServerCheck> {
+        self.checks.1.recv().await.ok()
+    }
+
     /// Reads the reducer's state.
     pub(crate) fn read_state<T>(&self, read: impl FnOnce(&State) -> T) -> T {
         read(&self.state.borrow())
@@ -189,6 +205,11 @@
                 let _ = self.read_now.0.try_send(());
             }
             Effect::Disconnect { address } => self.connections.close_idle(address),
+            Effect::CheckServer { server, address } => {
+                if let Err(err) = self.checks.0.try_send(ServerCheck { server, address }) {
+                    log::warn!(address:%; "a server is not checked: {err}");
+                }
+            }
             Effect::Ready(ready) => self.is_ready.set(ready),
             Effect::StopListening => self.stopped_listening.set(),
             Effect::Exit => self.exit.set(),
--- a/crates/edge/src/journal.rs
+++ b/crates/edge/src/journal.rs
@@ -2,9 +2,11 @@
 
 use std::time::Duration;
 
-use dispatch::{AttemptEnd, LogEntry};
+use dispatch::{AttemptEnd, HeldPart, LogEntry, QuarantineChange};
 use model::prelude::*;
 
+use crate::part_id::PartId;
+
 /// Lines per [`WINDOW`] about attempts and responses without a failure; further ones are only
 /// counted. At about 200 bytes each this stays below 20 KB/s.
 const MAX_ROUTINE_LINES: u32 = 80;
@@ -81,6 +83,20 @@
             );
         }
         LogEntry::ZonesEvacuated { zones } => log::info!(zones; "evacuated zones changed"),
+        LogEntry::ServerEnded { server, unanswered } => {
+            log::warn!(server:%, unanswered; "server ended while requests were unanswered");
+        }
+        LogEntry::Quarantine { change, .. } => match change {
+            QuarantineChange::Held(HeldPart { part, ends, .. }) => {
+                log::warn!(part:% = PartId(*part), ends; "prompt part quarantined");
+            }
+            QuarantineChange::Released { part } => {
+                log::warn!(part:% = PartId(*part); "prompt part released");
+            }
+        },
+        LogEntry::QuarantineTrial { id } => {
+            log::info!(request:% = id; "request sent as a trial of a quarantined prompt part");
+        }
         LogEntry::LiveEngines { pool, count, demand } => {
             let live_streams = demand.live_streams.round() as u64;
             let prompt_tokens_per_s = demand.prompt_tokens_per_s.round() as u64;
@@ -159,7 +175,7 @@
         AttemptEnd::Completed { is_success: true } => "completed",
         AttemptEnd::Completed { is_success: false } => "server error",
         AttemptEnd::Unused => "unused",
-        AttemptEnd::Withdrawn => "the server leaves",
+        AttemptEnd::Withdrawn => "withdrawn before it was sent",
         AttemptEnd::NotConnected => "not connected",
         AttemptEnd::Rejected { is_misdirected: false } => "rejected",
         AttemptEnd::Rejected { is_misdirected: true } => "another server answers there",
--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -15,11 +15,13 @@
 mod journal;
 mod metrics;
 mod outgoing;
+mod part_id;
 mod peers;
 mod problem;
 mod process;
 mod relay;
 mod response;
+mod server_check;
 mod settings;
 mod status;
 
--- a/crates/edge/src/metrics.rs
+++ b/crates/edge/src/metrics.rs
@@ -30,6 +30,8 @@
     pub(crate) caller_connections: Gauge,
     members: Gauge,
     config_version: Gauge,
+    servers_ended: Counter,
+    quarantined_parts: Gauge,
 }
 
 #[derive(Clone, PartialEq, Eq, Hash, Debug, EncodeLabelSet)]
@@ -72,6 +74,8 @@
             caller_connections: Gauge::default(),
             members: Gauge::default(),
             config_version: Gauge::default(),
+            servers_ended: Counter::default(),
+            quarantined_parts: Gauge::default(),
         };
         metrics.register();
         metrics
@@ -134,6 +138,16 @@
             "Version of the configuration in force",
             self.config_version.clone(),
         );
+        registry.register(
+            "servers_ended",
+            "Servers that ended while requests of this instance were unanswered",
+            self.servers_ended.clone(),
+        );
+        registry.register(
+            "quarantined_parts",
+            "Parts of prompts that are held back as they end servers",
+            self.quarantined_parts.clone(),
+        );
     }
 
     /// Updates the metrics for a decision.
@@ -161,6 +175,12 @@
             LogEntry::Config { version, .. } => {
                 self.config_version.set(i64::try_from(version.0).unwrap_or(i64::MAX));
             }
+            LogEntry::ServerEnded { .. } => {
+                self.servers_ended.inc();
+            }
+            LogEntry::Quarantine { held, .. } => {
+                self.quarantined_parts.set(i64::try_from(*held).unwrap_or(i64::MAX));
+            }
             _ => {}
         }
     }
--- a/crates/edge/src/process.rs
+++ b/crates/edge/src/process.rs
@@ -19,7 +19,9 @@
 use rustix::net::listen;
 use thiserror::Error;
 
-use crate::{HeaderCodec, Instance, Settings, caller, instance::Parts, peers, status};
+use crate::{
+    HeaderCodec, Instance, Settings, caller, instance::Parts, peers, server_check, status,
+};
 
 /// Length of the queue of connections that wait to be accepted. A longer burst would lose SYN
 /// packets, and its callers would connect only after a retransmission.
@@ -82,6 +84,7 @@
             spawn.spawn(status::serve(Rc::clone(&instance), metrics)).detach();
         }
         spawn.spawn(peers::receive(Rc::clone(&instance))).detach();
+        spawn.spawn(server_check::run(Rc::clone(&instance))).detach();
         spawn.spawn(platform(Rc::clone(&instance), reloads)).detach();
         spawn.spawn(watch_signals(Rc::clone(&instance), signals, reload)).detach();
         spawn.spawn(tick(Rc::clone(&instance), rescheduled)).detach();
--- a/crates/gossip/src/lib.rs
+++ b/crates/gossip/src/lib.rs
@@ -17,6 +17,7 @@
 //! * [`Packet`]: the message and its codec.
 
 mod demand;
+mod evidence;
 mod loads;
 mod member;
 mod members;
@@ -27,6 +28,7 @@
 mod upstream;
 
 pub use demand::{Demand, PoolDemand, PoolTag};
+pub use evidence::{EndTag, PartEvidence, ServerEnd};
 pub use loads::{Load, PeerLoads, ServerTag, TotalLoad};
 pub use member::Member;
 pub use members::{Members, OutgoingPacket, PeerUpdate};
--- a/crates/gossip/src/members.rs
+++ b/crates/gossip/src/members.rs
@@ -13,7 +13,7 @@
 use rand_chacha::ChaCha8Rng;
 
 use crate::{
-    Load, Member, Packet, RankedLoad, ViewStatus,
+    Load, Member, Packet, PartEvidence, RankedLoad, ViewStatus,
     peer::{Peer, available, order_hash},
 };
 
@@ -72,6 +72,8 @@
     pub loads: Vec<Load>,
     /// The same by rank, as far as the sender tells it.
     pub ranked_loads: Vec<RankedLoad>,
+    /// Evidence against prompt parts that end servers, as far as the sender tells it.
+    pub evidence: Vec<PartEvidence>,
 }
 
 /// All known members of the fleet.
@@ -195,6 +197,7 @@
             as_of,
             loads: packet.loads,
             ranked_loads: packet.ranked_loads,
+            evidence: packet.evidence,
         })
     }
 
--- a/crates/gossip/src/packet.rs
+++ b/crates/gossip/src/packet.rs
@@ -3,7 +3,7 @@
 use serde::{Deserialize, Serialize};
 use thiserror::Error;
 
-use crate::{Load, Member, RankedLoad};
+use crate::{Load, Member, PartEvidence, RankedLoad, evidence};
 
 /// The version of the packet format. Packets of another version are rejected.
 const FORMAT_VERSION: u8 = 1;
@@ -36,6 +36,10 @@
     /// know them ignore them.
     #[serde(skip)]
     pub ranked_loads: Vec<RankedLoad>,
+    /// Evidence against prompt parts that end servers, as far as it fits. It follows the loads by
+    /// rank.
+    #[serde(skip)]
+    pub evidence: Vec<PartEvidence>,
 }
 
 /// An instance's view of the platform and its staleness.
@@ -66,6 +70,9 @@
     /// The bytes are not an encoded packet.
     #[error("malformed packet: {0}")]
     Malformed(#[from] postcard::Error),
+    /// The evidence in the packet does not match its checksum.
+    #[error("the evidence against prompt parts is damaged")]
+    DamagedEvidence,
     /// The sender uses another version of the packet format.
     #[error("unsupported packet format {0}, expected {FORMAT_VERSION}")]
     UnsupportedFormat(u8),
@@ -89,15 +96,19 @@
             loads,
             others: Vec::new(),
             ranked_loads: Vec::new(),
+            evidence: Vec::new(),
         }
     }
 
-    /// Encodes the packet, with as many of the ranked loads as fit into a datagram.
+    /// Encodes the packet, with as much of the evidence and the ranked loads as fits into a datagram.
     pub fn encode(&self) -> Result<Vec<u8>, postcard::Error> {
         let mut bytes = postcard::to_stdvec(self)?;
-        let room = MAX_PACKET_BYTES.saturating_sub(bytes.len()) / MAX_RANKED_LOAD_BYTES;
+        let room = MAX_PACKET_BYTES.saturating_sub(bytes.len());
+        let evidence = evidence::encode(&self.evidence, room.saturating_sub(1))?;
+        let room = (room - evidence.len()) / MAX_RANKED_LOAD_BYTES;
         let count = self.ranked_loads.len().min(room.saturating_sub(1));
         bytes.extend(postcard::to_stdvec(&self.ranked_loads[..count])?);
+        bytes.extend(evidence);
         Ok(bytes)
     }
 
@@ -108,7 +119,9 @@
                 let (mut packet, rest) = postcard::take_from_bytes::<Self>(bytes)?;
                 // Packets of instances that do not tell ranks end here.
                 if !rest.is_empty() {
-                    packet.ranked_loads = postcard::from_bytes(rest)?;
+                    let (ranked_loads, rest) = postcard::take_from_bytes(rest)?;
+                    packet.ranked_loads = ranked_loads;
+                    packet.evidence = evidence::decode(rest)?;
                 }
                 Ok(packet)
             }
--- a/crates/model/src/outcome.rs
+++ b/crates/model/src/outcome.rs
@@ -43,6 +43,8 @@
     Duplicate,
     /// It is not known whether a request with the same idempotency key ran before.
     MaybeDuplicate,
+    /// A part of the prompt has ended the backend servers that began to answer it.
+    Quarantined,
     /// The backend server failed or its response was incomplete.
     ServerFailed,
     /// The backend server did not respond in time.
--- a/crates/wire/src/write.rs
+++ b/crates/wire/src/write.rs
@@ -287,7 +287,8 @@
         Reason::NoOwner => schema::Reason::NoOwner,
         Reason::Duplicate => schema::Reason::Duplicate,
         Reason::MaybeDuplicate => schema::Reason::MaybeDuplicate,
-        Reason::ServerFailed => schema::Reason::ServerFailed,
+        // Only the edge program holds back parts of prompts, and it does not speak this protocol.
+        Reason::Quarantined | Reason::ServerFailed => schema::Reason::ServerFailed,
         Reason::ServerTimeout => schema::Reason::ServerTimeout,
         Reason::CallerLeft => schema::Reason::CallerLeft,
     }
