Tell popular parts from deadly ones by known answers; tell peers of trials

Changed: a part of which an answer is known needs five ends in a row, and explains no others; a part that is held back stays so until its ends are refuted; a request that tells an innocent part from those that explain its ends is tried at once; packets tell of trials, so that other instances may try later. 'server ended ...' names the suspected parts.

--- a/crates/dispatch/src/effect.rs
+++ b/crates/dispatch/src/effect.rs
@@ -130,6 +130,8 @@
         server: Arc<str>,
         /// The unanswered requests of this instance whose prompts have shared parts.
         unanswered: usize,
+        /// The ids of these parts, without repeats.
+        parts: Vec<u64>,
     },
     /// The parts of prompts that are held back changed.
     Quarantine {
--- a/crates/dispatch/src/placement.rs
+++ b/crates/dispatch/src/placement.rs
@@ -178,7 +178,7 @@
         let Some(req) = self.requests.get(key) else { return false };
         let Stage::Running(running) = req.stage else { return false };
         let is_free =
-            req.is_trial || self.quarantine.verdict(now, &req.prompt, false) == Verdict::Free;
+            req.is_trial || self.quarantine.verdict(now, &req.prompt, None) == Verdict::Free;
         is_free
             && self.servers.get(running.server).is_some_and(|server| {
                 self.servers.is_eligible(server) && server.entry.incarnation == running.incarnation
--- a/crates/dispatch/src/quarantine.rs
+++ b/crates/dispatch/src/quarantine.rs
@@ -11,6 +11,8 @@
 /// Ends of servers in a row after which a part is held back. Two could follow each other by chance
 /// while many servers crash.
 const ENDS_TO_HOLD: usize = 3;
+/// The same for a part of which an answer is known: it may be popular and innocent.
+const ENDS_TO_HOLD_ANSWERED: usize = 5;
 /// Ends in a row after which a request with the part is not repeated.
 const ENDS_TO_DOUBT: usize = 2;
 /// The least time between the end of one server and the sending of the request that counts for the
@@ -23,12 +25,17 @@
 /// The least time from the last end until a request with a part that is held back is tried. It
 /// doubles with each further end.
 const MIN_TRIAL_DELAY: Duration = Duration::from_secs(15);
+/// Added to the time of a trial for each instance that precedes this one, so that others know of it
+/// before they try as well. Requests with the part need not come to the first instance.
+const TRIAL_STAGGER: Duration = Duration::from_secs(2);
+/// The same for a request that tells a part from others.
+const TELLING_STAGGER: Duration = Duration::from_millis(300);
 /// Parts against which there is evidence. Those with the least are forgotten beyond that.
 const MAX_SUSPECTS: usize = 256;
 /// A server that still runs this long after it began to answer a request was not ended by it.
 pub(crate) const SURVIVAL_TIME: Duration = Duration::from_millis(300);
-/// Upper bound on the time for which a packet with the time of an answer is under way. The answer
-/// counts as that much older at each instance that passes it on.
+/// Upper bound on the time for which a packet is under way. Answers and trials that it tells of count
+/// as that much older at each instance that passes them on.
 const MAX_TRANSIT_TIME: Duration = Duration::from_millis(200);
 /// Ends that are kept of each part: those at both ends of the time that they span.
 const MAX_ENDS: usize = 12;
@@ -60,7 +67,7 @@
     begun: Option<(Time, Time)>,
     /// Since when it is held back; `None` if it is not.
     held_since: Option<Time>,
-    /// When this instance last sent a request with the part although it is held back.
+    /// When an instance last sent a request with the part although it is held back.
     tried_at: Option<Time>,
 }
 
@@ -171,8 +178,9 @@
 
     /// Merges the evidence of another instance.
     pub fn merge(&mut self, now: Time, evidence: &[PartEvidence]) {
-        for PartEvidence { part, answered_age_ms, ends } in evidence {
-            let answered_at = answered_age_ms.map(|age| now - millis(age) - MAX_TRANSIT_TIME);
+        for PartEvidence { part, answered_age_ms, tried_age_ms, ends } in evidence {
+            let at = |age: &Option<u32>| age.map(|age| now - millis(age) - MAX_TRANSIT_TIME);
+            let (answered_at, tried_at) = (at(answered_age_ms), at(tried_age_ms));
             for end in ends {
                 let ended_at = now - millis(end.age_ms);
                 let sent_at = ended_at - millis(end.took_ms);
@@ -180,6 +188,7 @@
             }
             if let Some(suspect) = self.suspects.get_mut(part) {
                 suspect.answered_at = suspect.answered_at.max(answered_at);
+                suspect.tried_at = suspect.tried_at.max(tried_at);
             }
         }
     }
@@ -220,15 +229,18 @@
         changes
     }
 
-    /// Decides on a request with this prompt. A trial of a part that is held back is due at one
-    /// instance only, the one for which `is_trial_instance` holds.
-    pub fn verdict(&self, now: Time, prompt: &Prompt, is_trial_instance: bool) -> Verdict {
+    /// Decides on a request with this prompt. `rank` is the number of instances that precede this one,
+    /// which try a part that is held back earlier; `None` if it may not be tried.
+    pub fn verdict(&self, now: Time, prompt: &Prompt, rank: Option<u32>) -> Verdict {
         let suspect = |part: &Part| self.suspects.get(&part.id).map(|it| (part.id, it));
         let suspects = prompt.shared_parts().iter().filter_map(suspect);
         let mut verdict = Verdict::Free;
         for (part, suspect) in suspects.filter(|it| it.1.held_since.is_some()) {
-            let trial_due = suspect.trial_due(self.tells_apart(part, suspect, prompt));
-            if !is_trial_instance || now < trial_due {
+            let tells_apart = self.tells_apart(part, suspect, prompt);
+            let trial_due = suspect.trial_due(tells_apart);
+            let stagger = if tells_apart { TELLING_STAGGER } else { TRIAL_STAGGER };
+            let is_due = |rank| now >= trial_due + stagger.saturating_mul(rank);
+            if !rank.is_some_and(is_due) {
                 return Verdict::Held { trial_due };
             }
             verdict = Verdict::Trial;
@@ -236,15 +248,14 @@
         verdict
     }
 
-    /// Returns whether a request with this prompt tells a part that is held back from another one
-    /// against which the same ends speak: it has only one of them.
+    /// Returns whether a request with this prompt tells whether a part that is held back is innocent:
+    /// other parts that are held back and that the prompt does not have explain all its ends.
     fn tells_apart(&self, part: u64, suspect: &Suspect, prompt: &Prompt) -> bool {
         let is_in_prompt = |id| prompt.shared_parts().iter().any(|it| it.id == id);
         let others = self.suspects.iter().filter(|it| *it.0 != part && it.1.held_since.is_some());
-        let mut equal = others.filter(|it| {
-            it.1.unrefuted().map(|end| end.0).eq(suspect.unrefuted().map(|end| end.0))
-        });
-        equal.any(|it| !is_in_prompt(*it.0))
+        let others: Vec<_> = others.filter(|it| !is_in_prompt(*it.0)).map(|it| it.1).collect();
+        let is_explained = |tag| others.iter().any(|it| it.unrefuted().any(|end| end.0 == tag));
+        suspect.unrefuted().all(|end| is_explained(end.0))
     }
 
     /// Records that a request is sent as a trial.
@@ -288,26 +299,34 @@
         suspect.add(tag, end);
     }
 
-    /// Returns the parts against which there is enough evidence. Ends that a part with stronger
-    /// evidence explains count for no other: one that was present at more ends, or at as many and
-    /// was not answered for longer.
+    /// Returns the parts against which there is enough evidence. Ends do not count at which another
+    /// such part was present that was at more ends and was never answered: it explains them. A part
+    /// that is held back stays so until its ends are refuted.
     fn guilty(&self, now: Time) -> BTreeSet<u64> {
-        let strength = |suspect: &Suspect| {
-            (suspect.unrefuted().count(), std::cmp::Reverse(suspect.answered_at))
-        };
+        let strength =
+            |suspect: &Suspect| (suspect.answered_at.is_none(), suspect.unrefuted().count());
         let mut suspects: Vec<_> = self.suspects.iter().collect();
         suspects.sort_by_key(|it| std::cmp::Reverse(strength(it.1)));
         let mut guilty: BTreeMap<u64, &Suspect> = BTreeMap::new();
         for (part, suspect) in suspects {
+            let explains =
+                |it: &Suspect| it.answered_at.is_none() && strength(it) > strength(suspect);
             let is_explained = |tag: EndTag| {
-                let mut stronger = guilty.values().filter(|it| strength(it) > strength(suspect));
+                let mut stronger = guilty.values().filter(|it| explains(it));
                 stronger.any(|it| it.unrefuted().any(|end| end.0 == tag))
             };
             let is_ordered = suspect.unrefuted().any(|it| it.0 == OPERATOR);
-            let own = suspect.unrefuted().filter(|it| !is_explained(it.0));
-            let is_enough = row(own).len() >= ENDS_TO_HOLD;
-            let may_be_refuted = suspect.held_since.is_none() && suspect.is_answer_pending(now);
-            if is_ordered || is_enough && !may_be_refuted {
+            let needed = match suspect.answered_at {
+                Some(_) => ENDS_TO_HOLD_ANSWERED,
+                None => ENDS_TO_HOLD,
+            };
+            let is_enough = if suspect.held_since.is_some() {
+                row(suspect.unrefuted()).len() >= ENDS_TO_HOLD
+            } else {
+                row(suspect.unrefuted().filter(|it| !is_explained(it.0))).len() >= needed
+                    && !suspect.is_answer_pending(now)
+            };
+            if is_ordered || is_enough {
                 guilty.insert(*part, suspect);
             }
         }
@@ -398,8 +417,9 @@
             age_ms: to_ms(now.since(end.ended_at)),
             took_ms: to_ms(end.ended_at.since(end.sent_at)),
         });
-        let answered_age_ms = self.answered_at.map(|at| to_ms(now.since(at)));
-        PartEvidence { part, answered_age_ms, ends: ends.collect() }
+        let age_ms = |at: Option<Time>| at.map(|at| to_ms(now.since(at)));
+        let (answered_age_ms, tried_age_ms) = (age_ms(self.answered_at), age_ms(self.tried_at));
+        PartEvidence { part, answered_age_ms, tried_age_ms, ends: ends.collect() }
     }
 }
 
--- a/crates/dispatch/src/server_ends.rs
+++ b/crates/dispatch/src/server_ends.rs
@@ -1,6 +1,6 @@
 //! Servers that end while requests are unanswered, and the requests that are held back for it.
 
-use std::sync::Arc;
+use std::{collections::BTreeSet, sync::Arc};
 
 use gossip::EndTag;
 use model::prelude::*;
@@ -70,7 +70,11 @@
             self.quarantine.server_ended(possible.tag, prompt, *sent_at, possible.ended_at);
         }
         let unanswered = possible.unanswered.len();
-        self.log(LogEntry::ServerEnded { server: possible.server, unanswered });
+        let prompts = possible.unanswered.iter().map(|it| &it.0);
+        let parts: BTreeSet<_> =
+            prompts.flat_map(Prompt::shared_parts).map(|part| part.id).collect();
+        let parts = parts.into_iter().collect();
+        self.log(LogEntry::ServerEnded { server: possible.server, unanswered, parts });
         self.update_quarantine(now);
     }
 
@@ -114,9 +118,8 @@
     /// Returns whether it was refused.
     pub(crate) fn refuse_if_quarantined(&mut self, now: Time, key: RequestKey) -> bool {
         let Some(req) = self.requests.get_mut(key) else { return false };
-        // One instance tries, so that the whole fleet sends few such requests.
-        let is_first = self.members.rank() == 0;
-        match self.quarantine.verdict(now, &req.prompt, is_first) {
+        let rank = u32::try_from(self.members.rank()).ok();
+        match self.quarantine.verdict(now, &req.prompt, rank) {
             _ if req.is_trial => false,
             Verdict::Free => false,
             Verdict::Trial => {
--- a/crates/dispatch/tests/quarantine.rs
+++ b/crates/dispatch/tests/quarantine.rs
@@ -34,7 +34,7 @@
 }
 
 fn is_held(quarantine: &Quarantine, now: Time, parts: &[u64]) -> bool {
-    quarantine.verdict(now, &prompt(parts), false) != Verdict::Free
+    quarantine.verdict(now, &prompt(parts), None) != Verdict::Free
 }
 
 /// Returns what a part that three servers in a row ended at is held back by.
@@ -69,7 +69,7 @@
     let quarantine = with_finding();
     let last = Prompt { parts: vec![Part { id: DEADLY, tokens: 10 }], ..prompt(&[]) };
 
-    assert_eq!(quarantine.verdict(at(1_700), &last, false), Verdict::Free);
+    assert_eq!(quarantine.verdict(at(1_700), &last, None), Verdict::Free);
 }
 
 /// Guards against holding back a popular part because many servers lose power at the same moment,
@@ -100,6 +100,20 @@
     }
 }
 
+/// A part of which an answer is known needs more evidence, and is held back if it turns deadly.
+#[test]
+fn a_part_that_was_answered_before_is_held_back_after_five_servers_in_a_row() {
+    let mut quarantine = Quarantine::default();
+    quarantine.answered(&prompt(&[POPULAR]), at(100));
+    let mut held = Vec::new();
+    for no in 0..5 {
+        end(&mut quarantine, no, &[POPULAR], 1_000 + no * 300);
+        held.push(quarantine.update(at(1_000 + no * 300)).len());
+    }
+
+    assert_eq!(held, [0, 0, 0, 0, 1]);
+}
+
 /// An answer that began before a server ended says nothing of the end.
 #[test]
 fn an_answer_to_an_earlier_request_refutes_nothing() {
@@ -151,10 +165,10 @@
         end(&mut quarantine, no, &[innocent, DEADLY], 1_000 + no * 300);
     }
     quarantine.update(at(1_700));
-    let both = quarantine.verdict(at(1_800), &prompt(&[innocent, DEADLY]), true);
-    let only = quarantine.verdict(at(1_800), &prompt(&[innocent, 30]), true);
+    let both = quarantine.verdict(at(1_800), &prompt(&[innocent, DEADLY]), Some(0));
+    let only = quarantine.verdict(at(1_800), &prompt(&[innocent, 30]), Some(0));
     quarantine.tried(at(1_800), &prompt(&[innocent, 30]));
-    let again = quarantine.verdict(at(1_900), &prompt(&[innocent, 31]), true);
+    let again = quarantine.verdict(at(1_900), &prompt(&[innocent, 31]), Some(0));
     quarantine.answered(&prompt(&[innocent, 30]), at(1_800));
     let changes = quarantine.update(at(2_200));
 
@@ -187,8 +201,8 @@
     let mut trials = Vec::new();
     for now_s in 2..600_u64 {
         let now = at(now_s * 1_000);
-        assert_ne!(quarantine.verdict(now, &prompt(&[DEADLY]), false), Verdict::Trial);
-        if quarantine.verdict(now, &prompt(&[DEADLY]), true) == Verdict::Trial {
+        assert_ne!(quarantine.verdict(now, &prompt(&[DEADLY]), None), Verdict::Trial);
+        if quarantine.verdict(now, &prompt(&[DEADLY]), Some(0)) == Verdict::Trial {
             quarantine.tried(now, &prompt(&[DEADLY]));
             end(&mut quarantine, 1_000 + now_s, &[DEADLY], now_s * 1_000 + 60);
             trials.push(now_s);
@@ -201,6 +215,48 @@
     assert!(trials.iter().filter(|it| **it < 60).count() <= 3, "{trials:?}");
 }
 
+/// Guards against trials by several instances at the same time: each ends a server.
+#[test]
+fn instances_do_not_try_a_part_that_another_one_has_just_tried() {
+    let mut quarantine = with_finding();
+    let mut other = with_finding();
+    let due = at(1_600) + Duration::from_secs(15);
+    let early = other.verdict(due, &prompt(&[DEADLY]), Some(1));
+    quarantine.tried(due, &prompt(&[DEADLY]));
+    let told = due + Duration::from_millis(1_500);
+
+    other.merge(told, &quarantine.report(told));
+    let later = other.verdict(due + Duration::from_secs(3), &prompt(&[DEADLY]), Some(1));
+
+    assert!(matches!(early, Verdict::Held { .. }), "{early:?}");
+    assert!(matches!(later, Verdict::Held { .. }), "{later:?}");
+}
+
+/// Guards against a part that stays held back as no request with it comes to the first instance.
+#[test]
+fn other_instances_try_a_part_if_the_first_one_does_not() {
+    let quarantine = with_finding();
+
+    let verdict = quarantine.verdict(at(60_000), &prompt(&[DEADLY]), Some(10));
+
+    assert_eq!(verdict, Verdict::Trial);
+}
+
+/// Guards against letting go a deadly part because an innocent one is suspected of the same ends.
+#[test]
+fn a_part_that_is_held_back_is_not_explained_by_a_later_suspect() {
+    let mut quarantine = with_finding();
+    for no in 0..3 {
+        // The popular part was at the same ends, which this instance learns late, and at others.
+        end(&mut quarantine, no, &[POPULAR], 1_000 + no * 300);
+        end(&mut quarantine, 50 + no, &[POPULAR], 2_000 + no * 300);
+    }
+
+    quarantine.update(at(2_700));
+
+    assert!(is_held(&quarantine, at(2_700), &[DEADLY]));
+}
+
 #[test]
 fn a_part_that_is_answered_again_is_released_everywhere() {
     let mut quarantine = with_finding();
--- a/crates/edge/src/journal.rs
+++ b/crates/edge/src/journal.rs
@@ -13,6 +13,8 @@
 /// Lines per [`WINDOW`] about failures, rejections and callers that left; further ones are only
 /// counted.
 const MAX_FAILURE_LINES: u32 = 120;
+/// Prompt parts in a line; further ones are left out.
+const MAX_LOGGED_PARTS: usize = 16;
 /// The window in which lines are counted.
 const WINDOW: Duration = Duration::from_secs(1);
 
@@ -83,8 +85,10 @@
             );
         }
         LogEntry::ZonesEvacuated { zones } => log::info!(zones; "evacuated zones changed"),
-        LogEntry::ServerEnded { server, unanswered } => {
-            log::warn!(server:%, unanswered; "server ended while requests were unanswered");
+        LogEntry::ServerEnded { server, unanswered, parts } => {
+            let ids = parts.iter().take(MAX_LOGGED_PARTS).map(|part| PartId(*part).to_string());
+            let parts = ids.collect::<Vec<_>>().join(",");
+            log::warn!(server:%, unanswered, parts; "server ended while requests were unanswered");
         }
         LogEntry::Quarantine { change, .. } => match change {
             QuarantineChange::Held(HeldPart { part, ends, .. }) => {
--- a/crates/gossip/src/evidence.rs
+++ b/crates/gossip/src/evidence.rs
@@ -33,6 +33,9 @@
     /// Time since the sending of the latest request with the part that was answered, in
     /// milliseconds; `None` if none is known. It refutes all ends before.
     pub answered_age_ms: Option<u32>,
+    /// Time since a request with the part was last sent although it is held back, in milliseconds;
+    /// `None` if none was.
+    pub tried_age_ms: Option<u32>,
     /// Ends, in any order.
     pub ends: Vec<ServerEnd>,
 }
