--- a/crates/edge/src/status.rs
+++ b/crates/edge/src/status.rs
@@ -4,11 +4,16 @@
 
 use aio::deadline;
 use async_net::{TcpListener, TcpStream};
+use dispatch::{Event, State};
 use futures_lite::AsyncWriteExt as _;
 use http1::{Buffered, RequestHead};
 use model::prelude::*;
+use serde_json::json;
 
-use crate::{Instance, caller::close};
+use crate::{Instance, caller::close, part_id::PartId};
+
+/// The path under which operators see and decide which prompt parts are held back.
+const PROMPT_PARTS: &str = "/prompt-parts";
 
 /// Size limit of a request's head; the connection of a larger one is closed.
 const MAX_HEAD_BYTES: usize = 4 << 10;
@@ -57,7 +62,7 @@
         return Ok(false);
     };
     let keeps = !head.closes() && !head.framing().has_body();
-    let (status, body) = respond(instance, head.path());
+    let (status, body) = respond(instance, head.method(), head.path());
     let connection = if keeps { "" } else { "Connection: close\r\n" };
     let text = format!(
         "HTTP/1.1 {status}\r\nContent-Type: text/plain\r\nContent-Length: {}\r\n{connection}\r\n{body}",
@@ -67,8 +72,11 @@
     Ok(keeps)
 }
 
-/// Returns the status line and the body of the response for a path.
-fn respond(instance: &Instance, path: &str) -> (&'static str, String) {
+/// Returns the status line and the body of the response to a request.
+fn respond(instance: &Instance, method: &str, path: &str) -> (&'static str, String) {
+    if let Some(rest) = path.strip_prefix(PROMPT_PARTS) {
+        return respond_prompt_parts(instance, method, rest);
+    }
     let settings = &instance.settings;
     if path == settings.ready_path {
         return if instance.is_ready() {
@@ -85,3 +93,45 @@
     }
     ("404 Not Found", String::new())
 }
+
+/// Returns the response to a request about the prompt parts that are held back. `rest` is its path
+/// after [`PROMPT_PARTS`].
+fn respond_prompt_parts(instance: &Instance, method: &str, rest: &str) -> (&'static str, String) {
+    if rest.is_empty() && method == "GET" {
+        return ("200 OK", held_parts(instance));
+    }
+    let Some((id, command)) = rest.trim_start_matches('/').split_once('/') else {
+        return ("404 Not Found", String::new());
+    };
+    let Ok(PartId(part)) = id.parse() else {
+        return ("400 Bad Request", format!("the part {id:?} is not a hexadecimal number\n"));
+    };
+    let event = match command {
+        "hold" => Event::HoldPart { part },
+        "release" => Event::ReleasePart { part },
+        _ => return ("404 Not Found", String::new()),
+    };
+    if method != "POST" {
+        return ("405 Method Not Allowed", String::new());
+    }
+    log::warn!(part:% = PartId(part), command; "operators decide on a prompt part");
+    instance.handle_event(event);
+    ("200 OK", held_parts(instance))
+}
+
+/// Returns the prompt parts that are held back as JSON.
+fn held_parts(instance: &Instance) -> String {
+    let now = instance.clock.now();
+    let millis = |span: Duration| u64::try_from(span.as_millis()).unwrap_or(u64::MAX);
+    let parts = instance.read_state(State::held_parts);
+    let parts = parts.iter().map(|held| {
+        json!({
+            "part": PartId(held.part).to_string(),
+            "heldMs": millis(now.since(held.since)),
+            "ends": held.ends,
+            "lastEndAgeMs": millis(now.since(held.last_end)),
+            "trialInMs": millis(now.until(held.trial_due)),
+        })
+    });
+    json!({ "held": parts.collect::<Vec<_>>() }).to_string()
+}
