--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -8,6 +8,7 @@
 
 mod admission;
 mod attempt;
+mod awaited_servers;
 mod budget;
 mod catalog;
 mod choice;
@@ -36,6 +37,7 @@
 mod settings;
 mod share;
 mod state;
+mod suspect;
 
 pub use attempt::{Attempt, AttemptEnd};
 pub use budget::RetryBudget;
--- a/crates/dispatch/src/placement.rs
+++ b/crates/dispatch/src/placement.rs
@@ -3,12 +3,12 @@
 use std::sync::Arc;
 
 use model::prelude::*;
-use slotmap::SecondaryMap;
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
 use crate::{
-    Affinity, Attempt, Candidate, Command, Demand, Effect, LogEntry, Pool, Rank, RequestKey, Room,
+    Affinity, Attempt, Candidate, Command, Demand, Effect, LogEntry, Pool, RequestKey, Room,
     SeenLoad, Server, ServerKey, ServerSurvey, Verdict,
+    awaited_servers::AwaitedServers,
     preferred_servers::PreferredServers,
     request::{Request, RunningAttempt, Stage},
     state::State,
@@ -321,29 +321,6 @@
     }
 }
 
-/// The servers for which requests wait that were considered before, in the order of rank.
-#[derive(Debug, Default)]
-struct AwaitedServers {
-    /// The most urgent rank that waits for each.
-    ranks: SecondaryMap<ServerKey, Rank>,
-}
-
-impl AwaitedServers {
-    /// Adds the servers for which a request of this rank waits.
-    fn add(&mut self, rank: Rank, servers: Vec<ServerKey>) {
-        for key in servers {
-            if self.ranks.get(key).is_none_or(|it| rank < *it) {
-                self.ranks.insert(key, rank);
-            }
-        }
-    }
-
-    /// Returns whether a more urgent request than one of this rank waits for a server.
-    fn is_awaited_above(&self, server: ServerKey, rank: Rank) -> bool {
-        self.ranks.get(server).is_some_and(|it| *it < rank)
-    }
-}
-
 /// The server chosen for a request.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct Choice {
--- a/crates/dispatch/src/server_ends.rs
+++ b/crates/dispatch/src/server_ends.rs
@@ -8,9 +8,9 @@
 use crate::{
     AttemptEnd, Effect, LogEntry, Prompt, QuarantineChange, RequestKey, ServerKey, Verdict,
     end_tag,
-    quarantine::SURVIVAL_TIME,
     request::{RunningAttempt, Stage},
     state::State,
+    suspect::SURVIVAL_TIME,
 };
 
 /// The least retry-after time of a request that is held back: its trial is due at another instance.
--- a/crates/dispatch/tests/quarantine.rs
+++ b/crates/dispatch/tests/quarantine.rs
@@ -302,6 +302,26 @@
     }
 }
 
+/// Guards against a finding that stays at one instance, as its packets hold too few ends.
+#[test]
+fn one_report_is_enough_to_hold_a_part_back_that_was_answered_before() {
+    let mut quarantine = Quarantine::default();
+    let mut other = Quarantine::default();
+    for instance in [&mut quarantine, &mut other] {
+        instance.answered(&prompt(&[POPULAR]), at(100));
+    }
+    for no in 0..9 {
+        end(&mut quarantine, no, &[POPULAR], 1_000 + no * 300);
+    }
+    quarantine.update(at(3_500));
+
+    other.merge(at(3_510), &quarantine.report(at(3_505)));
+    other.update(at(3_510));
+
+    assert!(is_held(&quarantine, at(3_510), &[POPULAR]));
+    assert!(is_held(&other, at(3_510), &[POPULAR]));
+}
+
 #[test]
 fn two_ends_that_several_instances_report_are_no_finding() {
     let mut quarantine = Quarantine::default();
