Hold back what other instances hold back, also where an old answer to the part is known

A part of which an answer is known needs five ends in a row, so an instance that alone knows an answer from before the part turned deadly goes on sending it after the others found it with three. Packets now say that the sender holds a part back, and three ends suffice then. an_instance_that_knows_an_old_answer_* failed before.

--- a/crates/dispatch/src/quarantine.rs
+++ b/crates/dispatch/src/quarantine.rs
@@ -140,7 +140,7 @@
 
     /// Merges the evidence of another instance.
     pub fn merge(&mut self, now: Time, evidence: &[PartEvidence]) {
-        for PartEvidence { part, answered_age_ms, tried_age_ms, ends } in evidence {
+        for PartEvidence { part, is_held, answered_age_ms, tried_age_ms, ends } in evidence {
             let at = |age: &Option<u32>| age.map(|age| now - millis(age) - MAX_TRANSIT_TIME);
             let (answered_at, tried_at) = (at(answered_age_ms), at(tried_age_ms));
             for end in ends {
@@ -151,6 +151,7 @@
             if let Some(suspect) = self.suspects.get_mut(part) {
                 suspect.answered_at = suspect.answered_at.max(answered_at);
                 suspect.tried_at = suspect.tried_at.max(tried_at);
+                suspect.is_held_elsewhere |= is_held;
             }
         }
     }
@@ -176,6 +177,7 @@
                 suspect.held_since = Some(now);
                 changes.extend(suspect.held_part(*part).map(QuarantineChange::Held));
             } else if !guilty.contains(part) && suspect.held_since.take().is_some() {
+                suspect.is_held_elsewhere = false;
                 changes.push(QuarantineChange::Released { part: *part });
             }
             suspect.forget(now);
@@ -278,9 +280,10 @@
                 stronger.any(|it| it.unrefuted().any(|end| end.0 == tag))
             };
             let is_ordered = suspect.unrefuted().any(|it| it.0 == OPERATOR);
+            // What others have found without knowing of an answer holds for all.
             let needed = match suspect.answered_at {
-                Some(_) => ENDS_TO_HOLD_ANSWERED,
-                None => ENDS_TO_HOLD,
+                Some(_) if !suspect.is_held_elsewhere => ENDS_TO_HOLD_ANSWERED,
+                _ => ENDS_TO_HOLD,
             };
             let is_enough = if suspect.held_since.is_some() {
                 row(suspect.unrefuted()).len() >= ENDS_TO_HOLD
--- a/crates/dispatch/src/suspect.rs
+++ b/crates/dispatch/src/suspect.rs
@@ -45,6 +45,8 @@
     pub(crate) begun: Option<(Time, Time)>,
     /// Since when it is held back; `None` if it is not.
     pub(crate) held_since: Option<Time>,
+    /// Whether another instance holds it back.
+    pub(crate) is_held_elsewhere: bool,
     /// When an instance last sent a request with the part although it is held back.
     pub(crate) tried_at: Option<Time>,
 }
@@ -126,7 +128,8 @@
         });
         let age_ms = |at: Option<Time>| at.map(|at| to_ms(now.since(at)));
         let (answered_age_ms, tried_age_ms) = (age_ms(self.answered_at), age_ms(self.tried_at));
-        PartEvidence { part, answered_age_ms, tried_age_ms, ends: ends.collect() }
+        let is_held = self.held_since.is_some();
+        PartEvidence { part, is_held, answered_age_ms, tried_age_ms, ends: ends.collect() }
     }
 }
 
--- a/crates/dispatch/tests/quarantine.rs
+++ b/crates/dispatch/tests/quarantine.rs
@@ -322,6 +322,20 @@
     assert!(is_held(&other, at(3_510), &[POPULAR]));
 }
 
+/// Guards against instances that go on sending a part that all others hold back, as they alone know
+/// of an answer from before it turned deadly.
+#[test]
+fn an_instance_that_knows_an_old_answer_follows_the_finding_of_others() {
+    let quarantine = with_finding();
+    let mut other = Quarantine::default();
+    other.answered(&prompt(&[DEADLY]), at(500));
+
+    other.merge(at(1_720), &quarantine.report(at(1_710)));
+    other.update(at(1_720));
+
+    assert!(is_held(&other, at(1_720), &[DEADLY]));
+}
+
 #[test]
 fn two_ends_that_several_instances_report_are_no_finding() {
     let mut quarantine = Quarantine::default();
--- a/crates/gossip/src/evidence.rs
+++ b/crates/gossip/src/evidence.rs
@@ -30,6 +30,8 @@
 pub struct PartEvidence {
     /// The id of the part.
     pub part: u64,
+    /// Whether the sender holds the part back.
+    pub is_held: bool,
     /// Time since the sending of the latest request with the part that was answered, in
     /// milliseconds; `None` if none is known. It refutes all ends before.
     pub answered_age_ms: Option<u32>,
