Merge what instances saw of the same end to the same result in any order

Cause: the end of a server was kept with the sending time of whoever knew its time best. Fix: the earliest end and the shortest time from sending to it, a merge that does not depend on order. instances_with_older_requests_* failed before.

--- a/crates/dispatch/src/suspect.rs
+++ b/crates/dispatch/src/suspect.rs
@@ -33,6 +33,17 @@
     pub(crate) ended_at: Time,
 }
 
+impl End {
+    /// Merges what another instance saw of the same end, with the same result in any order. The
+    /// earliest time is the best known, as packets only arrive later. Of the requests that were
+    /// unanswered the one that was sent last counts.
+    fn merge(&mut self, other: Self) {
+        let took = self.ended_at.since(self.sent_at).min(other.ended_at.since(other.sent_at));
+        self.ended_at = self.ended_at.min(other.ended_at);
+        self.sent_at = self.ended_at - took;
+    }
+}
+
 /// The evidence against a part.
 #[derive(Clone, Default, Debug)]
 pub(crate) struct Suspect {
@@ -56,10 +67,11 @@
         self.ends
             .entry(tag)
             .and_modify(|known| {
-                // Whoever saw the end itself knows its time best; packets only arrive later. Of the
-                // demands of operators the last one counts.
-                if (end.ended_at < known.ended_at) != (tag == OPERATOR) {
-                    *known = end;
+                if tag == OPERATOR {
+                    // Of the demands of operators the last one counts.
+                    *known = if end.ended_at > known.ended_at { end } else { *known };
+                } else {
+                    known.merge(end);
                 }
             })
             .or_insert(end);
--- a/crates/dispatch/tests/quarantine.rs
+++ b/crates/dispatch/tests/quarantine.rs
@@ -336,6 +336,26 @@
     assert!(is_held(&other, at(1_720), &[DEADLY]));
 }
 
+/// Guards against instances that do not follow a finding, as they had a request with the part at the
+/// same servers for longer.
+#[test]
+fn instances_with_older_requests_at_the_same_servers_follow_the_finding() {
+    let quarantine = with_finding();
+    let mut other = Quarantine::default();
+    for no in 0..3 {
+        let ended_ms = 1_000 + no * 300;
+        let tag = end_tag(ServerId(no), 1);
+        other.server_ended(tag, &prompt(&[DEADLY]), at(ended_ms - 900), at(ended_ms));
+    }
+    let alone = other.clone().update(at(1_700));
+
+    other.merge(at(1_720), &quarantine.report(at(1_710)));
+    other.update(at(1_720));
+
+    assert!(alone.is_empty(), "{alone:?}");
+    assert!(is_held(&other, at(1_720), &[DEADLY]));
+}
+
 #[test]
 fn two_ends_that_several_instances_report_are_no_finding() {
     let mut quarantine = Quarantine::default();
