--- /dev/null
+++ b/review/standin/runner.rs
@@ -0,0 +1,247 @@
+//! A stand-in of a backend server, which the pages call a runner.
+
+use std::{
+    io::{BufReader, Write},
+    net::{Shutdown, SocketAddr, TcpListener, TcpStream},
+    sync::{
+        Arc, Mutex,
+        atomic::{AtomicBool, AtomicU64, Ordering},
+    },
+    thread,
+    time::{Duration, SystemTime, UNIX_EPOCH},
+};
+
+use crate::{
+    http::{Request, read_request},
+    record::Record,
+    store::Store,
+};
+
+/// Time between two writes of a runner's entry (`heartbeatMs`).
+const HEARTBEAT: Duration = Duration::from_millis(1_200);
+/// The entry of a runner that fell silent is removed after three of these.
+const SILENCE: Duration = Duration::from_millis(3_600);
+
+/// What a runner does with a request that it runs.
+pub enum Step {
+    Wait(Duration),
+    Write(Vec<u8>),
+    /// The runner ends: its connections break, new ones are refused. It comes back after this time
+    /// as a new incarnation.
+    Crash(Duration),
+}
+
+/// A request that a runner began to work on.
+#[derive(Clone, Debug)]
+pub struct Run {
+    pub at: Duration,
+    pub runner: String,
+    pub request: Request,
+}
+
+type Script = dyn Fn(&Request) -> Vec<Step> + Send + Sync;
+
+/// A runner, which registers itself in the store.
+#[derive(Clone)]
+pub struct Runner {
+    shared: Arc<Shared>,
+}
+
+struct Shared {
+    address: SocketAddr,
+    service: String,
+    zone: String,
+    slots: u32,
+    store: Store,
+    record: Arc<Record>,
+    script: Box<Script>,
+    runs: Arc<Mutex<Vec<Run>>>,
+    state: Mutex<State>,
+    is_up: AtomicBool,
+}
+
+#[derive(Default)]
+struct State {
+    id: String,
+    born: u128,
+    connections: Vec<TcpStream>,
+}
+
+/// Numbers the incarnations of all runners.
+static INCARNATIONS: AtomicU64 = AtomicU64::new(1);
+
+pub struct RunnerSetup<'a> {
+    pub service: &'a str,
+    pub zone: &'a str,
+    pub slots: u32,
+    pub store: &'a Store,
+    pub record: &'a Arc<Record>,
+    pub runs: &'a Arc<Mutex<Vec<Run>>>,
+}
+
+impl Runner {
+    pub fn start(
+        setup: &RunnerSetup<'_>,
+        script: impl Fn(&Request) -> Vec<Step> + Send + Sync + 'static,
+    ) -> Self {
+        let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+        let shared = Shared {
+            address: listener.local_addr().unwrap(),
+            service: setup.service.to_owned(),
+            zone: setup.zone.to_owned(),
+            slots: setup.slots,
+            store: setup.store.clone(),
+            record: Arc::clone(setup.record),
+            script: Box::new(script),
+            runs: Arc::clone(setup.runs),
+            state: Mutex::default(),
+            is_up: AtomicBool::new(false),
+        };
+        let runner = Self { shared: Arc::new(shared) };
+        runner.begin(listener);
+        let beating = runner.clone();
+        thread::spawn(move || {
+            loop {
+                thread::sleep(HEARTBEAT);
+                beating.register();
+            }
+        });
+        runner
+    }
+
+    pub fn id(&self) -> String {
+        self.shared.state.lock().unwrap().id.clone()
+    }
+
+    fn begin(&self, listener: TcpListener) {
+        let number = INCARNATIONS.fetch_add(1, Ordering::SeqCst);
+        {
+            let mut state = self.shared.state.lock().unwrap();
+            state.id = format!("i-{number:08x}");
+            state.born = SystemTime::now().duration_since(UNIX_EPOCH).unwrap().as_millis();
+        }
+        self.shared.is_up.store(true, Ordering::SeqCst);
+        self.register();
+        listener.set_nonblocking(true).unwrap();
+        let runner = self.clone();
+        thread::spawn(move || {
+            while runner.shared.is_up.load(Ordering::SeqCst) {
+                let Ok((stream, _)) = listener.accept() else {
+                    thread::sleep(Duration::from_millis(1));
+                    continue;
+                };
+                stream.set_nonblocking(false).unwrap();
+                stream.set_nodelay(true).unwrap();
+                runner.shared.state.lock().unwrap().connections.extend(stream.try_clone().ok());
+                let runner = runner.clone();
+                thread::spawn(move || runner.serve(stream));
+            }
+        });
+    }
+
+    fn register(&self) {
+        let shared = &self.shared;
+        if !shared.is_up.load(Ordering::SeqCst) {
+            return;
+        }
+        let state = shared.state.lock().unwrap();
+        let entry = format!(
+            r#"{{"service":"{}","address":"{}","zone":"{}","version":"v1","slots":{},"state":"ready","coldLeftMs":0,"seq":{},"born":{}}}"#,
+            shared.service,
+            shared.address,
+            shared.zone,
+            shared.slots,
+            shared.record.now().as_millis(),
+            state.born,
+        );
+        shared.store.put(&format!("servers/{}", state.id), &entry);
+    }
+
+    /// Ends the runner. It comes back at its address after `span`.
+    fn crash(&self, span: Duration) {
+        if !self.shared.is_up.swap(false, Ordering::SeqCst) {
+            return;
+        }
+        let id = {
+            let mut state = self.shared.state.lock().unwrap();
+            for stream in state.connections.drain(..) {
+                let _ = stream.shutdown(Shutdown::Both);
+            }
+            state.id.clone()
+        };
+        self.shared.record.add(format!("runner {id} crashes"));
+        let runner = self.clone();
+        thread::spawn(move || {
+            thread::sleep(span);
+            let listener = loop {
+                match TcpListener::bind(runner.shared.address) {
+                    Ok(listener) => break listener,
+                    Err(_) => thread::sleep(Duration::from_millis(20)),
+                }
+            };
+            runner.begin(listener);
+            let new = runner.id();
+            runner.shared.record.add(format!("runner {id} is back as {new}"));
+            thread::sleep(SILENCE.saturating_sub(span));
+            runner.shared.store.delete(&format!("servers/{id}"));
+        });
+    }
+
+    fn serve(&self, mut stream: TcpStream) -> Option<()> {
+        let mut reader = BufReader::new(stream.try_clone().ok()?);
+        loop {
+            let req = read_request(&mut reader)?;
+            self.handle(&req, &mut stream)?;
+        }
+    }
+
+    fn handle(&self, req: &Request, stream: &mut TcpStream) -> Option<()> {
+        let shared = &self.shared;
+        let id = self.id();
+        if req.field("X-Clementinehall-Expect-Instance").is_some_and(|it| it != id) {
+            let more = format!("X-Clementinehall-Instance-Id: {id}\r\nContent-Length: 0\r\n\r\n");
+            let head = format!(
+                "HTTP/1.1 421 X\r\nX-Clementinehall-Request-Id: {}\r\nX-Clementinehall-Not-Executed: 1\r\n{more}",
+                req.id()
+            );
+            return stream.write_all(head.as_bytes()).ok();
+        }
+        let at = shared.record.now();
+        shared.record.add_at(at, format!("{id} runs {} {}", req.id(), req.target));
+        shared.runs.lock().unwrap().push(Run { at, runner: id, request: req.clone() });
+        self.follow((shared.script)(req), stream)
+    }
+
+    fn follow(&self, steps: Vec<Step>, stream: &mut TcpStream) -> Option<()> {
+        for step in steps {
+            match step {
+                Step::Wait(span) => thread::sleep(span),
+                Step::Write(bytes) => stream.write_all(&bytes).ok()?,
+                Step::Crash(span) => {
+                    self.crash(span);
+                    return None;
+                }
+            }
+            if !self.shared.is_up.load(Ordering::SeqCst) {
+                return None;
+            }
+        }
+        Some(())
+    }
+}
+
+/// The beginning of an answer; `more` are further fields.
+pub fn head(req: &Request, status: u16, more: &str) -> String {
+    format!(
+        "HTTP/1.1 {status} X\r\nX-Clementinehall-Request-Id: {}\r\n\
+         X-Clementinehall-Server-Stamp: stamp\r\n{more}\r\n",
+        req.id()
+    )
+}
+
+/// Works for some time, then answers with a body that names the request.
+pub fn answer(req: &Request, work: Duration) -> Vec<Step> {
+    let body = format!("answer to {}", req.id());
+    let head = head(req, 200, &format!("Content-Length: {}\r\n", body.len()));
+    vec![Step::Wait(work), Step::Write(format!("{head}{body}").into_bytes())]
+}
