--- a/review/standin/main.rs
+++ b/review/standin/main.rs
@@ -2,15 +2,19 @@
 //! it held and 2 if the case could not run. `TROUBLE=0` leaves out the disruption.
 
 mod client;
+mod cold_again;
 mod config;
 mod deadly_part;
+mod head_refused;
 mod http;
+mod large_bodies;
 mod machine;
 mod record;
 mod runner;
 mod smuggled;
 mod stale_keys;
 mod store;
+mod tenant_priority;
 
 use std::{
     env,
@@ -45,6 +49,7 @@
             service,
             zone,
             slots,
+            cold: Duration::ZERO,
             store: &self.store,
             record: &self.record,
             runs: &self.runs,
@@ -97,6 +102,10 @@
     let play = || match name.as_str() {
         "stale-keys" => stale_keys::play(&stage),
         "deadly-part" => deadly_part::play(&stage),
+        "head-refused" => head_refused::play(&stage),
+        "large-bodies" => large_bodies::play(&stage),
+        "tenant-priority" => tenant_priority::play(&stage),
+        "cold-again" => cold_again::play(&stage),
         "smuggled" => smuggled::play(&stage),
         _ => Err(format!("unknown case {name}")),
     };
