--- a/review/standin/runner.rs
+++ b/review/standin/runner.rs
@@ -22,6 +22,9 @@
 /// The entry of a runner that fell silent is removed after three of these.
 const SILENCE: Duration = Duration::from_millis(3_600);
 
+/// More than the thread that accepts connections takes to close its listener.
+const LISTENER_CLOSE: Duration = Duration::from_millis(5);
+
 /// What a runner does with a request that it runs.
 pub enum Step {
     Wait(Duration),
@@ -176,6 +179,8 @@
         if !self.shared.is_up.swap(false, Ordering::SeqCst) {
             return;
         }
+        // The listener closes first, so that no new connection is accepted after the others break.
+        thread::sleep(LISTENER_CLOSE);
         let id = {
             let mut state = self.shared.state.lock().unwrap();
             for stream in state.connections.drain(..) {
