--- a/review/standin/large_bodies.rs
+++ b/review/standin/large_bodies.rs
@@ -27,8 +27,9 @@
 const TENANTS: [Tenant<'static>; 1] = [Tenant { name: "hule930", keys: &[KEY], priority: 1 }];
 /// `memoryMb` of the settings.
 const MEMORY_MB: u32 = 110;
-/// Clients that come at once, and the bytes of their bodies: `maxBodyBytes` is 4,194,304.
-const CLIENTS: usize = 40;
+/// Clients that come at once, as many as the site has, and the bytes of their bodies: `maxBodyBytes`
+/// is 4,194,304.
+const CLIENTS: usize = 32;
 const BODY_BYTES: usize = 4_000_000;
 const CHUNK_BYTES: usize = 64 << 10;
 /// Time for a chunk at half the speed of the machine's link (`linkMbps` is 1,000), which the clients
--- a/review/standin/machine.rs
+++ b/review/standin/machine.rs
@@ -17,7 +17,7 @@
 };
 
 /// Time from the start of the machines to the start of traffic.
-const LEAD: Duration = Duration::from_secs(5);
+const LEAD: Duration = Duration::from_secs(10);
 
 /// The processes that run, for [`kill_all`].
 static PIDS: Mutex<Vec<u32>> = Mutex::new(Vec::new());
@@ -95,7 +95,7 @@
         }
         let started = Instant::now();
         while started.elapsed() < LEAD || !fleet.machines.iter().all(Machine::is_ready) {
-            if started.elapsed() > 3 * LEAD {
+            if started.elapsed() > 2 * LEAD {
                 return Err("the machines do not become ready".to_owned());
             }
             std::thread::sleep(Duration::from_millis(100));
--- a/review/standin/main.rs
+++ b/review/standin/main.rs
@@ -36,6 +36,10 @@
 /// `coldStartS` of the engines: they are cold for this time after a start during traffic.
 const COLD_START: Duration = Duration::from_secs(3);
 
+/// Requests that wait at a runner, as in the site file.
+const MODELS_QUEUE: u32 = 384;
+const LEDGER_QUEUE: u32 = 24;
+
 /// What each case is made of.
 pub struct Stage {
     pub record: Arc<Record>,
@@ -53,6 +57,7 @@
             service,
             zone,
             slots,
+            queue: if service == "models" { MODELS_QUEUE } else { LEDGER_QUEUE },
             cold: Duration::ZERO,
             restart_cold: if service == "models" { COLD_START } else { Duration::ZERO },
             store: &self.store,
--- a/review/standin/runner.rs
+++ b/review/standin/runner.rs
@@ -55,6 +55,7 @@
     service: String,
     zone: String,
     slots: u32,
+    queue: u32,
     store: Store,
     record: Arc<Record>,
     crashes: Arc<Mutex<Vec<Duration>>>,
@@ -62,14 +63,20 @@
     runs: Arc<Mutex<Vec<Run>>>,
     state: Mutex<State>,
     is_up: AtomicBool,
-    /// Requests that are worked on, `slots` at most; the others queue.
-    running: Mutex<u32>,
+    load: Mutex<Load>,
     slot_freed: Condvar,
     /// For how long it is cold after its first start, and after further ones.
     cold: Duration,
     restart_cold: Duration,
 }
 
+/// Requests that are worked on, `slots` at most, and those that wait, `queue` at most.
+#[derive(Default)]
+struct Load {
+    running: u32,
+    queued: u32,
+}
+
 #[derive(Default)]
 struct State {
     cold_until: Duration,
@@ -85,6 +92,7 @@
     pub service: &'a str,
     pub zone: &'a str,
     pub slots: u32,
+    pub queue: u32,
     pub cold: Duration,
     pub restart_cold: Duration,
     pub store: &'a Store,
@@ -105,6 +113,7 @@
             service: setup.service.to_owned(),
             zone: setup.zone.to_owned(),
             slots: setup.slots,
+            queue: setup.queue,
             store: setup.store.clone(),
             record: Arc::clone(setup.record),
             crashes: Arc::clone(setup.crashes),
@@ -112,7 +121,7 @@
             runs: Arc::clone(setup.runs),
             state: Mutex::default(),
             is_up: AtomicBool::new(false),
-            running: Mutex::new(0),
+            load: Mutex::default(),
             slot_freed: Condvar::new(),
             cold: setup.cold,
             restart_cold: setup.restart_cold,
@@ -232,26 +241,54 @@
     fn handle(&self, req: &Request, stream: &mut TcpStream) -> Option<()> {
         let shared = &self.shared;
         let id = self.id();
-        if req.field("X-Clementinehall-Expect-Instance").is_some_and(|it| it != id) {
+        let reject = |status: u16, stream: &mut TcpStream| {
             let more = format!("X-Clementinehall-Instance-Id: {id}\r\nContent-Length: 0\r\n\r\n");
             let head = format!(
-                "HTTP/1.1 421 X\r\nX-Clementinehall-Request-Id: {}\r\nX-Clementinehall-Not-Executed: 1\r\n{more}",
+                "HTTP/1.1 {status} X\r\nX-Clementinehall-Request-Id: {}\r\nX-Clementinehall-Not-Executed: 1\r\n{more}",
                 req.id()
             );
-            return stream.write_all(head.as_bytes()).ok();
+            stream.write_all(head.as_bytes()).ok()
+        };
+        if req.field("X-Clementinehall-Expect-Instance").is_some_and(|it| it != id) {
+            return reject(421, stream);
+        }
+        let is_check = req.method == "GET" && req.target == "/healthz";
+        if !is_check && req.id().is_empty() {
+            return reject(400, stream);
         }
-        self.take_slot();
-        let done = self.run(id, req, stream);
-        *shared.running.lock().unwrap() -= 1;
+        if !self.take_slot() {
+            return reject(503, stream);
+        }
+        let done = if is_check { self.tell_health(&id, stream) } else { self.run(id, req, stream) };
+        shared.load.lock().unwrap().running -= 1;
         shared.slot_freed.notify_one();
         done
     }
 
-    /// Waits until one of the slots is free.
-    fn take_slot(&self) {
-        let running = self.shared.running.lock().unwrap();
-        let is_full = |running: &mut u32| *running >= self.shared.slots;
-        *self.shared.slot_freed.wait_while(running, is_full).unwrap() += 1;
+    /// Waits until one of the slots is free; returns `false` if the queue is full.
+    fn take_slot(&self) -> bool {
+        let shared = &self.shared;
+        let mut load = shared.load.lock().unwrap();
+        if load.running >= shared.slots && load.queued >= shared.queue {
+            return false;
+        }
+        load.queued += 1;
+        let is_full = |load: &mut Load| load.running >= shared.slots;
+        let mut load = shared.slot_freed.wait_while(load, is_full).unwrap();
+        load.queued -= 1;
+        load.running += 1;
+        true
+    }
+
+    /// Responds to a health check.
+    fn tell_health(&self, id: &str, stream: &mut TcpStream) -> Option<()> {
+        let cold_until = self.shared.state.lock().unwrap().cold_until;
+        let cold = cold_until.saturating_sub(self.shared.record.now()).as_millis();
+        let text = format!(
+            "HTTP/1.1 200 X\r\nX-Clementinehall-Instance-Id: {id}\r\n\
+             X-Clementinehall-Cold-Ms: {cold}\r\nContent-Length: 0\r\n\r\n"
+        );
+        stream.write_all(text.as_bytes()).ok()
     }
 
     fn run(&self, id: String, req: &Request, stream: &mut TcpStream) -> Option<()> {
--- a/review/standin/stale_keys.rs
+++ b/review/standin/stale_keys.rs
@@ -25,6 +25,9 @@
     Tenant { name: "hule930", keys: &[KEPT_KEY], priority: 1 },
     Tenant { name: "xaka200", keys: &[LOST_KEY], priority: 1 },
 ];
+/// The tenants once the key is taken away, the only one that its tenant had.
+const TENANTS_AFTER: [Tenant<'static>; 2] =
+    [TENANTS[0], Tenant { name: "xaka200", keys: &[], priority: 1 }];
 /// The routes that the configuration has grown by: twice 350.
 const IDLE_ROUTES: usize = 700;
 /// How long the store turns the machine away, and the pause before the changes begin.
@@ -79,7 +82,7 @@
     }
     version += 1;
     let routes = IDLE_ROUTES + CHANGES as usize;
-    stage.store.put("op/config", &config(version, &TENANTS[..1], routes));
+    stage.store.put("op/config", &config(version, &TENANTS_AFTER, routes));
     let revoked_at = record.now();
     record.say(format!("configuration {version} without the key {LOST_KEY} is acknowledged"));
     thread::sleep((cut_at + CUT).saturating_sub(record.now()));
