Never take the body of a rejected request for a request

Cause: an error of a header field returned from Exchange::route_and_read before the body was read, and nothing marked the connection as closing. Each way out had to remember one of the two. Ruled out: a disagreement between parser and body reader (a sound request with the same body arrives whole); other rejections (missing or unknown keys, unknown routes read the body).

Change: an exchange begins with unread input and is in step only once the body was read or there is none; any rejection before that closes the connection. Rejections for a header field discard the body, as those without a route do, and write a log line.

--- a/crates/dispatch/src/effect.rs
+++ b/crates/dispatch/src/effect.rs
@@ -233,6 +233,17 @@
         /// The servers that it could have gone to.
         servers: ServerSurvey,
     },
+    /// A request was rejected because of a header field.
+    Malformed {
+        /// The request's id, if it has one.
+        id: Option<Arc<str>>,
+        /// The host that the caller addressed.
+        host: String,
+        /// Its path, without the query.
+        path: String,
+        /// What is wrong with which field.
+        error: String,
+    },
     /// A request was refused when its head had been read.
     Rejected {
         /// The request's id.
--- a/crates/edge/src/caller.rs
+++ b/crates/edge/src/caller.rs
@@ -5,7 +5,7 @@
 use aio::deadline;
 use async_net::{TcpListener, TcpStream};
 use futures_lite::FutureExt as _;
-use http1::{Buffered, HeadError, RequestHead};
+use http1::{Buffered, HeadError};
 use model::prelude::*;
 
 use crate::{
@@ -93,21 +93,17 @@
 ) -> Disposition {
     let limits = instance.limits();
     let arrived = instance.clock.now();
-    let reading = RequestHead::read(input, limits.head_bytes);
-    let head = deadline::until(instance.clock, arrived + limits.head_time, reading).await;
     let response = Response::new(stream.clone(), false);
-    let mut exchange = Exchange { instance: Rc::clone(instance), input, response, arrived };
+    let mut exchange = Exchange::new(Rc::clone(instance), input, response, arrived);
+    let reading = exchange.read_head(limits.head_bytes);
+    let head = deadline::until(instance.clock, arrived + limits.head_time, reading).await;
     let problem = match head {
-        Some(Ok(head)) => {
-            exchange.response.closes_connection = head.closes();
-            return exchange.run(head).await;
-        }
+        Some(Ok(head)) => return exchange.run(head).await,
         Some(Err(HeadError::Closed | HeadError::Broken(_))) => return Disposition::Abort,
         Some(Err(HeadError::TooLarge(_) | HeadError::TooManyFields)) => Problem::head_too_large(),
         Some(Err(HeadError::Malformed(detail))) => Problem::unreadable(Reason::BadRequest, detail),
         None => Problem::unreadable(Reason::SlowCaller, "the head came too slowly"),
     };
-    exchange.response.closes_connection = true;
     exchange.reject(&problem, None).await
 }
 
--- a/crates/edge/src/exchange.rs
+++ b/crates/edge/src/exchange.rs
@@ -7,11 +7,11 @@
 use async_net::TcpStream;
 use dispatch::{Command, Event, LogEntry, NewRequest, RequestKey, Routed};
 use futures_lite::FutureExt as _;
-use http1::{BodyError, Buffered, Framing, RequestHead, read_whole};
+use http1::{BodyError, Buffered, Framing, HeadError, RequestHead, discard, read_whole};
 use model::prelude::*;
 
 use crate::{
-    Instance,
+    FieldError, Instance,
     attempt::{HeldResponse, RunningAttempt},
     outgoing::OutgoingRequest,
     problem::Problem,
@@ -40,13 +40,16 @@
     Abort,
 }
 
-/// A request whose head was read, and its response.
+/// A request that has begun to arrive, and its response.
 pub(crate) struct Exchange<'a> {
-    pub(crate) instance: Rc<Instance>,
-    pub(crate) input: &'a mut Buffered<TcpStream>,
-    pub(crate) response: Response,
+    instance: Rc<Instance>,
+    input: &'a mut Buffered<TcpStream>,
+    response: Response,
     /// When the request's first byte arrived.
-    pub(crate) arrived: Time,
+    arrived: Time,
+    /// Whether bytes of the request may still follow. They must never be taken for the next request
+    /// on the connection, so it closes after the response unless they are read first.
+    has_unread_input: bool,
 }
 
 /// A request that was routed and read whole.
@@ -58,8 +61,26 @@
     _quota: BodyQuota,
 }
 
-impl Exchange<'_> {
-    /// Reads the rest of the request and sends the response.
+impl<'a> Exchange<'a> {
+    /// Prepares the response to a request of which nothing was read yet.
+    pub(crate) fn new(
+        instance: Rc<Instance>,
+        input: &'a mut Buffered<TcpStream>,
+        response: Response,
+        arrived: Time,
+    ) -> Self {
+        Self { instance, input, response, arrived, has_unread_input: true }
+    }
+
+    /// Reads a head of at most `max_bytes`, including the empty line at its end.
+    pub(crate) async fn read_head(&mut self, max_bytes: usize) -> Result<RequestHead, HeadError> {
+        let head = RequestHead::read(self.input, max_bytes).await?;
+        self.has_unread_input = head.framing().has_body();
+        self.response.closes_connection = head.closes();
+        Ok(head)
+    }
+
+    /// Reads the rest of the request, whose head was read, and sends the response.
     pub(crate) async fn run(mut self, head: RequestHead) -> Disposition {
         let mut id = None;
         match self.route_and_read(head, &mut id).await {
@@ -77,15 +98,16 @@
         known_id: &mut Option<Arc<str>>,
     ) -> Result<(Accepted, NewRequest), Rejection> {
         let instance = Rc::clone(&self.instance);
-        let fields = instance
-            .header_codec
-            .read_caller(&head)
-            .map_err(|err| Problem::unreadable(Reason::BadRequest, err.to_string()))?;
+        let id = head.fields().text(instance.header_codec.request_id_name());
+        *known_id = id.filter(|id| !id.is_empty()).map(Arc::from);
+        let fields = match instance.header_codec.read_caller(&head) {
+            Ok(fields) => fields,
+            Err(err) => return Err(self.reject_malformed(&head, known_id.as_ref(), err).await),
+        };
         let now = instance.clock.now();
         let routed =
             instance.read_state(|state| state.route(now, head.host(), head.path(), fields.api_key));
         let id: Arc<str> = Arc::from(fields.id);
-        *known_id = Some(Arc::clone(&id));
         let (timeout, prompt) = (fields.timeout, fields.prompt);
         let routed = match routed {
             Ok(routed) => routed,
@@ -105,8 +127,7 @@
         Ok((Accepted { id, routed, outgoing, _quota: quota }, new))
     }
 
-    /// Logs the rejection of a request that could not be routed and reads its body: closing a
-    /// connection with unread bytes would reset it before the caller has read the response.
+    /// Logs the rejection of a request that could not be routed, and discards its body.
     async fn reject_unrouted(
         &mut self,
         head: &RequestHead,
@@ -126,11 +147,48 @@
             view_age,
         };
         self.instance.record(now, &entry);
-        let by = now + PROBLEM_TIMEOUT;
-        match self.read_body(head, by).await {
-            Ok(_) => Rejection::Problem(refusal.into()),
-            Err(rejection) => rejection,
+        self.discard_body(head, refusal.into()).await
+    }
+
+    /// Logs the rejection of a request with a missing or malformed field, and discards its body.
+    async fn reject_malformed(
+        &mut self,
+        head: &RequestHead,
+        id: Option<&Arc<str>>,
+        err: FieldError,
+    ) -> Rejection {
+        let entry = LogEntry::Malformed {
+            id: id.cloned(),
+            host: head.host().to_owned(),
+            path: head.path().to_owned(),
+            error: err.to_string(),
+        };
+        self.instance.record(self.instance.clock.now(), &entry);
+        let problem = Problem::unreadable(Reason::BadRequest, err.to_string());
+        self.discard_body(head, problem).await
+    }
+
+    /// Reads and discards the body of a request that is rejected with `problem`, so that the
+    /// connection can serve another request. It closes if the body is too large, comes too slowly or
+    /// is not well formed.
+    async fn discard_body(&mut self, head: &RequestHead, problem: Problem) -> Rejection {
+        let limit = self.instance.limits().body_bytes;
+        let is_too_large = matches!(head.framing(), Framing::Length(len) if len > limit as u64);
+        if !self.has_unread_input || is_too_large {
+            return Rejection::Problem(problem);
         }
+        if head.expects_continue() && self.response.send_continue().await.is_err() {
+            return Rejection::CallerLeft;
+        }
+        let clock = self.instance.clock;
+        let discarding = discard(self.input, head.framing(), limit);
+        match deadline::until(clock, clock.now() + PROBLEM_TIMEOUT, discarding).await {
+            Some(Ok(())) => self.has_unread_input = false,
+            Some(Err(BodyError::Broken(_))) => return Rejection::CallerLeft,
+            Some(Err(err)) => log::debug!("the body of a rejected request: {err}"),
+            None => log::debug!("the body of a rejected request came too slowly"),
+        }
+        Rejection::Problem(problem)
     }
 
     async fn read_body(
@@ -145,12 +203,10 @@
             Framing::Absent | Framing::Chunked | Framing::UntilClose => 0,
         };
         if length > limit.body_bytes {
-            self.response.closes_connection = true;
             let detail = format!("the body is larger than {} bytes", limit.body_bytes);
             return Err(Problem::unreadable(Reason::TooLarge, detail).into());
         }
         let Some(mut quota) = BodyQuota::reserve(&self.instance, length) else {
-            self.response.closes_connection = true;
             let refusal = Refusal::not_run(Reason::Capacity).retry_after(PROBLEM_TIMEOUT / 4);
             return Err(Rejection::Problem(refusal.into()));
         };
@@ -159,23 +215,14 @@
         }
         let reading = read_whole(self.input, head.framing(), limit.body_bytes);
         let Some(read) = deadline::until(self.instance.clock, by, reading).await else {
-            self.response.closes_connection = true;
             return Err(Problem::unreadable(Reason::SlowCaller, "the body came too slowly").into());
         };
-        let body = read.map_err(|err| self.unreadable_body(&err))?;
+        let body = read.map_err(|err| Rejection::unreadable_body(&err))?;
+        self.has_unread_input = false;
         quota.grow(body.len());
         Ok((body, quota))
     }
 
-    fn unreadable_body(&mut self, err: &BodyError) -> Rejection {
-        self.response.closes_connection = true;
-        match err {
-            BodyError::Broken(_) => Rejection::CallerLeft,
-            BodyError::Malformed => Problem::unreadable(Reason::BadRequest, err.to_string()).into(),
-            BodyError::TooLarge(_) => Problem::unreadable(Reason::TooLarge, err.to_string()).into(),
-        }
-    }
-
     /// Serves a request that was read whole, until it ends or the caller leaves.
     async fn serve(mut self, accepted: Accepted, new: NewRequest) -> Disposition {
         let instance = Rc::clone(&self.instance);
@@ -205,7 +252,7 @@
 
     /// Sends an error response to a request that is not served.
     pub(crate) async fn reject(&mut self, problem: &Problem, id: Option<&str>) -> Disposition {
-        self.response.closes_connection |= self.instance.is_draining.get();
+        self.response.closes_connection |= self.has_unread_input || self.instance.is_draining.get();
         let name = self.instance.header_codec.request_id_name();
         let writing = self.response.send_problem(problem, id.map(|id| (name, id)));
         match deadline::io_within(PROBLEM_TIMEOUT, writing).await {
@@ -227,6 +274,16 @@
     CallerLeft,
 }
 
+impl Rejection {
+    fn unreadable_body(err: &BodyError) -> Self {
+        match err {
+            BodyError::Broken(_) => Self::CallerLeft,
+            BodyError::Malformed => Problem::unreadable(Reason::BadRequest, err.to_string()).into(),
+            BodyError::TooLarge(_) => Problem::unreadable(Reason::TooLarge, err.to_string()).into(),
+        }
+    }
+}
+
 impl From<Problem> for Rejection {
     fn from(problem: Problem) -> Self {
         Self::Problem(problem)
--- a/crates/edge/src/journal.rs
+++ b/crates/edge/src/journal.rs
@@ -44,6 +44,7 @@
             }
             LogEntry::AttemptFailed { .. }
             | LogEntry::Refused { .. }
+            | LogEntry::Malformed { .. }
             | LogEntry::Rejected { .. }
             | LogEntry::SentLate { .. }
             | LogEntry::CallerLeft { .. } => (&mut self.failures, MAX_FAILURE_LINES),
@@ -161,6 +162,10 @@
                 "request rejected"
             );
         }
+        LogEntry::Malformed { id, host, path, error } => {
+            let request = id.as_deref().unwrap_or_default();
+            log::info!(request, host, path, error; "malformed request rejected");
+        }
         LogEntry::CallerLeft { id, after } => {
             log::info!(request:% = id, after_ms = millis(*after); "caller left");
         }
--- a/crates/edge/src/metrics.rs
+++ b/crates/edge/src/metrics.rs
@@ -166,6 +166,7 @@
             LogEntry::Refused { refusal, .. } | LogEntry::Rejected { refusal, .. } => {
                 self.count_refusal(*refusal);
             }
+            LogEntry::Malformed { .. } => self.count_refusal(Refusal::not_run(Reason::BadRequest)),
             LogEntry::CallerLeft { .. } => {
                 self.callers_left.inc();
             }
--- a/crates/http1/src/body.rs
+++ b/crates/http1/src/body.rs
@@ -116,6 +116,23 @@
     Ok(body)
 }
 
+/// Reads a body of at most `limit` bytes without keeping it.
+pub async fn discard<R: AsyncRead + Unpin>(
+    input: &mut Buffered<R>,
+    framing: Framing,
+    limit: usize,
+) -> Result<(), BodyError> {
+    let mut decoder = BodyDecoder::new(framing);
+    let mut len = 0;
+    while let Some(piece) = decoder.next(input).await? {
+        len += piece.len();
+        if len > limit {
+            return Err(BodyError::TooLarge(limit));
+        }
+    }
+    Ok(())
+}
+
 async fn read_length<R: AsyncRead + Unpin>(
     input: &mut Buffered<R>,
     length: usize,
--- a/crates/http1/src/lib.rs
+++ b/crates/http1/src/lib.rs
@@ -13,7 +13,7 @@
 mod request;
 mod response;
 
-pub use body::{BodyDecoder, BodyError, read_whole};
+pub use body::{BodyDecoder, BodyError, discard, read_whole};
 pub use buffered::Buffered;
 pub use error::{ConnectionError, HeadError};
 pub use fields::{Fields, push_field};
