Hold back prompt parts that end servers after the first bytes

Cause: an attempt's end counted as evidence only before the first byte, but an answer refutes evidence only once its server has lived 300 ms after it. An end in between was neither. Evidence: the new tests vary where servers end. Before the change those in the head and after it pass; inside the first event, between events, and between events without chunks fail with 37 to 48 requests at servers, 8 are allowed. Ruled out: a refutation by the first byte itself.

Change: one rule for both, whether the server survived the beginning of the answer. A refused connection still has to show that the server ended. An answer that ends with its connection is in doubt until the server was checked. The same cause elsewhere: live streams were resumed from their copies whatever their parts, and ended a second engine; not after two ends in a row any more.

--- a/crates/dispatch/src/event.rs
+++ b/crates/dispatch/src/event.rs
@@ -66,6 +66,11 @@
         /// Identifies the request, as in [`Event::Request`].
         key: RequestKey,
     },
+    /// The response ended with the connection of the server, as it has neither a length nor chunks.
+    ServerClosed {
+        /// Identifies the request, as in [`Event::Request`].
+        key: RequestKey,
+    },
     /// Bytes arrived from a server.
     BytesReceived {
         /// The server, which is therefore reachable.
--- a/crates/dispatch/src/outcome.rs
+++ b/crates/dispatch/src/outcome.rs
@@ -73,6 +73,13 @@
         self.dispatch(now, pool);
     }
 
+    pub(crate) fn server_closed(&mut self, key: RequestKey) {
+        let Some(req) = self.requests.get_mut(key) else { return };
+        if let Stage::Running(running) = &mut req.stage {
+            running.has_closed = true;
+        }
+    }
+
     pub(crate) fn bytes_received(&mut self, now: Time, key: ServerKey) {
         let Some(server) = self.servers.get_mut(key) else { return };
         server.health.bytes_received(now);
@@ -196,7 +203,9 @@
         let pool = self.catalog.as_ref()?.pools.get(&req.pool)?;
         let is_late = now + MIN_REMAINING >= req.end_by;
         let is_midway = end == AttemptEnd::Broken { is_partial: true };
-        if !is_midway || is_late || !self.may_send(now, server, pool) {
+        // Its prompt may have ended the engine, and would end the next one.
+        let is_doubtful = self.quarantine.is_doubtful(&req.prompt);
+        if !is_midway || is_late || is_doubtful || !self.may_send(now, server, pool) {
             return None;
         }
         let others = self.loads.total(server.id.into()).attempts;
--- a/crates/dispatch/src/placement.rs
+++ b/crates/dispatch/src/placement.rs
@@ -263,6 +263,7 @@
             started_at: now,
             sent_at: None,
             begun_at: None,
+            has_closed: false,
             expected: choice.expected,
             prefill_tokens: if resumes_from_backup { 0 } else { choice.prefill_tokens },
             live_pool: req.is_live_stream().then_some(req.pool),
--- a/crates/dispatch/src/quarantine.rs
+++ b/crates/dispatch/src/quarantine.rs
@@ -77,7 +77,8 @@
 /// Finds prompt parts that end the servers which begin to answer them, and decides which requests
 /// are held back.
 ///
-/// Evidence against a part is the end of a server at which a request with the part was unanswered.
+/// Evidence against a part is the end of a server at which a request with the part was unanswered or
+/// its answer had just begun.
 /// An answer to a request that was sent later refutes it. Ends count if each request was sent after
 /// the server before had ended, so servers that end at the same moment for another reason count as
 /// one. Evidence of other instances is merged by the tags of the ends, in any order.
@@ -106,10 +107,14 @@
     }
 
     /// Records that a server ended at `ended_at` while a request with this prompt, sent at `sent_at`,
-    /// was unanswered.
+    /// was unanswered or its answer had just begun.
     pub fn server_ended(&mut self, tag: EndTag, prompt: &Prompt, sent_at: Time, ended_at: Time) {
         for part in prompt.shared_parts() {
             self.add(part.id, tag, End { sent_at, ended_at });
+            if let Some(suspect) = self.suspects.get_mut(&part.id) {
+                // The server did not survive this answer.
+                suspect.begun = suspect.begun.filter(|begun| begun.0 != sent_at);
+            }
         }
     }
 
--- a/crates/dispatch/src/request.rs
+++ b/crates/dispatch/src/request.rs
@@ -75,6 +75,8 @@
     pub(crate) sent_at: Option<Time>,
     /// When the first byte of its response came; `None` before.
     pub(crate) begun_at: Option<Time>,
+    /// Whether its response ended only with the connection of the server.
+    pub(crate) has_closed: bool,
     /// The expected time to first byte.
     pub(crate) expected: Duration,
     /// Prompt tokens that the server still has to read for it.
--- a/crates/dispatch/src/server_ends.rs
+++ b/crates/dispatch/src/server_ends.rs
@@ -1,4 +1,4 @@
-//! Servers that end while requests are unanswered, and the requests that are held back for it.
+//! Servers that end while they begin to answer requests, and the requests that are held back for it.
 
 use std::{collections::BTreeSet, sync::Arc};
 
@@ -16,19 +16,35 @@
 /// The least retry-after time of a request that is held back: its trial is due at another instance.
 const MIN_RETRY_AFTER: Duration = Duration::from_secs(1);
 
-/// A server at which an attempt broke before its response began.
+/// A server at which the connection of an attempt ended, and that may have ended itself.
 #[derive(Debug)]
 pub(crate) struct PossibleEnd {
     tag: EndTag,
     server: Arc<str>,
     ended_at: Time,
-    /// The prompts of the attempts that broke, and when they were sent.
-    unanswered: Vec<(Prompt, Time)>,
+    attempts: Vec<EndedAttempt>,
+}
+
+/// An attempt that ended with its connection, before its server was known to survive the response.
+#[derive(Debug)]
+struct EndedAttempt {
+    prompt: Prompt,
+    sent_at: Time,
+    /// Whether its caller got a complete response.
+    is_answered: bool,
+}
+
+impl RunningAttempt {
+    /// Returns whether the server still ran [`SURVIVAL_TIME`] after its response began.
+    fn is_survived(&self, now: Time) -> bool {
+        self.begun_at.is_some_and(|begun_at| now.since(begun_at) >= SURVIVAL_TIME)
+    }
 }
 
 impl State {
-    /// Records that an attempt ended. If it broke before its response began, its server may have
-    /// ended, which is checked at once.
+    /// Records that an attempt ended. If its connection ended before the server was known to survive
+    /// the response, the server may have ended, which is checked at once. A response that ends with
+    /// its connection may be complete or not: the check tells.
     pub(crate) fn record_possible_end(
         &mut self,
         now: Time,
@@ -38,16 +54,18 @@
     ) {
         let Some(req) = self.requests.get(key) else { return };
         let Some(sent_at) = running.sent_at else { return };
-        if end == (AttemptEnd::Completed { is_success: true }) {
+        let is_answered = end == (AttemptEnd::Completed { is_success: true });
+        let is_broken = matches!(end, AttemptEnd::Broken { .. });
+        let is_in_doubt = is_broken || is_answered && running.has_closed;
+        if is_answered && (!is_in_doubt || running.is_survived(now)) {
             return self.quarantine.answered(&req.prompt, sent_at);
         }
-        let is_unanswered = matches!(end, AttemptEnd::Broken { .. }) && running.begun_at.is_none();
-        if !is_unanswered || req.prompt.shared_parts().is_empty() {
+        if !is_in_doubt || running.is_survived(now) || req.prompt.shared_parts().is_empty() {
             return;
         }
-        let unanswered = (req.prompt.clone(), sent_at);
+        let attempt = EndedAttempt { prompt: req.prompt.clone(), sent_at, is_answered };
         if let Some(possible) = self.possible_ends.get_mut(running.server) {
-            return possible.unanswered.push(unanswered);
+            return possible.attempts.push(attempt);
         }
         let Some(server) = self.servers.get(running.server) else { return };
         let address = server.entry.address;
@@ -55,7 +73,7 @@
             tag: end_tag(server.id, running.incarnation),
             server: Arc::clone(&server.entry.name),
             ended_at: now,
-            unanswered: vec![unanswered],
+            attempts: vec![attempt],
         };
         self.possible_ends.insert(running.server, possible);
         self.emit(Effect::CheckServer { server: running.server, address });
@@ -64,13 +82,16 @@
     pub(crate) fn server_checked(&mut self, now: Time, server: ServerKey, is_down: bool) {
         let Some(possible) = self.possible_ends.remove(server) else { return };
         if !is_down {
+            for attempt in possible.attempts.iter().filter(|it| it.is_answered) {
+                self.quarantine.answered(&attempt.prompt, attempt.sent_at);
+            }
             return;
         }
-        for (prompt, sent_at) in &possible.unanswered {
+        for EndedAttempt { prompt, sent_at, .. } in &possible.attempts {
             self.quarantine.server_ended(possible.tag, prompt, *sent_at, possible.ended_at);
         }
-        let unanswered = possible.unanswered.len();
-        let prompts = possible.unanswered.iter().map(|it| &it.0);
+        let unanswered = possible.attempts.len();
+        let prompts = possible.attempts.iter().map(|it| &it.prompt);
         let parts: BTreeSet<_> =
             prompts.flat_map(Prompt::shared_parts).map(|part| part.id).collect();
         let parts = parts.into_iter().collect();
@@ -85,10 +106,8 @@
         }
         for req in self.requests.values() {
             let Stage::Running(running) = req.stage else { continue };
-            let (Some(sent_at), Some(begun_at)) = (running.sent_at, running.begun_at) else {
-                continue;
-            };
-            if now.since(begun_at) >= SURVIVAL_TIME {
+            let Some(sent_at) = running.sent_at else { continue };
+            if running.is_survived(now) {
                 self.quarantine.answered(&req.prompt, sent_at);
             }
         }
--- a/crates/dispatch/src/state.rs
+++ b/crates/dispatch/src/state.rs
@@ -151,6 +151,7 @@
             Event::Request { key, new } => self.request(now, key, *new),
             Event::Sent { key } => self.sent(now, key),
             Event::FirstByte { key } => self.first_byte(now, key),
+            Event::ServerClosed { key } => self.server_closed(key),
             Event::BytesReceived { server } => self.bytes_received(now, server),
             Event::Ended { key, end, cold } => self.attempt_ended(now, key, end, cold),
             Event::ServerChecked { server, is_down } => self.server_checked(now, server, is_down),
--- a/crates/dispatch/tests/decisions/main.rs
+++ b/crates/dispatch/tests/decisions/main.rs
@@ -4,6 +4,7 @@
 
 mod affinity;
 mod copies;
+mod ends;
 mod keys;
 mod lapses;
 mod leaving;
--- a/crates/edge/src/relay.rs
+++ b/crates/edge/src/relay.rs
@@ -75,6 +75,9 @@
     } else {
         relay_plain(running, &mut started).await?;
     }
+    if started.head.framing() == Framing::UntilClose {
+        running.instance.handle_event(Event::ServerClosed { key: running.key });
+    }
     if started.is_clean() && !running.instance.is_draining.get() {
         running.keep_connection(&started.head, started.connection);
     }
