Take changes that arrive in parts for current only once all have arrived

Cause: an answer to a request for changes may be cut off at about 500 items or 1 MB. Each was reported as a read of everything, as of when it was asked for, so the first part of what an instance had missed confirmed its view, and keys and readiness with it.

Parts take effect at once and show that the platform is there, no more.

--- a/crates/dispatch/src/event.rs
+++ b/crates/dispatch/src/event.rs
@@ -29,11 +29,19 @@
     EvacuatedZones(BTreeSet<ZoneId>),
     /// The platform was read. All changes were passed on in events before this one.
     PlatformRead {
-        /// When the read began.
+        /// A time up to which the view holds all changes: when the read began, or earlier.
         as_of: Time,
         /// The view that was read.
         view: ViewSummary,
     },
+    /// A part of the changes was read from the platform; more may follow. Those of this part were passed
+    /// on in events before this one.
+    PlatformPartRead {
+        /// When the read of this part began.
+        seen_at: Time,
+        /// The view with this part, which may lack later changes.
+        view: ViewSummary,
+    },
     /// A read of the platform failed.
     PlatformReadFailed,
     /// Changes were read from another instance. All were passed on in events before this one.
--- a/crates/dispatch/src/freshness.rs
+++ b/crates/dispatch/src/freshness.rs
@@ -30,6 +30,12 @@
         self.view = view;
     }
 
+    /// Records that a part of the changes since the last read was applied, which gave `view`. It holds
+    /// all that the previous one did, and is not known to hold more.
+    pub fn record_part(&mut self, view: ViewSummary) {
+        self.view = view;
+    }
+
     /// Records that another instance confirmed `view` at `as_of`. A view that differs from this
     /// instance's confirms nothing.
     pub fn record_peer_view(&mut self, view: ViewSummary, as_of: Time) {
--- a/crates/dispatch/src/reading.rs
+++ b/crates/dispatch/src/reading.rs
@@ -136,6 +136,13 @@
         }
     }
 
+    /// Handles a part of the platform's changes. The platform is there, but the view may lack changes
+    /// of which others know.
+    pub(crate) fn view_part_read(&mut self, seen_at: Time, view: ViewSummary) {
+        self.platform_seen(seen_at);
+        self.freshness.record_part(view);
+    }
+
     /// Reads the platform instead, as the peer with the newer view did not deliver it.
     pub(crate) fn peer_read_failed(&mut self) {
         self.newer_peer = None;
--- a/crates/dispatch/src/state.rs
+++ b/crates/dispatch/src/state.rs
@@ -141,6 +141,10 @@
                 self.view_read(now, as_of, view);
                 self.failing_since = None;
             }
+            Event::PlatformPartRead { seen_at, view } => {
+                self.view_part_read(seen_at, view);
+                self.failing_since = None;
+            }
             Event::PeerRead { as_of, view } => self.view_read(now, as_of, view),
             Event::PlatformReadFailed => {
                 self.failing_since.get_or_insert(now);
--- a/crates/dispatch/tests/decisions/keys.rs
+++ b/crates/dispatch/tests/decisions/keys.rs
@@ -4,6 +4,7 @@
 use std::sync::Arc;
 
 use dispatch::{Accounts, AttemptEnd, Event};
+use gossip::ViewSummary;
 use model::prelude::*;
 
 use crate::support::{Bench, KEY, attempts, catalog, prompt, refusals, server};
@@ -97,3 +98,19 @@
     // Callers honour up to a third of their timeout of four seconds.
     assert!(refusal.retry_after.unwrap() <= Duration::from_millis(1_334));
 }
+
+/// Guards against a part of the changes that is taken for all of them.
+#[test]
+fn a_part_of_the_changes_confirms_no_key() {
+    let mut bench = bench();
+    bench.pass(4_500);
+    assert_eq!(accepts(&bench), Err(Reason::NotReady));
+
+    let view = ViewSummary { revision: 7, digest: 7, ..ViewSummary::default() };
+    bench.step(Event::PlatformPartRead { seen_at: bench.now, view });
+    let after_part = accepts(&bench);
+    bench.step(Event::PlatformRead { as_of: bench.now, view });
+
+    assert_eq!(after_part, Err(Reason::NotReady));
+    assert_eq!(accepts(&bench), Ok(()));
+}
