Never write a held server error into a stream that has begun

Cause: a 5xx response is held back while another server is tried. If that one began to stream and then broke off or stopped, the held response was written behind the events, and the connection stayed open.

Change: a request remembers that its caller has a part of a response, so that only the rest or the end of the connection may follow; also where its wait for another server ends, and where a resumed attempt gets a server error. The writer checks it once more.

--- a/crates/dispatch/src/admission.rs
+++ b/crates/dispatch/src/admission.rs
@@ -80,6 +80,7 @@
             is_trial: false,
             has_reserved_retry: false,
             holds_server_error: false,
+            has_partial_response: false,
         };
         if let Some(pool) = pool {
             self.count_prompt(now, pool, &req);
@@ -119,7 +120,7 @@
     pub(crate) fn refuse_expired(&mut self, now: Time) {
         while let Some(key) = self.queue.expired(now) {
             let Some(req) = self.requests.get(key) else { return };
-            if req.holds_server_error {
+            if req.can_deliver_error() {
                 self.deliver(now, key);
                 continue;
             }
--- a/crates/dispatch/src/outcome.rs
+++ b/crates/dispatch/src/outcome.rs
@@ -102,6 +102,8 @@
         if end.may_have_run() {
             req.possible_runs += 1;
         }
+        req.holds_server_error |= end == AttemptEnd::HeldBack;
+        req.has_partial_response |= end.is_partial();
         let pool = req.pool;
         self.record_possible_end(now, key, running, end);
         self.release_server(now, running, end, cold);
@@ -179,7 +181,6 @@
             next: next.name(),
         };
         req.tried.push(running.server);
-        req.holds_server_error |= end == AttemptEnd::HeldBack;
         self.log(entry);
         match next {
             NextStep::Retry => self.enqueue(now, key, RETRY_WAIT),
@@ -256,7 +257,7 @@
         }
         let Some(req) = self.requests.get(key) else { return gone };
         let reason = match end {
-            _ if req.holds_server_error || end == AttemptEnd::HeldBack => return NextStep::Deliver,
+            _ if req.can_deliver_error() => return NextStep::Deliver,
             AttemptEnd::Rejected { .. } => Reason::Capacity,
             AttemptEnd::NotConnected | AttemptEnd::Withdrawn => Reason::NoServer,
             AttemptEnd::TimedOut { .. } => Reason::ServerTimeout,
--- a/crates/dispatch/src/request.rs
+++ b/crates/dispatch/src/request.rs
@@ -40,6 +40,8 @@
     /// Whether a response that reports a server error is held back, to be delivered if no retry
     /// succeeds.
     pub(crate) holds_server_error: bool,
+    /// Whether the caller has got a part of a response. No other response may follow it.
+    pub(crate) has_partial_response: bool,
 }
 
 /// A request is not retried when less than this is left until its end: a round trip and the
@@ -125,6 +127,11 @@
             && now + MIN_REMAINING < self.end_by
     }
 
+    /// Returns whether the server error that is held back may go to the caller.
+    pub(crate) fn can_deliver_error(&self) -> bool {
+        self.holds_server_error && !self.has_partial_response
+    }
+
     /// Returns a refusal that tells the caller whether the request may have run.
     pub(crate) fn refusal(&self, reason: Reason) -> Refusal {
         if self.possible_runs == 0 { Refusal::not_run(reason) } else { Refusal::unknown(reason) }
--- a/crates/dispatch/tests/decisions/main.rs
+++ b/crates/dispatch/tests/decisions/main.rs
@@ -5,6 +5,7 @@
 mod affinity;
 mod copies;
 mod ends;
+mod held_errors;
 mod keys;
 mod lapses;
 mod leaving;
--- a/crates/edge/src/attempt.rs
+++ b/crates/edge/src/attempt.rs
@@ -231,15 +231,15 @@
         if promises_not_run || is_unsigned || head.fields().has("content-encoding") {
             return Err(Fault::Broken);
         }
+        if self.response.has_started() && !head.is_success() {
+            return Err(Fault::Broken);
+        }
         if head.status() >= 500 && self.attempt.holds_server_error {
             let body =
                 read_whole(&mut connection.input, head.framing(), MAX_BUFFERED_BODY_BYTES).await?;
             *self.held = Some(HeldResponse { head: head.clone(), body });
             return Err(Fault::HeldBack);
         }
-        if self.response.has_started() && !head.is_success() {
-            return Err(Fault::Broken);
-        }
         Ok(())
     }
 
--- a/crates/edge/src/exchange.rs
+++ b/crates/edge/src/exchange.rs
@@ -342,6 +342,10 @@
     }
 
     async fn deliver(&mut self) -> Disposition {
+        if self.response.has_started() {
+            log::error!(request:% = self.accepted.id; "a second response is not written into the first");
+            return Disposition::Abort;
+        }
         let Some(held) = self.held.take() else {
             return self.refuse(Refusal::unknown(Reason::ServerFailed)).await;
         };
