Send streams of events to callers in chunks

Cause: the response kept the Content-Length of its first server, but the events of the second have other sizes. Evidence: with real processes and each framing at both servers, only a stated length at the first one fails; chunks and the end of the connection do not.

Change: the framing of a stream is that of this program, in chunks. Other responses come from one server whole, and keep their length.

--- a/crates/edge/src/relay.rs
+++ b/crates/edge/src/relay.rs
@@ -145,7 +145,7 @@
         let written = if running.response.has_started() {
             running.response.send_part(&bytes).await
         } else {
-            running.response.start(&started.head, &bytes).await
+            running.response.start_events(&started.head, &bytes).await
         };
         written.map_err(|_| Fault::CallerLeft)?;
     }
@@ -153,7 +153,8 @@
         return Err(Fault::Broken);
     }
     if !running.response.has_started() {
-        running.response.start(&started.head, b"").await.map_err(|_| Fault::CallerLeft)?;
+        let written = running.response.start_events(&started.head, b"").await;
+        written.map_err(|_| Fault::CallerLeft)?;
     }
     running.response.finish().await.map_err(|_| Fault::CallerLeft)
 }
--- a/crates/edge/src/response.rs
+++ b/crates/edge/src/response.rs
@@ -91,12 +91,32 @@
         Ok(())
     }
 
-    /// Writes the head and the first part of the body of a response; more parts follow.
+    /// Writes the head and the first part of the body of a response whose parts all come from the
+    /// backend server of this head; more parts follow.
     pub(crate) async fn start(&mut self, head: &ResponseHead, part: &[u8]) -> io::Result<()> {
         let framing = match head.framing() {
             Framing::Length(length) => Framing::Length(length),
             _ => Framing::Chunked,
         };
+        self.start_framed(head, framing, part).await
+    }
+
+    /// Writes the head and the first events of a stream; more follow. Another server may continue it,
+    /// with events of other sizes, so the length that this head states does not hold.
+    pub(crate) async fn start_events(
+        &mut self,
+        head: &ResponseHead,
+        events: &[u8],
+    ) -> io::Result<()> {
+        self.start_framed(head, Framing::Chunked, events).await
+    }
+
+    async fn start_framed(
+        &mut self,
+        head: &ResponseHead,
+        framing: Framing,
+        part: &[u8],
+    ) -> io::Result<()> {
         let mut buf = self.encode_head(head, framing);
         self.state = match framing {
             Framing::Length(_) => State::Sized,
