Do not pass on a second response as a part of the first

Cause: such a body was passed on to the end of its connection, and an event to its blank line, whatever they held.

Change: in such a body the head of a response to the same request ends it. Inside an event the stream is broken; events before it are written first, so that a resumed stream misses none. Quoted responses with other ids are content.

--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -21,6 +21,7 @@
 mod process;
 mod relay;
 mod response;
+mod second_response;
 mod server_check;
 mod settings;
 mod status;
--- a/crates/edge/src/relay.rs
+++ b/crates/edge/src/relay.rs
@@ -7,6 +7,7 @@
     attempt::{Fault, RunningAttempt},
     connection_pool::Connection,
     events::EventSplitter,
+    second_response::find_second_response,
 };
 
 /// A response body up to this size is buffered until it is complete, so that another attempt can
@@ -56,6 +57,22 @@
         content_type.trim_start().to_ascii_lowercase().starts_with("text/event-stream")
     }
 
+    /// Returns where a second response to the request begins in a part of the body, or after the body
+    /// if only the end of the connection ends it.
+    fn find_second_response(&self, running: &RunningAttempt<'_>, part: &[u8]) -> Option<usize> {
+        if self.head.framing() != Framing::UntilClose {
+            return None;
+        }
+        let method = running.outgoing.head.method();
+        let codec = &*running.instance.header_codec;
+        let start = find_second_response(part, running.id, method, codec)?;
+        log::info!(
+            request:% = running.id, server:% = running.attempt.name;
+            "skipped a second response to the request"
+        );
+        Some(start)
+    }
+
     /// Returns whether the connection can be reused and holds no unread bytes.
     fn is_clean(&self) -> bool {
         self.is_reusable && self.connection.input.data().is_empty()
@@ -100,6 +117,9 @@
             return relay_parts(running, started, body).await;
         }
     }
+    if let Some(end) = started.find_second_response(running, &body) {
+        body.truncate(end);
+    }
     running.response.send_whole(&started.head, &body).await.map_err(|_| Fault::CallerLeft)
 }
 
@@ -119,13 +139,17 @@
 }
 
 /// Relays complete events as they arrive, except those that the caller has received from an earlier
-/// attempt. A stream that ends within an event is broken.
+/// attempt. A stream that ends within an event, or is followed by a second response there, is broken.
 async fn relay_events(
     running: &mut RunningAttempt<'_>,
     started: &mut StartedResponse,
 ) -> Result<(), Fault> {
     let mut splitter = EventSplitter::default();
-    while let Some(piece) = started.next().await? {
+    // Where in an event a second response begins. Events before it still belong to the stream.
+    let mut second_response = None;
+    while second_response.is_none()
+        && let Some(piece) = started.next().await?
+    {
         running.instance.handle_event(Event::BytesReceived { server: running.attempt.server });
         let complete = splitter.push(&piece);
         if splitter.pending() > MAX_EVENT_BYTES {
@@ -133,6 +157,10 @@
         }
         let mut bytes = Vec::new();
         for (id, event) in complete.events {
+            second_response = started.find_second_response(running, &event);
+            if second_response.is_some() {
+                break;
+            }
             if is_repeated(running.response.last_event_id.as_deref(), id.as_deref()) {
                 continue;
             }
@@ -149,7 +177,8 @@
         };
         written.map_err(|_| Fault::CallerLeft)?;
     }
-    if splitter.pending() > 0 {
+    let is_within_event = second_response.map_or(splitter.pending() > 0, |index| index > 0);
+    if is_within_event {
         return Err(Fault::Broken);
     }
     if !running.response.has_started() {
