Heed servers that say they leave, or when to come back

Change: the first response of any kind takes a leaving incarnation out of use for all work until another one is listed, whatever the store says; a pause holds until its end, extended and bounded. Requests that are decided and not sent go elsewhere. If all servers ask for a pause beyond what a request may wait, it is refused at once with the end of the first pause, spread. Neither is a failure, a crash or evidence against a prompt's part. Peers are not told: what one instance says takes no server out at another.

--- a/crates/dispatch/src/admission.rs
+++ b/crates/dispatch/src/admission.rs
@@ -96,7 +96,7 @@
 
     /// Puts a request into the queue of its pool. It is refused if it gets no server within `wait`.
     pub(crate) fn enqueue(&mut self, now: Time, key: RequestKey, wait: Duration) {
-        if self.refuse_if_quarantined(now, key) {
+        if self.refuse_if_quarantined(now, key) || self.refuse_if_paused(now, key, now + wait) {
             return;
         }
         let Some(req) = self.requests.get_mut(key) else { return };
--- a/crates/dispatch/src/effect.rs
+++ b/crates/dispatch/src/effect.rs
@@ -98,6 +98,31 @@
         /// Time since the view before this change was confirmed; `None` before the first read.
         view_age: Option<Duration>,
     },
+    /// A server says in a response that it leaves. It gets no more requests until it starts again.
+    ServerLeaving {
+        /// The server's name in the platform's list.
+        server: Arc<str>,
+        /// The incarnation that leaves.
+        incarnation: u64,
+        /// The number of attempts that were decided for it and not sent yet.
+        unsent: u32,
+    },
+    /// A server says in a rejection that it wants no requests of this instance for some time.
+    ServerPaused {
+        /// The server's name in the platform's list.
+        server: Arc<str>,
+        /// The incarnation that says so.
+        incarnation: u64,
+        /// For how long from now on.
+        span: Duration,
+    },
+    /// A field of a server's response cannot be parsed and is ignored.
+    IgnoredField {
+        /// The server's name in the platform's list.
+        server: Arc<str>,
+        /// What is wrong with which field.
+        error: String,
+    },
     /// A server's entry is missing, and has probably expired while the platform was unreachable.
     ServerExpired {
         /// The server's name in the platform's list.
--- a/crates/dispatch/src/event.rs
+++ b/crates/dispatch/src/event.rs
@@ -79,6 +79,18 @@
         /// Identifies the request, as in [`Event::Request`].
         key: RequestKey,
     },
+    /// A response says that the server of a running attempt leaves.
+    ServerLeaving {
+        /// Identifies the request of the attempt, as in [`Event::Request`].
+        key: RequestKey,
+    },
+    /// A rejection says that the server of a running attempt wants no requests of this instance.
+    ServerPaused {
+        /// Identifies the request of the attempt, as in [`Event::Request`].
+        key: RequestKey,
+        /// For how long, from now on.
+        span: Duration,
+    },
     /// Bytes arrived from a server.
     BytesReceived {
         /// The server, which is therefore reachable.
--- a/crates/dispatch/src/outcome.rs
+++ b/crates/dispatch/src/outcome.rs
@@ -140,6 +140,8 @@
             AttemptEnd::Completed { is_success } => server.health.record_outcome(now, !is_success),
             AttemptEnd::NotConnected => server.health.connect_failed(now),
             AttemptEnd::Rejected { is_misdirected } => server.health.rejected(now, is_misdirected),
+            // A rejection that asks for a pause says nothing of the server's health.
+            AttemptEnd::Broken { .. } if server.is_paused(now) => {}
             AttemptEnd::HeldBack | AttemptEnd::Broken { .. } | AttemptEnd::TimedOut { .. } => {
                 server.health.record_outcome(now, true);
             }
--- a/crates/dispatch/src/placement.rs
+++ b/crates/dispatch/src/placement.rs
@@ -171,7 +171,7 @@
     }
 
     /// Returns whether the attempt that was started for a request may still be sent: its server has
-    /// neither begun to leave nor been restarted since it was chosen, its zone has not been
+    /// neither begun to leave, asked for a pause nor been restarted since it was chosen, its zone has not been
     /// evacuated, and no part of its prompt is held back. Asked when there is a connection, right
     /// before the first byte.
     pub fn may_send_attempt(&self, now: Time, key: RequestKey) -> bool {
@@ -181,7 +181,9 @@
             req.is_trial || self.quarantine.verdict(now, &req.prompt, None) == Verdict::Free;
         is_free
             && self.servers.get(running.server).is_some_and(|server| {
-                self.servers.is_eligible(server) && server.entry.incarnation == running.incarnation
+                self.servers.is_eligible(server)
+                    && !server.is_paused(now)
+                    && server.entry.incarnation == running.incarnation
             })
     }
 
@@ -190,11 +192,12 @@
         self.servers.get(server).is_some_and(|server| !server.health.is_backed_off(now))
     }
 
-    /// Returns whether a server may get a request now: it is neither draining nor in an evacuated
-    /// zone nor backed off, and if it is cold, this instance has not used up its share of the cold
+    /// Returns whether a server may get a request now: it neither leaves nor is in an evacuated zone,
+    /// paused or backed off, and if it is cold, this instance has not used up its share of the cold
     /// rate.
     pub(crate) fn may_send(&self, now: Time, server: &Server, pool: &Pool) -> bool {
-        if !self.servers.is_eligible(server) || server.health.is_backed_off(now) {
+        let is_out = server.is_paused(now) || server.health.is_backed_off(now);
+        if !self.servers.is_eligible(server) || is_out {
             return false;
         }
         if !server.is_cold(now) || pool.cold_rate <= 0.0 {
--- a/crates/dispatch/src/server.rs
+++ b/crates/dispatch/src/server.rs
@@ -54,6 +54,8 @@
     pub(crate) unsent: u32,
     /// Until when it is cold.
     pub(crate) cold_until: Time,
+    /// Until when it wants no requests of this instance.
+    pub(crate) paused_until: Time,
     /// When the platform came back, if the entry has been missing since: it has probably expired, and
     /// will be listed again if the server still runs.
     pub(crate) expired_at: Option<Time>,
@@ -73,6 +75,7 @@
             entry,
             load: LoadByRank::default(),
             unsent: 0,
+            paused_until: Time::default(),
             expired_at: None,
             recent_requests: RequestWindow::default(),
             prefixes: PrefixCache::default(),
@@ -95,14 +98,20 @@
         now < self.cold_until
     }
 
+    /// Returns whether the server wants no requests of this instance for now.
+    pub fn is_paused(&self, now: Time) -> bool {
+        now < self.paused_until
+    }
+
     /// Treats the server as cold for at least this time.
     pub(crate) fn mark_cold(&mut self, now: Time, span: Duration) {
         self.cold_until = self.cold_until.max(now + span);
     }
 
     /// Records that the server has been restarted under its name: its prefix cache is empty, its
-    /// health is unknown, and it is cold.
+    /// health is unknown, it has not asked for a pause, and it is cold.
     pub(crate) fn restarted(&mut self, now: Time, cold: Duration) {
+        self.paused_until = Time::default();
         self.prefixes.clear();
         self.health = Health::new(now);
         self.health.set_attempts(now, self.attempts());
--- a/crates/dispatch/src/server_ends.rs
+++ b/crates/dispatch/src/server_ends.rs
@@ -55,7 +55,9 @@
         let Some(req) = self.requests.get(key) else { return };
         let Some(sent_at) = running.sent_at else { return };
         let is_answered = end == (AttemptEnd::Completed { is_success: true });
-        let is_broken = matches!(end, AttemptEnd::Broken { .. });
+        // A server that asks for a pause has answered.
+        let is_paused = self.servers.get(running.server).is_some_and(|it| it.is_paused(now));
+        let is_broken = matches!(end, AttemptEnd::Broken { .. }) && !is_paused;
         let is_in_doubt = is_broken || is_answered && running.has_closed;
         if is_answered && (!is_in_doubt || running.is_survived(now)) {
             return self.quarantine.answered(&req.prompt, sent_at);
--- a/crates/dispatch/src/servers.rs
+++ b/crates/dispatch/src/servers.rs
@@ -1,18 +1,25 @@
 //! All backend servers.
 
-use std::collections::{BTreeSet, HashMap};
+use std::collections::{BTreeMap, BTreeSet, HashMap};
 
 use model::prelude::*;
 use slotmap::SlotMap;
 
 use crate::{Server, ServerEntry, ServerKey};
 
+/// Servers that said that they leave, of which that is remembered; beyond that, those that are not
+/// listed any more are forgotten.
+const MAX_LEAVING: usize = 1_024;
+
 /// All backend servers that the platform lists, by pool.
 #[derive(Debug, Default)]
 pub(crate) struct Servers {
     all: SlotMap<ServerKey, Server>,
     by_id: HashMap<ServerId, ServerKey>,
     pools: HashMap<PoolId, Vec<ServerKey>>,
+    /// The incarnations of servers that said that they leave. Kept by id, as the platform may list such
+    /// a server again, also after it had removed it.
+    leaving: BTreeMap<ServerId, u64>,
     /// The evacuated zones, whose servers get no requests.
     pub(crate) evacuated_zones: BTreeSet<ZoneId>,
 }
@@ -57,9 +64,24 @@
         Some(server)
     }
 
-    /// Returns whether a server may get requests: it is not draining, and its zone is not
-    /// evacuated.
+    /// Records that an incarnation of a server leaves, whatever the platform lists. Returns whether
+    /// that is new.
+    pub(crate) fn set_leaving(&mut self, id: ServerId, incarnation: u64) -> bool {
+        if self.leaving.len() >= MAX_LEAVING {
+            self.leaving.retain(|id, _| self.by_id.contains_key(id));
+        }
+        self.leaving.insert(id, incarnation) != Some(incarnation)
+    }
+
+    fn is_leaving(&self, server: &Server) -> bool {
+        self.leaving.get(&server.id) == Some(&server.entry.incarnation)
+    }
+
+    /// Returns whether a server may get requests: it is neither draining nor says that it leaves, and
+    /// its zone is not evacuated.
     pub(crate) fn is_eligible(&self, server: &Server) -> bool {
-        !server.entry.is_draining && !self.evacuated_zones.contains(&server.entry.zone)
+        !server.entry.is_draining
+            && !self.is_leaving(server)
+            && !self.evacuated_zones.contains(&server.entry.zone)
     }
 }
--- a/crates/dispatch/src/state.rs
+++ b/crates/dispatch/src/state.rs
@@ -155,6 +155,8 @@
             Event::Request { key, new } => self.request(now, key, *new),
             Event::Sent { key } => self.sent(now, key),
             Event::FirstByte { key } => self.first_byte(now, key),
+            Event::ServerLeaving { key } => self.server_leaves(now, key),
+            Event::ServerPaused { key, span } => self.server_pauses(now, key, span),
             Event::ServerClosed { key } => self.server_closed(key),
             Event::BytesReceived { server } => self.bytes_received(now, server),
             Event::Ended { key, end, cold } => self.attempt_ended(now, key, end, cold),
--- a/crates/dispatch/tests/decisions/main.rs
+++ b/crates/dispatch/tests/decisions/main.rs
@@ -12,6 +12,7 @@
 mod live;
 mod reading;
 mod restart;
+mod server_words;
 mod shutdown;
 mod support;
 mod tiers;
--- a/crates/edge/src/attempt.rs
+++ b/crates/edge/src/attempt.rs
@@ -1,17 +1,17 @@
 //! Attempts at backend servers.
 
-use std::{future::Future, io, pin::pin, task::Poll};
+use std::{future::Future, io, pin::pin, sync::Arc, task::Poll};
 
 use aio::deadline;
 use async_net::TcpStream;
-use dispatch::{Attempt, AttemptEnd, Event, RequestKey};
+use dispatch::{Attempt, AttemptEnd, Event, LogEntry, RequestKey};
 use futures_lite::{AsyncWriteExt as _, future};
 use http1::{Buffered, ConnectionError, Framing, ResponseHead, read_whole};
 use model::prelude::*;
 use rustix::net::sockopt::set_tcp_user_timeout;
 
 use crate::{
-    AttemptFields, Instance,
+    AttemptFields, BackendFields, Instance,
     connection_pool::Connection,
     outgoing::OutgoingRequest,
     relay::{self, Relayed},
@@ -192,6 +192,7 @@
             let head = ResponseHead::read(input, method, MAX_RESPONSE_HEAD_BYTES).await?;
             self.instance.handle_event(Event::BytesReceived { server: self.attempt.server });
             let fields = self.instance.header_codec.read_backend(&head);
+            self.heed_server(head.status(), &fields);
             if fields.id == Some(self.id) {
                 progress.cold = fields.cold;
                 return Ok((head, is_clean));
@@ -209,6 +210,28 @@
         Err(Fault::Broken)
     }
 
+    /// Passes on what the server says of itself in a response, also in one to another request.
+    fn heed_server(&self, status: u16, fields: &BackendFields<'_>) {
+        if status == 421 {
+            // Another server responds at this address.
+            return;
+        }
+        if fields.is_leaving {
+            self.instance.handle_event(Event::ServerLeaving { key: self.key });
+        }
+        match fields.retry_after {
+            Ok(Some(span)) if status == 503 => {
+                self.instance.handle_event(Event::ServerPaused { key: self.key, span });
+            }
+            Ok(_) => {}
+            Err(err) => {
+                let (server, error) = (Arc::clone(&self.attempt.name), err.to_string());
+                let entry = LogEntry::IgnoredField { server, error };
+                self.instance.record(self.instance.clock.now(), &entry);
+            }
+        }
+    }
+
     /// Checks whether the response comes from the intended server and may go to the caller.
     async fn check_response(
         &mut self,
--- a/crates/edge/src/headers.rs
+++ b/crates/edge/src/headers.rs
@@ -62,6 +62,11 @@
     pub cold: Option<Duration>,
     /// How long the server keeps an idle connection open; absent if it does not say.
     pub keep_alive: Option<Duration>,
+    /// Whether the server says that it leaves and wants no more requests.
+    pub is_leaving: bool,
+    /// For how long the server wants no requests of this instance; absent if it does not say. Only a
+    /// rejection may say it.
+    pub retry_after: Result<Option<Duration>, FieldError>,
 }
 
 /// What the fields of an attempt tell the backend server.
--- a/crates/edge/src/journal.rs
+++ b/crates/edge/src/journal.rs
@@ -45,6 +45,8 @@
             LogEntry::AttemptFailed { .. }
             | LogEntry::Refused { .. }
             | LogEntry::Malformed { .. }
+            | LogEntry::IgnoredField { .. }
+            | LogEntry::ServerPaused { .. }
             | LogEntry::Rejected { .. }
             | LogEntry::SentLate { .. }
             | LogEntry::CallerLeft { .. } => (&mut self.failures, MAX_FAILURE_LINES),
@@ -78,6 +80,15 @@
             let view_age_ms = view_age.map(millis);
             log::info!(server:%, why, unsent, view_age_ms:?; "server no longer used");
         }
+        LogEntry::ServerLeaving { server, incarnation, unsent } => {
+            log::info!(server:%, incarnation, unsent; "server says that it leaves");
+        }
+        LogEntry::ServerPaused { server, incarnation, span } => {
+            log::info!(server:%, incarnation, span_ms = millis(*span); "server asks for a pause");
+        }
+        LogEntry::IgnoredField { server, error } => {
+            log::info!(server:%, error; "ignored a field of a response");
+        }
         LogEntry::ServerExpired { server, view_age, failing } => {
             let (view_age_ms, failing_ms) = (view_age.map(millis), failing.map(millis));
             log::info!(
--- a/crates/edge/src/metrics.rs
+++ b/crates/edge/src/metrics.rs
@@ -31,6 +31,8 @@
     members: Gauge,
     config_version: Gauge,
     servers_ended: Counter,
+    servers_leaving: Counter,
+    server_pauses: Counter,
     quarantined_parts: Gauge,
 }
 
@@ -75,6 +77,8 @@
             members: Gauge::default(),
             config_version: Gauge::default(),
             servers_ended: Counter::default(),
+            servers_leaving: Counter::default(),
+            server_pauses: Counter::default(),
             quarantined_parts: Gauge::default(),
         };
         metrics.register();
@@ -138,6 +142,16 @@
             "Version of the configuration in force",
             self.config_version.clone(),
         );
+        registry.register(
+            "servers_leaving",
+            "Backend servers that said in a response that they leave",
+            self.servers_leaving.clone(),
+        );
+        registry.register(
+            "server_pauses",
+            "Pauses for which backend servers asked in rejections, extensions included",
+            self.server_pauses.clone(),
+        );
         registry.register(
             "servers_ended",
             "Servers that ended while requests of this instance were unanswered",
@@ -176,6 +190,12 @@
             LogEntry::Config { version, .. } => {
                 self.config_version.set(i64::try_from(version.0).unwrap_or(i64::MAX));
             }
+            LogEntry::ServerLeaving { .. } => {
+                self.servers_leaving.inc();
+            }
+            LogEntry::ServerPaused { .. } => {
+                self.server_pauses.inc();
+            }
             LogEntry::ServerEnded { .. } => {
                 self.servers_ended.inc();
             }
