Count chunked request bodies as they arrive

Cause: memory was reserved from the stated length, which a chunked body lacks, and raised beyond any limit once the body was whole. Evidence: the same bodies with a length are refused in time; a single chunked one is served and leaves no memory behind.

Change: each piece is reserved before it is kept; without room the request is refused as not run with a time to come back.

--- a/crates/edge/src/exchange.rs
+++ b/crates/edge/src/exchange.rs
@@ -7,7 +7,9 @@
 use async_net::TcpStream;
 use dispatch::{Command, Event, LogEntry, NewRequest, RequestKey, Routed};
 use futures_lite::FutureExt as _;
-use http1::{BodyError, Buffered, Framing, HeadError, RequestHead, discard, read_whole};
+use http1::{
+    BodyDecoder, BodyError, Buffered, Framing, HeadError, RequestHead, discard, read_whole,
+};
 use model::prelude::*;
 
 use crate::{
@@ -207,19 +209,23 @@
             return Err(Problem::unreadable(Reason::TooLarge, detail).into());
         }
         let Some(mut quota) = BodyQuota::reserve(&self.instance, length) else {
-            let refusal = Refusal::not_run(Reason::Capacity).retry_after(PROBLEM_TIMEOUT / 4);
-            return Err(Rejection::Problem(refusal.into()));
+            return Err(Rejection::no_memory());
         };
         if head.expects_continue() && head.framing().has_body() {
             self.response.send_continue().await.map_err(|_| Rejection::CallerLeft)?;
         }
-        let reading = read_whole(self.input, head.framing(), limit.body_bytes);
+        let reading = async {
+            match head.framing() {
+                Framing::Chunked => read_counted(self.input, limit.body_bytes, &mut quota).await,
+                framing => read_whole(self.input, framing, limit.body_bytes).await.map(Some),
+            }
+        };
         let Some(read) = deadline::until(self.instance.clock, by, reading).await else {
             return Err(Problem::unreadable(Reason::SlowCaller, "the body came too slowly").into());
         };
         let body = read.map_err(|err| Rejection::unreadable_body(&err))?;
+        let body = body.ok_or_else(Rejection::no_memory)?;
         self.has_unread_input = false;
-        quota.grow(body.len());
         Ok((body, quota))
     }
 
@@ -275,6 +281,12 @@
 }
 
 impl Rejection {
+    /// The request bodies of all callers leave too little memory for another one.
+    fn no_memory() -> Self {
+        let refusal = Refusal::not_run(Reason::Capacity).retry_after(PROBLEM_TIMEOUT / 4);
+        Self::Problem(refusal.into())
+    }
+
     fn unreadable_body(err: &BodyError) -> Self {
         match err {
             BodyError::Broken(_) => Self::CallerLeft,
@@ -392,6 +404,27 @@
     }
 }
 
+/// Reads a chunked body of at most `limit` bytes, for each of which memory is reserved before it is
+/// kept. Returns `None` if there is too little.
+async fn read_counted(
+    input: &mut Buffered<TcpStream>,
+    limit: usize,
+    quota: &mut BodyQuota,
+) -> Result<Option<Vec<u8>>, BodyError> {
+    let mut decoder = BodyDecoder::new(Framing::Chunked);
+    let mut body = Vec::new();
+    while let Some(piece) = decoder.next(input).await? {
+        if body.len() + piece.len() > limit {
+            return Err(BodyError::TooLarge(limit));
+        }
+        if !quota.grow(piece.len()) {
+            return Ok(None);
+        }
+        body.extend_from_slice(&piece);
+    }
+    Ok(Some(body))
+}
+
 /// Memory that a request reserves for its body, released on drop.
 struct BodyQuota {
     instance: Rc<Instance>,
@@ -401,22 +434,21 @@
 impl BodyQuota {
     /// Reserves bytes; returns `None` if other bodies leave too little.
     fn reserve(instance: &Rc<Instance>, bytes: usize) -> Option<Self> {
-        let max = instance.settings.memory_bytes / BODY_MEMORY_DIVISOR;
-        let taken = instance.body_bytes.get() + bytes;
-        // A body that is the only one is admitted even if it exceeds the limit.
-        if taken > max && instance.body_bytes.get() > 0 {
-            return None;
-        }
-        instance.body_bytes.set(taken);
-        Some(Self { instance: Rc::clone(instance), bytes })
+        let mut quota = Self { instance: Rc::clone(instance), bytes: 0 };
+        quota.grow(bytes).then_some(quota)
     }
 
-    /// Raises the reservation to the actual size of a body whose length was unknown. This may
-    /// exceed the limit.
-    fn grow(&mut self, bytes: usize) {
-        let more = bytes.saturating_sub(self.bytes);
-        self.instance.body_bytes.set(self.instance.body_bytes.get() + more);
+    /// Reserves further bytes. Returns `false` and leaves the reservation as it is if other bodies leave
+    /// too little. A body that is the only one is admitted even if it exceeds the limit.
+    fn grow(&mut self, more: usize) -> bool {
+        let max = self.instance.settings.memory_bytes / BODY_MEMORY_DIVISOR;
+        let taken = self.instance.body_bytes.get();
+        if taken + more > max && taken > self.bytes {
+            return false;
+        }
+        self.instance.body_bytes.set(taken + more);
         self.bytes += more;
+        true
     }
 }
 
