Keep waiting requests when the tier of their account changes

Cause: the check for revoked keys compared the whole account with that of the waiting request, and the account holds its tier. With the same tiers in both configurations nothing ends.

Change: the names are compared. A key that goes to another account still ends the requests with it.

--- a/crates/dispatch/src/fleet.rs
+++ b/crates/dispatch/src/fleet.rs
@@ -6,8 +6,8 @@
 use model::prelude::*;
 
 use crate::{
-    Catalog, Effect, LogEntry, ServerChange, ServerEntry, ServerKey, reading::EXPIRED_ENTRY_GRACE,
-    request::Stage, state::State,
+    Account, Catalog, Effect, LogEntry, ServerChange, ServerEntry, ServerKey,
+    reading::EXPIRED_ENTRY_GRACE, request::Stage, state::State,
 };
 
 /// Time from the start after which gossip has found the members of a small fleet, from a few
@@ -243,10 +243,16 @@
             let Some(req) = self.requests.get(key) else { continue };
             let Some(hash) = &req.routed.key else { continue };
             let account = catalog.accounts.as_ref().and_then(|accounts| accounts.get(hash));
-            if account != req.routed.account.as_ref() && matches!(req.stage, Stage::Waiting(_)) {
+            // Another account may have got the key. A new tier of the same one revokes nothing.
+            let is_revoked = account_name(account) != account_name(req.routed.account.as_ref());
+            if is_revoked && matches!(req.stage, Stage::Waiting(_)) {
                 let refusal = req.refusal(Reason::NoKey);
                 self.refuse(now, key, refusal);
             }
         }
     }
 }
+
+fn account_name(account: Option<&Arc<Account>>) -> Option<&str> {
+    account.map(|account| &*account.name)
+}
--- a/crates/dispatch/tests/decisions/keys.rs
+++ b/crates/dispatch/tests/decisions/keys.rs
@@ -3,11 +3,11 @@
 
 use std::sync::Arc;
 
-use dispatch::{Accounts, AttemptEnd, Event};
+use dispatch::{Account, Accounts, AttemptEnd, Event};
 use gossip::ViewSummary;
 use model::prelude::*;
 
-use crate::support::{Bench, KEY, attempts, catalog, prompt, refusals, server};
+use crate::support::{ACCOUNT, Bench, KEY, attempts, catalog, prompt, refusals, server};
 
 /// A key that was revoked this long ago must not be accepted.
 const REVOKE: Duration = Duration::from_millis(5_000);
@@ -85,6 +85,39 @@
     assert!(refused.iter().all(|refused| refused.1.execution == Execution::NotRun));
 }
 
+/// Guards against waiting requests that end with 401 as the rank of their account changes.
+#[test]
+fn a_waiting_request_is_kept_when_the_tier_of_its_account_changes() {
+    let mut bench = bench();
+    let waiting = (0..20).map(|_| bench.request("order", prompt(0, 0, 0)).1);
+    assert!(waiting.filter(|effects| attempts(effects).is_empty()).count() > 0);
+    let mut next = catalog(2);
+    let mut accounts = Accounts::default();
+    accounts.add(Account { name: ACCOUNT.into(), tier: Some(Tier(0)) }, [KeyHash::of(KEY)]);
+    next.accounts = Some(accounts);
+
+    let refused = refusals(&bench.step(Event::Config(Arc::new(next))));
+
+    assert!(refused.is_empty(), "{refused:?}");
+}
+
+/// Guards against a key that works on for waiting requests after another account got it.
+#[test]
+fn a_waiting_request_is_refused_when_its_key_goes_to_another_account() {
+    let mut bench = bench();
+    let waiting: Vec<_> = (0..20).map(|_| bench.request("order", prompt(0, 0, 0)).1).collect();
+    let waiting = waiting.iter().filter(|effects| attempts(effects).is_empty()).count();
+    let mut next = catalog(2);
+    let mut accounts = Accounts::default();
+    accounts.add(Account { name: "another".into(), tier: None }, [KeyHash::of(KEY)]);
+    next.accounts = Some(accounts);
+
+    let refused = refusals(&bench.step(Event::Config(Arc::new(next))));
+
+    assert!(waiting > 0);
+    assert_eq!(refused.len(), waiting);
+}
+
 #[test]
 fn a_refusal_for_lack_of_servers_has_a_retry_after_time_that_callers_honour() {
     let mut bench = Bench::new(Vec::new());
