Send no body with a refusal of HEAD

Cause: a refusal was encoded with its body whatever the method. Refusals before and after a request waits show it alike, responses of servers do not.

Change: the head alone is written, with the length that the body would have; also at the status address.

--- a/crates/edge/src/exchange.rs
+++ b/crates/edge/src/exchange.rs
@@ -79,6 +79,7 @@
         let head = RequestHead::read(self.input, max_bytes).await?;
         self.has_unread_input = head.framing().has_body();
         self.response.closes_connection = head.closes();
+        self.response.omits_body = head.method() == "HEAD";
         Ok(head)
     }
 
--- a/crates/edge/src/problem.rs
+++ b/crates/edge/src/problem.rs
@@ -32,20 +32,14 @@
         Self { status: 431, phrase: "Request Header Fields Too Large", ..problem }
     }
 
-    /// Encodes the whole response. `id` is the name and the value of the field with the request's
-    /// id; without `keep` the response says that the connection closes.
-    pub(crate) fn encode(&self, id: Option<(&str, &str)>, keep: bool) -> Vec<u8> {
-        let body = json!({
-            "reason": self.reason,
-            "execution": self.execution,
-            "detail": self.detail,
-        });
-        let body = body.to_string();
+    /// Encodes the head. `id` is the name and the value of the field with the request's id; without
+    /// `keep` the response says that the connection closes.
+    pub(crate) fn encode_head(&self, id: Option<(&str, &str)>, keep: bool) -> Vec<u8> {
         let mut head = format!(
             "HTTP/1.1 {} {}\r\nContent-Type: application/json\r\nContent-Length: {}\r\n",
             self.status,
             self.phrase,
-            body.len()
+            self.encode_body().len()
         );
         if let Some((name, id)) = id {
             head.push_str(&format!("{name}: {id}\r\n"));
@@ -54,10 +48,19 @@
             head.push_str(&format!("Retry-After: {:.3}\r\n", span.as_secs_f64()));
         }
         head.push_str(if keep { "\r\n" } else { "Connection: close\r\n\r\n" });
-        head.push_str(&body);
         head.into_bytes()
     }
 
+    /// Encodes the body, which a response to `HEAD` does not have.
+    pub(crate) fn encode_body(&self) -> Vec<u8> {
+        let body = json!({
+            "reason": self.reason,
+            "execution": self.execution,
+            "detail": self.detail,
+        });
+        body.to_string().into_bytes()
+    }
+
     pub(crate) fn status(&self) -> u16 {
         self.status
     }
--- a/crates/edge/src/response.rs
+++ b/crates/edge/src/response.rs
@@ -36,6 +36,8 @@
     state: State,
     /// Whether the connection closes after the response, which then says so.
     pub(crate) closes_connection: bool,
+    /// Whether the request's method is `HEAD`: no body follows the head.
+    pub(crate) omits_body: bool,
     /// The id of the last server-sent event that was written.
     pub(crate) last_event_id: Option<String>,
 }
@@ -54,7 +56,13 @@
 
 impl Response {
     pub(crate) fn new(stream: TcpStream, closes_connection: bool) -> Self {
-        Self { stream, state: State::NotStarted, closes_connection, last_event_id: None }
+        Self {
+            stream,
+            state: State::NotStarted,
+            closes_connection,
+            omits_body: false,
+            last_event_id: None,
+        }
     }
 
     /// Returns whether a part of the response may have been written.
@@ -150,7 +158,11 @@
         id: Option<(&str, &str)>,
     ) -> io::Result<()> {
         self.state = State::Sized;
-        self.stream.write_all(&problem.encode(id, !self.closes_connection)).await?;
+        let mut buf = problem.encode_head(id, !self.closes_connection);
+        if !self.omits_body {
+            buf.extend_from_slice(&problem.encode_body());
+        }
+        self.stream.write_all(&buf).await?;
         self.state = State::Complete;
         Ok(())
     }
--- a/crates/edge/src/status.rs
+++ b/crates/edge/src/status.rs
@@ -64,10 +64,13 @@
     let keeps = !head.closes() && !head.framing().has_body();
     let (status, body) = respond(instance, head.method(), head.path());
     let connection = if keeps { "" } else { "Connection: close\r\n" };
-    let text = format!(
-        "HTTP/1.1 {status}\r\nContent-Type: text/plain\r\nContent-Length: {}\r\n{connection}\r\n{body}",
+    let mut text = format!(
+        "HTTP/1.1 {status}\r\nContent-Type: text/plain\r\nContent-Length: {}\r\n{connection}\r\n",
         body.len()
     );
+    if head.method() != "HEAD" {
+        text.push_str(&body);
+    }
     stream.clone().write_all(text.as_bytes()).await?;
     Ok(keeps)
 }
