Notice that a caller has left before its request is sent

Cause: the work of a request was polled before the wait for its caller's close, so an instance that got no processor time for a while found both ready and sent the request. Evidence: a process is stopped while six callers send and close; all six requests reach the server if there is an idle connection to it, none if one has to be opened, as the caller is looked at meanwhile.

Change: the caller's connection is looked at first, which reads what is there. No further system calls.

--- a/crates/edge/src/exchange.rs
+++ b/crates/edge/src/exchange.rs
@@ -249,7 +249,8 @@
             instance.handle_event(Event::CallerLeft { key });
             Disposition::Abort
         };
-        let disposition = work.or(left).await;
+        // A caller that has left is noticed before a further step, which may send its request.
+        let disposition = left.or(work).await;
         instance.remove_task(key);
         match disposition {
             Disposition::KeepOpen if self.response.closes_connection => Disposition::Close,
