Name what servers say notices, and give the memory of bodies a file

For the reader: server_words becomes server_notices, with the names around it; BodyQuota moves out of exchange.rs, which held two areas; a refusal is encoded in one function again, once. No change in behavior.

--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -33,7 +33,7 @@
 mod route;
 mod server;
 mod server_ends;
-mod server_words;
+mod server_notices;
 mod servers;
 mod settings;
 mod share;
--- a/crates/dispatch/tests/decisions/main.rs
+++ b/crates/dispatch/tests/decisions/main.rs
@@ -12,7 +12,7 @@
 mod live;
 mod reading;
 mod restart;
-mod server_words;
+mod server_notices;
 mod shutdown;
 mod support;
 mod tiers;
--- a/crates/edge/src/exchange.rs
+++ b/crates/edge/src/exchange.rs
@@ -7,14 +7,13 @@
 use async_net::TcpStream;
 use dispatch::{Command, Event, LogEntry, NewRequest, RequestKey, Routed};
 use futures_lite::FutureExt as _;
-use http1::{
-    BodyDecoder, BodyError, Buffered, Framing, HeadError, RequestHead, discard, read_whole,
-};
+use http1::{BodyError, Buffered, Framing, HeadError, RequestHead, discard, read_whole};
 use model::prelude::*;
 
 use crate::{
     FieldError, Instance,
     attempt::{HeldResponse, RunningAttempt},
+    body_quota::{BodyQuota, read_counted},
     outgoing::OutgoingRequest,
     problem::Problem,
     response::Response,
@@ -23,9 +22,6 @@
 /// Bytes of pipelined requests that are buffered while a request runs; beyond that, the connection
 /// is not read until the response is complete.
 const MAX_PIPELINED_BYTES: usize = 32 << 10;
-/// Request bodies together may take the process's memory divided by this; beyond it, further
-/// requests are rejected.
-const BODY_MEMORY_DIVISOR: usize = 4;
 /// Timeout for writing an error response of this process to a caller, and for reading the body of a
 /// request that is rejected. A quarter of it is the `Retry-After` of a request whose body finds no
 /// memory.
@@ -79,7 +75,7 @@
         let head = RequestHead::read(self.input, max_bytes).await?;
         self.has_unread_input = head.framing().has_body();
         self.response.closes_connection = head.closes();
-        self.response.omits_body = head.method() == "HEAD";
+        self.response.is_head = head.method() == "HEAD";
         Ok(head)
     }
 
@@ -405,57 +401,3 @@
         }
     }
 }
-
-/// Reads a chunked body of at most `limit` bytes, for each of which memory is reserved before it is
-/// kept. Returns `None` if there is too little.
-async fn read_counted(
-    input: &mut Buffered<TcpStream>,
-    limit: usize,
-    quota: &mut BodyQuota,
-) -> Result<Option<Vec<u8>>, BodyError> {
-    let mut decoder = BodyDecoder::new(Framing::Chunked);
-    let mut body = Vec::new();
-    while let Some(piece) = decoder.next(input).await? {
-        if body.len() + piece.len() > limit {
-            return Err(BodyError::TooLarge(limit));
-        }
-        if !quota.grow(piece.len()) {
-            return Ok(None);
-        }
-        body.extend_from_slice(&piece);
-    }
-    Ok(Some(body))
-}
-
-/// Memory that a request reserves for its body, released on drop.
-struct BodyQuota {
-    instance: Rc<Instance>,
-    bytes: usize,
-}
-
-impl BodyQuota {
-    /// Reserves bytes; returns `None` if other bodies leave too little.
-    fn reserve(instance: &Rc<Instance>, bytes: usize) -> Option<Self> {
-        let mut quota = Self { instance: Rc::clone(instance), bytes: 0 };
-        quota.grow(bytes).then_some(quota)
-    }
-
-    /// Reserves further bytes. Returns `false` and leaves the reservation as it is if other bodies leave
-    /// too little. A body that is the only one is admitted even if it exceeds the limit.
-    fn grow(&mut self, more: usize) -> bool {
-        let max = self.instance.settings.memory_bytes / BODY_MEMORY_DIVISOR;
-        let taken = self.instance.body_bytes.get();
-        if taken + more > max && taken > self.bytes {
-            return false;
-        }
-        self.instance.body_bytes.set(taken + more);
-        self.bytes += more;
-        true
-    }
-}
-
-impl Drop for BodyQuota {
-    fn drop(&mut self) {
-        self.instance.body_bytes.set(self.instance.body_bytes.get().saturating_sub(self.bytes));
-    }
-}
--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -6,6 +6,7 @@
 //! [`Instance`].
 
 mod attempt;
+mod body_quota;
 mod caller;
 mod connection_pool;
 mod events;
--- a/crates/edge/src/problem.rs
+++ b/crates/edge/src/problem.rs
@@ -32,33 +32,33 @@
         Self { status: 431, phrase: "Request Header Fields Too Large", ..problem }
     }
 
-    /// Encodes the head. `id` is the name and the value of the field with the request's id; without
-    /// `keep` the response says that the connection closes.
-    pub(crate) fn encode_head(&self, id: Option<(&str, &str)>, keep: bool) -> Vec<u8> {
-        let mut head = format!(
+    /// Encodes the response. `id` is the name and the value of the field with the request's id; without
+    /// `keep` the response says that the connection closes. A response to `HEAD` has the length of a
+    /// body and no body.
+    pub(crate) fn encode(&self, id: Option<(&str, &str)>, keep: bool, is_head: bool) -> Vec<u8> {
+        let body = json!({
+            "reason": self.reason,
+            "execution": self.execution,
+            "detail": self.detail,
+        });
+        let body = body.to_string();
+        let mut text = format!(
             "HTTP/1.1 {} {}\r\nContent-Type: application/json\r\nContent-Length: {}\r\n",
             self.status,
             self.phrase,
-            self.encode_body().len()
+            body.len()
         );
         if let Some((name, id)) = id {
-            head.push_str(&format!("{name}: {id}\r\n"));
+            text.push_str(&format!("{name}: {id}\r\n"));
         }
         if let Some(span) = self.retry_after {
-            head.push_str(&format!("Retry-After: {:.3}\r\n", span.as_secs_f64()));
+            text.push_str(&format!("Retry-After: {:.3}\r\n", span.as_secs_f64()));
         }
-        head.push_str(if keep { "\r\n" } else { "Connection: close\r\n\r\n" });
-        head.into_bytes()
-    }
-
-    /// Encodes the body, which a response to `HEAD` does not have.
-    pub(crate) fn encode_body(&self) -> Vec<u8> {
-        let body = json!({
-            "reason": self.reason,
-            "execution": self.execution,
-            "detail": self.detail,
-        });
-        body.to_string().into_bytes()
+        text.push_str(if keep { "\r\n" } else { "Connection: close\r\n\r\n" });
+        if !is_head {
+            text.push_str(&body);
+        }
+        text.into_bytes()
     }
 
     pub(crate) fn status(&self) -> u16 {
--- a/crates/edge/src/response.rs
+++ b/crates/edge/src/response.rs
@@ -36,8 +36,8 @@
     state: State,
     /// Whether the connection closes after the response, which then says so.
     pub(crate) closes_connection: bool,
-    /// Whether the request's method is `HEAD`: no body follows the head.
-    pub(crate) omits_body: bool,
+    /// Whether the request's method is `HEAD`, so that the response has no body.
+    pub(crate) is_head: bool,
     /// The id of the last server-sent event that was written.
     pub(crate) last_event_id: Option<String>,
 }
@@ -60,7 +60,7 @@
             stream,
             state: State::NotStarted,
             closes_connection,
-            omits_body: false,
+            is_head: false,
             last_event_id: None,
         }
     }
@@ -158,10 +158,7 @@
         id: Option<(&str, &str)>,
     ) -> io::Result<()> {
         self.state = State::Sized;
-        let mut buf = problem.encode_head(id, !self.closes_connection);
-        if !self.omits_body {
-            buf.extend_from_slice(&problem.encode_body());
-        }
+        let buf = problem.encode(id, !self.closes_connection, self.is_head);
         self.stream.write_all(&buf).await?;
         self.state = State::Complete;
         Ok(())
