--- a/crates/dispatch/src/placement.rs
+++ b/crates/dispatch/src/placement.rs
@@ -171,9 +171,9 @@
     }
 
     /// Returns whether the attempt that was started for a request may still be sent: its server has
-    /// neither begun to leave, asked for a pause nor been restarted since it was chosen, its zone has not been
-    /// evacuated, and no part of its prompt is held back. Asked when there is a connection, right
-    /// before the first byte.
+    /// neither begun to leave, asked for a pause nor been restarted since it was chosen, its zone has
+    /// not been evacuated, and no part of its prompt is held back. Asked when there is a connection,
+    /// right before the first byte.
     pub fn may_send_attempt(&self, now: Time, key: RequestKey) -> bool {
         let Some(req) = self.requests.get(key) else { return false };
         let Stage::Running(running) = req.stage else { return false };
--- a/crates/dispatch/src/server_ends.rs
+++ b/crates/dispatch/src/server_ends.rs
@@ -36,7 +36,7 @@
 
 impl RunningAttempt {
     /// Returns whether the server still ran [`SURVIVAL_TIME`] after its response began.
-    fn is_survived(&self, now: Time) -> bool {
+    fn has_survived(&self, now: Time) -> bool {
         self.begun_at.is_some_and(|begun_at| now.since(begun_at) >= SURVIVAL_TIME)
     }
 }
@@ -59,10 +59,10 @@
         let is_paused = self.servers.get(running.server).is_some_and(|it| it.is_paused(now));
         let is_broken = matches!(end, AttemptEnd::Broken { .. }) && !is_paused;
         let is_in_doubt = is_broken || is_answered && running.has_closed;
-        if is_answered && (!is_in_doubt || running.is_survived(now)) {
+        if is_answered && (!is_in_doubt || running.has_survived(now)) {
             return self.quarantine.answered(&req.prompt, sent_at);
         }
-        if !is_in_doubt || running.is_survived(now) || req.prompt.shared_parts().is_empty() {
+        if !is_in_doubt || running.has_survived(now) || req.prompt.shared_parts().is_empty() {
             return;
         }
         let attempt = EndedAttempt { prompt: req.prompt.clone(), sent_at, is_answered };
@@ -109,7 +109,7 @@
         for req in self.requests.values() {
             let Stage::Running(running) = req.stage else { continue };
             let Some(sent_at) = running.sent_at else { continue };
-            if running.is_survived(now) {
+            if running.has_survived(now) {
                 self.quarantine.answered(&req.prompt, sent_at);
             }
         }
