--- a/crates/fakes/tests/fakes.rs
+++ b/crates/fakes/tests/fakes.rs
@@ -1,15 +1,24 @@
 //! Tests of the fakes, client and proxy without daemons.
 #![allow(clippy::unwrap_used)]
 
-use std::time::Duration;
+use std::{
+    collections::HashSet,
+    env, fs,
+    net::{Ipv4Addr, TcpListener, UdpSocket},
+    process::Command,
+    time::Duration,
+};
 
 use config::InstanceList;
 use fakes::{
     Call, Client, Direction, End, Engine, EngineBehavior, Fault, Finish, Platform, Proxy,
-    RecordedRequest, Reply, excess, peak,
+    RecordedRequest, Reply, excess, free_port, peak,
     rt::{block_on, sleep, spawn},
 };
 
+/// The number of ports that each of two processes asks for.
+const PORT_COUNT: usize = 5_000;
+
 fn completion(nonce: &str) -> Call {
     Call::completion("/v1/completions", "m", 20).nonce(nonce).timeout(Duration::from_secs(5))
 }
@@ -198,3 +207,57 @@
     assert_eq!(delayed.end, End::Complete);
     assert!(delayed.total >= Duration::from_millis(100));
 }
+
+/// Guards against a process that cannot listen because another one was given its port, or because an
+/// outgoing connection took it.
+#[test]
+fn free_ports_are_distinct_and_not_ephemeral() {
+    let range = fs::read_to_string("/proc/sys/net/ipv4/ip_local_port_range").unwrap();
+    let first_ephemeral = range.split_whitespace().next().unwrap().parse().unwrap();
+
+    let addresses: Vec<_> = (0..100).map(|_| free_port()).collect();
+
+    assert!(addresses.iter().all(|it| it.port() < first_ephemeral), "{addresses:?}");
+    assert_eq!(addresses.iter().collect::<HashSet<_>>().len(), addresses.len());
+}
+
+/// Guards against ports that datagram sockets or listeners of other programs have.
+#[test]
+fn free_ports_have_no_sockets() {
+    let taken = (10_000..32_000).step_by(350).map(|port| (Ipv4Addr::LOCALHOST, port));
+    let _datagrams: Vec<_> = taken.clone().filter_map(|it| UdpSocket::bind(it).ok()).collect();
+    let listeners = taken.map(|(ip, port)| (ip, port + 1));
+    let _listeners: Vec<_> = listeners.filter_map(|it| TcpListener::bind(it).ok()).collect();
+
+    let addresses = (0..5_000).map(|_| free_port());
+
+    let unusable: Vec<_> = addresses
+        .filter(|it| UdpSocket::bind(it).is_err() || TcpListener::bind(it).is_err())
+        .collect();
+    assert!(unusable.is_empty(), "{unusable:?}");
+}
+
+/// Guards against two test programs at the same time that are given the same ports.
+#[test]
+fn processes_are_given_different_ports() {
+    let ports: HashSet<_> = (0..PORT_COUNT).map(|_| free_port().port()).collect();
+    let other = Command::new(env::current_exe().unwrap())
+        .args(["free_ports_of_another_process", "--ignored", "--nocapture"])
+        .output()
+        .unwrap();
+    let other = String::from_utf8(other.stdout).unwrap();
+    let others: HashSet<u16> =
+        other.lines().filter_map(|it| it.strip_prefix("port ")?.parse().ok()).collect();
+
+    assert_eq!(others.len(), PORT_COUNT, "{other}");
+    assert!(ports.is_disjoint(&others));
+}
+
+#[test]
+#[ignore = "run by another test as a process of its own"]
+fn free_ports_of_another_process() {
+    println!();
+    for _ in 0..PORT_COUNT {
+        println!("port {}", free_port().port());
+    }
+}
