Fetch no prompt parts from a server that asked for a pause

A server that rejects with `Retry-After` wants nothing from this instance, but while it was paused, requests to other engines still named it as the source of a shared prompt, so these asked it for the parts. Cause: `is_available`, which decides on sources, asked for back-off only. Servers that leave were excluded already.

Tests of what holds while servers leave by their word or ask for a pause come with it: the cold limit, the share of connections, evacuated zones, the retry budget (spent once), an even load on the servers that are left, and deadlines while pauses are extended again and again.

--- a/crates/dispatch/src/placement.rs
+++ b/crates/dispatch/src/placement.rs
@@ -187,9 +187,10 @@
             })
     }
 
-    /// Returns whether a server is known and not backed off.
+    /// Returns whether a server is known and neither paused nor backed off.
     fn is_available(&self, now: Time, server: ServerKey) -> bool {
-        self.servers.get(server).is_some_and(|server| !server.health.is_backed_off(now))
+        let server = self.servers.get(server);
+        server.is_some_and(|it| !it.is_paused(now) && !it.health.is_backed_off(now))
     }
 
     /// Returns whether a server may get a request now: it neither leaves nor is in an evacuated zone,
--- a/crates/dispatch/tests/decisions/main.rs
+++ b/crates/dispatch/tests/decisions/main.rs
@@ -10,6 +10,7 @@
 mod lapses;
 mod leaving;
 mod live;
+mod notice_limits;
 mod reading;
 mod restart;
 mod server_notices;
