Tell peers which servers say that they leave

Each instance learned from its own first response that a server leaves: in a fleet of 60, up to 60 requests went to a server that had said so, while the store was away or slow. An instance now tells its peers for 2 s which servers told it, as 32-bit tags in the room that the evidence against prompt parts leaves (400 bytes together, as before; packets are unchanged while no server leaves).

A peer's word takes no server out of use. For 2 s from the first report about a start of a server, 1.5 s are added to its cost, so others that have room are preferred; repeated reports do not extend it, and whether a server has room does not depend on cost.

Tests: `decisions leaving_reports` (5) and `gossip notices` (4). Without the added cost, or with reports that extend the time, the tests of these fail (tried).

--- a/crates/dispatch/src/choice.rs
+++ b/crates/dispatch/src/choice.rs
@@ -36,6 +36,9 @@
 /// Added to the cost of a server that fails every request, and in proportion to its failure rate
 /// for others.
 const FAILURE_COST: Duration = Duration::from_millis(1_500);
+/// Added to the cost of a server that leaves, as another instance said. It is chosen only if no other
+/// one has room, so a false report keeps no request waiting.
+const REPORTED_LEAVING_COST: Duration = Duration::from_millis(1_500);
 /// The share of the uncached prefix that the first choice for it is expected to read: other
 /// instances have probably sent the prefix there even if this one has not.
 pub(crate) const FIRST_CHOICE_UNCACHED: f64 = 0.1;
@@ -187,12 +190,15 @@
         let first_byte_by_rank = first_byte.saturating_sub(less_urgent.mul_f64(health.slowdown()));
         let zone = if self.is_same_zone { Duration::ZERO } else { CROSS_ZONE_COST };
         let failures = FAILURE_COST.mul_f64(health.failure_rate(now));
+        let is_leaving = self.server.is_reported_leaving(now);
+        let leaving = if is_leaving { REPORTED_LEAVING_COST } else { Duration::ZERO };
         let safe = target.mul_f64(SAFE_TARGET_SHARE);
         let late = first_byte.saturating_sub(safe).mul_f64(LATE_COST_FACTOR);
         let reading = Duration::from_secs_f64(uncached * UNCACHED_TOKEN_COST_MS / 1e3);
         let wait = first_byte.min(safe) + late;
         let spread = SPREAD_COST.mul_f64(self.spread);
-        let cost = wait + spread + reading + zone + failures + 2 * health.excess_silence(now);
+        let silence = 2 * health.excess_silence(now);
+        let cost = wait + spread + reading + zone + failures + leaving + silence;
         let prefill_tokens = prompt.own_tokens().saturating_add(uncached as u32);
         let is_idle = self.load.all.attempts == 0;
         let urgent_reading = reading_time(self.load.more_urgent.prefill_tokens);
--- a/crates/dispatch/src/effect.rs
+++ b/crates/dispatch/src/effect.rs
@@ -107,6 +107,13 @@
         /// The number of attempts that were decided for it and not sent yet.
         unsent: u32,
     },
+    /// Another instance says that a server leaves. For a short time, others are preferred to it.
+    ServerReportedLeaving {
+        /// The server's name in the platform's list.
+        server: Arc<str>,
+        /// The incarnation that leaves.
+        incarnation: u64,
+    },
     /// A server says in a rejection that it wants no requests of this instance for some time.
     ServerPaused {
         /// The server's name in the platform's list.
--- a/crates/dispatch/src/fleet.rs
+++ b/crates/dispatch/src/fleet.rs
@@ -173,6 +173,9 @@
             self.quarantine.merge(now, &update.evidence);
             self.update_quarantine(now);
         }
+        if !update.leaving.is_empty() {
+            self.heed_leaving_report(now, &update.leaving);
+        }
         if self.members.possible_count() != self.share.known_members() {
             self.update_share(now);
         }
@@ -186,10 +189,12 @@
         }
         let (loads, ranked_loads) = self.own_loads();
         let evidence = self.quarantine.report(now);
+        let leaving = self.leaving_report(now);
         let (packets, died) = self.members.tick(now, self.freshness.view_status(now), &loads);
         for mut outgoing in packets {
             outgoing.packet.ranked_loads.clone_from(&ranked_loads);
             outgoing.packet.evidence.clone_from(&evidence);
+            outgoing.packet.leaving.clone_from(&leaving);
             self.emit(Effect::Send(outgoing));
         }
         for member in died {
--- a/crates/dispatch/src/server.rs
+++ b/crates/dispatch/src/server.rs
@@ -56,6 +56,8 @@
     pub(crate) cold_until: Time,
     /// Until when it wants no requests of this instance.
     pub(crate) paused_until: Time,
+    /// The incarnation that leaves, as another instance said first, and until when that counts.
+    pub(crate) reported_leaving: Option<(u64, Time)>,
     /// When the platform came back, if the entry has been missing since: it has probably expired, and
     /// will be listed again if the server still runs.
     pub(crate) expired_at: Option<Time>,
@@ -76,6 +78,7 @@
             load: LoadByRank::default(),
             unsent: 0,
             paused_until: Time::default(),
+            reported_leaving: None,
             expired_at: None,
             recent_requests: RequestWindow::default(),
             prefixes: PrefixCache::default(),
@@ -103,6 +106,13 @@
         now < self.paused_until
     }
 
+    /// Returns whether another instance said lately that the server leaves.
+    pub fn is_reported_leaving(&self, now: Time) -> bool {
+        self.reported_leaving.is_some_and(|(incarnation, until)| {
+            incarnation == self.entry.incarnation && now < until
+        })
+    }
+
     /// Treats the server as cold for at least this time.
     pub(crate) fn mark_cold(&mut self, now: Time, span: Duration) {
         self.cold_until = self.cold_until.max(now + span);
--- a/crates/dispatch/src/server_notices.rs
+++ b/crates/dispatch/src/server_notices.rs
@@ -1,11 +1,14 @@
 //! What servers say of themselves in responses: that they leave, or want no requests for some time.
 //!
-//! Each instance acts on what it was told itself. What peers say takes no server out of use.
+//! Each instance acts on what it was told itself. What peers say takes no server out of use: for a short
+//! time, other servers that have room are preferred.
 
 use std::sync::Arc;
 
+use gossip::IncarnationTag;
 use model::prelude::*;
 use rand::RngExt as _;
+use xxhash_rust::xxh3::xxh3_64_with_seed;
 
 use crate::{LogEntry, RequestKey, ServerKey, request::Stage, state::State};
 
@@ -19,13 +22,22 @@
 /// The longest time over which they return.
 const MAX_RETURN_SPREAD: Duration = Duration::from_secs(2);
 
+/// For how long other instances are told of a server that leaves. Packets take less to reach them;
+/// later the platform lists the server as draining, or they were told by the server.
+const REPORT_TIME: Duration = Duration::from_secs(2);
+/// Servers in a report, up to 5 bytes each.
+const MAX_REPORTED: usize = 16;
+/// For how long the report of another instance counts, from the first one on. Reports for the same
+/// start of a server do not extend it.
+const REPORTED_TIME: Duration = Duration::from_secs(2);
+
 impl State {
     /// Takes the server of a running attempt out of use until it starts again, as it leaves.
     pub(crate) fn server_leaves(&mut self, now: Time, key: RequestKey) {
         let Some((server_key, incarnation)) = self.server_of(key) else { return };
         let Some(server) = self.servers.get(server_key) else { return };
         let (id, unsent, name) = (server.id, server.unsent, Arc::clone(&server.entry.name));
-        if self.servers.set_leaving(id, incarnation) {
+        if self.servers.set_leaving(now, id, incarnation) {
             self.log(LogEntry::ServerLeaving { server: name, incarnation, unsent });
             self.refuse_paused(now);
             self.dispatch_all(now);
@@ -50,6 +62,31 @@
         self.refuse_paused(now);
     }
 
+    /// Returns the servers that told this instance lately that they leave.
+    pub(crate) fn leaving_report(&self, now: Time) -> Vec<IncarnationTag> {
+        let leaving = self.servers.leaving_since(now - REPORT_TIME);
+        leaving
+            .map(|(id, incarnation)| incarnation_tag(id, incarnation))
+            .take(MAX_REPORTED)
+            .collect()
+    }
+
+    /// Prefers other servers for some time to those that leave, as another instance says.
+    pub(crate) fn heed_leaving_report(&mut self, now: Time, leaving: &[IncarnationTag]) {
+        let mut reported = Vec::new();
+        for server in self.servers.iter_mut() {
+            let incarnation = server.entry.incarnation;
+            let is_known = server.reported_leaving.is_some_and(|it| it.0 == incarnation);
+            if !is_known && leaving.contains(&incarnation_tag(server.id, incarnation)) {
+                server.reported_leaving = Some((incarnation, now + REPORTED_TIME));
+                reported.push((Arc::clone(&server.entry.name), incarnation));
+            }
+        }
+        for (server, incarnation) in reported {
+            self.log(LogEntry::ServerReportedLeaving { server, incarnation });
+        }
+    }
+
     /// Returns the server of a running attempt and the incarnation that was chosen.
     fn server_of(&self, key: RequestKey) -> Option<(ServerKey, u64)> {
         match self.requests.get(key)?.stage {
@@ -100,3 +137,8 @@
         eligible.map(|server| server.paused_until).min().filter(|until| *until > now)
     }
 }
+
+/// Returns the tag of a start of a server, the same at all instances.
+fn incarnation_tag(server: ServerId, incarnation: u64) -> IncarnationTag {
+    IncarnationTag(xxh3_64_with_seed(&incarnation.to_be_bytes(), server.0) as u32)
+}
--- a/crates/dispatch/src/servers.rs
+++ b/crates/dispatch/src/servers.rs
@@ -17,13 +17,21 @@
     all: SlotMap<ServerKey, Server>,
     by_id: HashMap<ServerId, ServerKey>,
     pools: HashMap<PoolId, Vec<ServerKey>>,
-    /// The incarnations of servers that said that they leave. Kept by id, as the platform may list such
-    /// a server again, also after it had removed it.
-    leaving: BTreeMap<ServerId, u64>,
+    /// The servers that said that they leave. Kept by id, as the platform may list such a server again,
+    /// also after it had removed it.
+    leaving: BTreeMap<ServerId, Leaving>,
     /// The evacuated zones, whose servers get no requests.
     pub(crate) evacuated_zones: BTreeSet<ZoneId>,
 }
 
+/// A start of a server that said that it leaves.
+#[derive(Clone, Copy, Debug)]
+struct Leaving {
+    incarnation: u64,
+    /// When it said so first.
+    since: Time,
+}
+
 impl Servers {
     pub(crate) fn get(&self, key: ServerKey) -> Option<&Server> {
         self.all.get(key)
@@ -66,15 +74,31 @@
 
     /// Records that an incarnation of a server leaves, whatever the platform lists. Returns whether
     /// that is new.
-    pub(crate) fn set_leaving(&mut self, id: ServerId, incarnation: u64) -> bool {
+    pub(crate) fn set_leaving(&mut self, now: Time, id: ServerId, incarnation: u64) -> bool {
+        if self.leaving.get(&id).is_some_and(|it| it.incarnation == incarnation) {
+            return false;
+        }
         if self.leaving.len() >= MAX_LEAVING {
             self.leaving.retain(|id, _| self.by_id.contains_key(id));
         }
-        self.leaving.insert(id, incarnation) != Some(incarnation)
+        self.leaving.insert(id, Leaving { incarnation, since: now });
+        true
+    }
+
+    /// Returns the servers that have said since this time that they leave, with their incarnations.
+    pub(crate) fn leaving_since(&self, since: Time) -> impl Iterator<Item = (ServerId, u64)> {
+        let recent = self.leaving.iter().filter(move |it| it.1.since >= since);
+        recent.map(|(id, leaving)| (*id, leaving.incarnation))
+    }
+
+    /// Returns whether a server said that it leaves.
+    pub(crate) fn is_leaving(&self, server: &Server) -> bool {
+        let leaving = self.leaving.get(&server.id);
+        leaving.is_some_and(|it| it.incarnation == server.entry.incarnation)
     }
 
-    fn is_leaving(&self, server: &Server) -> bool {
-        self.leaving.get(&server.id) == Some(&server.entry.incarnation)
+    pub(crate) fn iter_mut(&mut self) -> impl Iterator<Item = &mut Server> {
+        self.all.values_mut()
     }
 
     /// Returns whether a server may get requests: it is neither draining nor says that it leaves, and
--- a/crates/dispatch/tests/decisions/main.rs
+++ b/crates/dispatch/tests/decisions/main.rs
@@ -9,6 +9,7 @@
 mod keys;
 mod lapses;
 mod leaving;
+mod leaving_reports;
 mod live;
 mod notice_limits;
 mod reading;
--- a/crates/edge/src/journal.rs
+++ b/crates/edge/src/journal.rs
@@ -46,6 +46,7 @@
             | LogEntry::Refused { .. }
             | LogEntry::Malformed { .. }
             | LogEntry::IgnoredField { .. }
+            | LogEntry::ServerReportedLeaving { .. }
             | LogEntry::ServerPaused { .. }
             | LogEntry::Rejected { .. }
             | LogEntry::SentLate { .. }
@@ -83,6 +84,9 @@
         LogEntry::ServerLeaving { server, incarnation, unsent } => {
             log::info!(server:%, incarnation, unsent; "server says that it leaves");
         }
+        LogEntry::ServerReportedLeaving { server, incarnation } => {
+            log::info!(server:%, incarnation; "another instance says that a server leaves");
+        }
         LogEntry::ServerPaused { server, incarnation, span } => {
             log::info!(server:%, incarnation, span_ms = millis(*span); "server asks for a pause");
         }
--- a/crates/gossip/src/lib.rs
+++ b/crates/gossip/src/lib.rs
@@ -16,11 +16,13 @@
 //! * [`PeerLoads`]: the load that peers put on backend servers,
 //! * [`Packet`]: the message and its codec.
 
+mod checked;
 mod demand;
 mod evidence;
 mod loads;
 mod member;
 mod members;
+mod notice;
 mod packet;
 mod peer;
 mod rank;
@@ -32,6 +34,7 @@
 pub use loads::{Load, PeerLoads, ServerTag, TotalLoad};
 pub use member::Member;
 pub use members::{Members, OutgoingPacket, PeerUpdate};
+pub use notice::IncarnationTag;
 pub use packet::{DecodeError, MAX_PACKET_BYTES, Packet, ViewStatus, ViewSummary};
 pub use rank::{LoadByRank, RankTag, RankedLoad};
 pub use tree::{Answer, Datagram, OutgoingTreeMessage, Probe, TreeContent, TreeMessage};
--- a/crates/gossip/src/members.rs
+++ b/crates/gossip/src/members.rs
@@ -13,7 +13,7 @@
 use rand_chacha::ChaCha8Rng;
 
 use crate::{
-    Load, Member, Packet, PartEvidence, RankedLoad, ViewStatus,
+    IncarnationTag, Load, Member, Packet, PartEvidence, RankedLoad, ViewStatus,
     peer::{Peer, available, order_hash},
 };
 
@@ -74,6 +74,8 @@
     pub ranked_loads: Vec<RankedLoad>,
     /// Evidence against prompt parts that end servers, as far as the sender tells it.
     pub evidence: Vec<PartEvidence>,
+    /// Servers that told the sender lately that they leave.
+    pub leaving: Vec<IncarnationTag>,
 }
 
 /// All known members of the fleet.
@@ -198,6 +200,7 @@
             loads: packet.loads,
             ranked_loads: packet.ranked_loads,
             evidence: packet.evidence,
+            leaving: packet.leaving,
         })
     }
 
--- a/crates/gossip/src/packet.rs
+++ b/crates/gossip/src/packet.rs
@@ -3,7 +3,7 @@
 use serde::{Deserialize, Serialize};
 use thiserror::Error;
 
-use crate::{Load, Member, PartEvidence, RankedLoad, evidence};
+use crate::{IncarnationTag, Load, Member, PartEvidence, RankedLoad, checked};
 
 /// The version of the packet format. Packets of another version are rejected.
 const FORMAT_VERSION: u8 = 1;
@@ -12,6 +12,8 @@
 /// Loads in a packet, up to 13 bytes each, which keeps it below [`MAX_PACKET_BYTES`].
 const MAX_LOADS: usize = 80;
 
+/// Upper bound on the bytes of the evidence and the notices in a packet.
+const MAX_EVIDENCE_BYTES: usize = 400;
 /// Upper bound on the bytes of a [`RankedLoad`], and on those of their number.
 const MAX_RANKED_LOAD_BYTES: usize = 10;
 
@@ -40,6 +42,10 @@
     /// rank.
     #[serde(skip)]
     pub evidence: Vec<PartEvidence>,
+    /// Servers that told the sender lately that they leave, as far as the evidence leaves room. They
+    /// follow it.
+    #[serde(skip)]
+    pub leaving: Vec<IncarnationTag>,
 }
 
 /// An instance's view of the platform and its staleness.
@@ -70,9 +76,9 @@
     /// The bytes are not an encoded packet.
     #[error("malformed packet: {0}")]
     Malformed(#[from] postcard::Error),
-    /// The evidence in the packet does not match its checksum.
-    #[error("the evidence against prompt parts is damaged")]
-    DamagedEvidence,
+    /// The evidence or the notices in the packet do not match their checksum.
+    #[error("the evidence against prompt parts or the notices of servers are damaged")]
+    DamagedList,
     /// The sender uses another version of the packet format.
     #[error("unsupported packet format {0}, expected {FORMAT_VERSION}")]
     UnsupportedFormat(u8),
@@ -97,6 +103,7 @@
             others: Vec::new(),
             ranked_loads: Vec::new(),
             evidence: Vec::new(),
+            leaving: Vec::new(),
         }
     }
 
@@ -104,7 +111,7 @@
     pub fn encode(&self) -> Result<Vec<u8>, postcard::Error> {
         let mut bytes = postcard::to_stdvec(self)?;
         let room = MAX_PACKET_BYTES.saturating_sub(bytes.len());
-        let evidence = evidence::encode(&self.evidence, room.saturating_sub(1))?;
+        let evidence = self.encode_evidence(room.saturating_sub(1))?;
         let room = (room - evidence.len()) / MAX_RANKED_LOAD_BYTES;
         let count = self.ranked_loads.len().min(room.saturating_sub(1));
         bytes.extend(postcard::to_stdvec(&self.ranked_loads[..count])?);
@@ -112,6 +119,22 @@
         Ok(bytes)
     }
 
+    /// Encodes as much as fits of the evidence, and of the notices in the room that it leaves.
+    fn encode_evidence(&self, room: usize) -> Result<Vec<u8>, postcard::Error> {
+        let room = room.min(MAX_EVIDENCE_BYTES);
+        let mut bytes = checked::encode(&self.evidence, room)?;
+        let before = if bytes.is_empty() {
+            checked::encode_all::<PartEvidence>(&[])?
+        } else {
+            bytes.clone()
+        };
+        let notices = checked::encode(&self.leaving, room.saturating_sub(before.len()))?;
+        if !notices.is_empty() {
+            bytes = [before, notices].concat();
+        }
+        Ok(bytes)
+    }
+
     /// Decodes a packet. Bytes after it are ignored.
     pub fn decode(bytes: &[u8]) -> Result<Self, DecodeError> {
         match bytes.first() {
@@ -121,7 +144,10 @@
                 if !rest.is_empty() {
                     let (ranked_loads, rest) = postcard::take_from_bytes(rest)?;
                     packet.ranked_loads = ranked_loads;
-                    packet.evidence = evidence::decode(rest)?;
+                    // Damaged evidence is rejected, as it could speak against another part.
+                    let (evidence, rest) = checked::decode(rest)?;
+                    packet.evidence = evidence;
+                    packet.leaving = checked::decode(rest)?.0;
                 }
                 Ok(packet)
             }
