Scan the bytes of a head once

Cause: with each read, the search for the end of a head began at its first byte, once for the end and once for bare line feeds. A head that comes byte by byte took 16 KiB squared, half of it, steps.

The search goes on where it stopped and looks at line feeds only.

--- a/crates/http1/src/raw.rs
+++ b/crates/http1/src/raw.rs
@@ -3,6 +3,7 @@
 use std::io;
 
 use futures_lite::AsyncRead;
+use memchr::memchr_iter;
 
 use crate::{Buffered, HeadError};
 
@@ -17,16 +18,18 @@
 ) -> Result<Vec<u8>, HeadError> {
     let mut has_started = false;
     let mut skipped = 0;
+    let mut scanned = 0;
     loop {
         while input.data().starts_with(b"\r\n") {
             input.consume(2);
             skipped += 2;
+            scanned = 0;
         }
         if skipped > max_bytes {
             return Err(HeadError::TooLarge(max_bytes));
         }
         has_started |= !input.data().is_empty();
-        if let Some(len) = head_len(input.data(), max_bytes)? {
+        if let Some(len) = head_len(input.data(), max_bytes, &mut scanned)? {
             let raw = input.data()[..len].to_vec();
             input.consume(len);
             return Ok(raw);
@@ -41,19 +44,27 @@
     }
 }
 
-/// Returns the length of the head that `data` starts with, or `None` if the head is incomplete.
-fn head_len(data: &[u8], max_bytes: usize) -> Result<Option<usize>, HeadError> {
+/// Returns the length of the head that `data` starts with, or `None` if the head is incomplete. The
+/// first `scanned` bytes were scanned before, and are not scanned again.
+fn head_len(
+    data: &[u8],
+    max_bytes: usize,
+    scanned: &mut usize,
+) -> Result<Option<usize>, HeadError> {
     let bounded = &data[..data.len().min(max_bytes)];
-    let end = bounded.windows(4).position(|bytes| bytes == b"\r\n\r\n").map(|start| start + 4);
-    let head = &bounded[..end.unwrap_or(bounded.len())];
-    let has_bare_line_feed =
-        head.iter().zip([0].iter().chain(head)).any(|(b, a)| *b == b'\n' && *a != b'\r');
-    if has_bare_line_feed {
-        // Parsers differ in whether a bare line feed ends a line.
-        return Err(HeadError::Malformed("a line does not end with CR LF"));
+    for offset in memchr_iter(b'\n', &bounded[*scanned..]) {
+        let line = &bounded[..*scanned + offset];
+        let Some(line) = line.strip_suffix(b"\r") else {
+            // Parsers differ in whether a bare line feed ends a line.
+            return Err(HeadError::Malformed("a line does not end with CR LF"));
+        };
+        if line.ends_with(b"\r\n") {
+            return Ok(Some(line.len() + 2));
+        }
     }
-    if end.is_none() && data.len() >= max_bytes {
+    *scanned = bounded.len();
+    if data.len() >= max_bytes {
         return Err(HeadError::TooLarge(max_bytes));
     }
-    Ok(end)
+    Ok(None)
 }
--- a/crates/http1/tests/heads.rs
+++ b/crates/http1/tests/heads.rs
@@ -2,7 +2,14 @@
 
 #![allow(clippy::unwrap_used)]
 
-use futures_lite::{future::block_on, io::Cursor};
+use std::{
+    io,
+    pin::Pin,
+    task::{Context, Poll},
+    time::{Duration, Instant},
+};
+
+use futures_lite::{AsyncRead, future::block_on, io::Cursor};
 use http1::{BodyDecoder, Buffered, Framing, HeadError, RequestHead, ResponseHead, read_whole};
 
 const MAX_BYTES: usize = 8_000;
@@ -136,6 +143,37 @@
 }
 
 /// Callers and servers may send anything: parsing must return an error instead of panicking.
+/// A reader that returns one byte at a time.
+struct ByteByByte<'a>(&'a [u8]);
+
+impl AsyncRead for ByteByByte<'_> {
+    fn poll_read(
+        mut self: Pin<&mut Self>,
+        _cx: &mut Context<'_>,
+        buf: &mut [u8],
+    ) -> Poll<io::Result<usize>> {
+        let Some((byte, rest)) = self.0.split_first() else { return Poll::Ready(Ok(0)) };
+        buf[0] = *byte;
+        self.0 = rest;
+        Poll::Ready(Ok(1))
+    }
+}
+
+/// Guards against a head that is scanned from its beginning with each read: callers that send many of
+/// them keep the process from all other work.
+#[test]
+fn a_head_that_comes_byte_by_byte_is_scanned_once() {
+    const LARGE: usize = 64 << 10;
+    let text = format!("\r\nGET / HTTP/1.1\r\nHost: h\r\nX-A: {}\r\n\r\n", "a".repeat(LARGE));
+    let mut input = Buffered::new(ByteByByte(text.as_bytes()));
+    let started = Instant::now();
+
+    let head = block_on(RequestHead::read(&mut input, 2 * LARGE)).unwrap();
+
+    assert_eq!(head.fields().text("x-a").unwrap().len(), LARGE);
+    assert!(started.elapsed() < Duration::from_secs(2), "{:?}", started.elapsed());
+}
+
 #[test]
 fn arbitrary_bytes_are_parsed_without_a_panic() {
     seeded::check_type::<Vec<u8>>(3_000, |bytes| {
