Bound the memory of heads, events and connections together

Servers that sent 200 KiB of an event and not its end took a process of 110 MB to 143 MiB with 500 streams; 2,400 callers that sent a head of 15 KiB without its end took it to 91 to 95 MiB, and another caller got no answer. A process that is killed for its memory loses the requests that run.

Cause: only bodies of requests counted. Heads, events and connections had a limit for each and none for all of them.

Change: one budget with a share for each use, reserved before bytes are kept; beyond it a new request gets a true not-run answer, and a stream is not read on. Bodies that are discarded are not kept any more.

--- a/crates/edge/src/attempt.rs
+++ b/crates/edge/src/attempt.rs
@@ -6,13 +6,14 @@
 use async_net::TcpStream;
 use dispatch::{Attempt, AttemptEnd, Event, LogEntry, RequestKey};
 use futures_lite::{AsyncWriteExt as _, future};
-use http1::{Buffered, ConnectionError, Framing, ResponseHead, read_whole};
+use http1::{Buffered, ConnectionError, Framing, ResponseHead, discard, read_whole};
 use model::prelude::*;
 use rustix::net::sockopt::set_tcp_user_timeout;
 
 use crate::{
     AttemptFields, BackendFields, Instance,
     connection_pool::Connection,
+    memory::{MemoryUse, Reservation},
     outgoing::OutgoingRequest,
     relay::{self, Relayed},
     response::Response,
@@ -54,6 +55,8 @@
 pub(crate) struct HeldResponse {
     pub(crate) head: ResponseHead,
     pub(crate) body: Vec<u8>,
+    /// The memory of the body.
+    _memory: Reservation,
 }
 
 /// Why an attempt produced no complete response.
@@ -205,7 +208,7 @@
                 "skipped a response to another request"
             );
             is_clean = false;
-            read_whole(input, head.framing(), MAX_BUFFERED_BODY_BYTES).await?;
+            discard(input, head.framing(), MAX_BUFFERED_BODY_BYTES).await?;
         }
         Err(Fault::Broken)
     }
@@ -258,9 +261,12 @@
             return Err(Fault::Broken);
         }
         if head.status() >= 500 && self.attempt.holds_server_error {
-            let body =
-                read_whole(&mut connection.input, head.framing(), MAX_BUFFERED_BODY_BYTES).await?;
-            *self.held = Some(HeldResponse { head: head.clone(), body });
+            let mut memory = Reservation::new(&self.instance.memory, MemoryUse::Responses);
+            if memory.resize(self.instance.clock.now(), MAX_BUFFERED_BODY_BYTES) {
+                let input = &mut connection.input;
+                let body = read_whole(input, head.framing(), MAX_BUFFERED_BODY_BYTES).await?;
+                *self.held = Some(HeldResponse { head: head.clone(), body, _memory: memory });
+            }
             return Err(Fault::HeldBack);
         }
         Ok(())
@@ -269,8 +275,9 @@
     /// Reads and discards the body of a response, then keeps the connection for reuse if the body
     /// ended cleanly.
     async fn discard_body(&self, head: &ResponseHead, connection: &mut Connection) {
-        let body = read_whole(&mut connection.input, head.framing(), MAX_BUFFERED_BODY_BYTES).await;
-        if body.is_ok() && connection.input.data().is_empty() {
+        let input = &mut connection.input;
+        let discarded = discard(input, head.framing(), MAX_BUFFERED_BODY_BYTES).await;
+        if discarded.is_ok() && connection.input.data().is_empty() {
             let kept = Connection {
                 stream: connection.stream.clone(),
                 input: Buffered::new(connection.stream.clone()),
--- a/crates/edge/src/caller.rs
+++ b/crates/edge/src/caller.rs
@@ -1,17 +1,18 @@
 //! Callers' connections.
 
-use std::{io, rc::Rc};
+use std::{io, pin::pin, rc::Rc};
 
 use aio::deadline;
 use async_net::{TcpListener, TcpStream};
-use futures_lite::FutureExt as _;
-use http1::{Buffered, HeadError};
+use futures_lite::{FutureExt as _, future};
+use http1::{Buffered, HeadError, RequestHead};
 use model::prelude::*;
 
 use crate::{
     Instance,
     attempt::set_socket_options,
-    exchange::{Disposition, Exchange},
+    exchange::{Disposition, Exchange, no_memory},
+    memory::{MemoryUse, Reservation},
     problem::Problem,
     response::Response,
 };
@@ -24,10 +25,16 @@
 /// The fraction of [`crate::Settings::max_sockets`] that callers' connections may take; the rest
 /// is for connections to backend servers and other sockets.
 const CALLER_SOCKET_FRACTION: f64 = 0.6;
+/// What an open connection takes, with the bytes that its caller sends ahead.
+const CONNECTION_BYTES: usize = 8 << 10;
+/// What a head that has not arrived whole takes, as a multiple of the largest head: the buffer grows
+/// by doubling.
+const PARTIAL_HEAD_FACTOR: usize = 2;
 
 /// Accepts connections until the process stops listening.
 pub(crate) async fn accept(instance: Rc<Instance>, listener: TcpListener) {
     let max = (instance.settings.max_sockets as f64 * CALLER_SOCKET_FRACTION) as usize;
+    let max = max.min(instance.memory.share(MemoryUse::Connections) / CONNECTION_BYTES);
     loop {
         let accepting = async { Some(listener.accept().await) };
         let stopped = async {
@@ -91,20 +98,49 @@
     input: &mut Buffered<TcpStream>,
     stream: &TcpStream,
 ) -> Disposition {
-    let limits = instance.limits();
     let arrived = instance.clock.now();
     let response = Response::new(stream.clone(), false);
     let mut exchange = Exchange::new(Rc::clone(instance), input, response, arrived);
-    let reading = exchange.read_head(limits.head_bytes);
-    let head = deadline::until(instance.clock, arrived + limits.head_time, reading).await;
+    match read_head(instance, &mut exchange, arrived).await {
+        Ok(head) => exchange.run(head).await,
+        Err(HeadFault::Problem(problem)) => exchange.reject(&problem, None).await,
+        Err(HeadFault::CallerLeft) => Disposition::Abort,
+    }
+}
+
+/// Why there is no head of a request.
+enum HeadFault {
+    /// The caller gets this error response.
+    Problem(Problem),
+    /// No caller waits for a response.
+    CallerLeft,
+}
+
+/// Reads the head of a request. Memory is reserved if it does not arrive at once.
+async fn read_head(
+    instance: &Instance,
+    exchange: &mut Exchange<'_>,
+    arrived: Time,
+) -> Result<RequestHead, HeadFault> {
+    let limits = instance.limits();
+    let mut memory = Reservation::new(&instance.memory, MemoryUse::PartialHeads);
+    let mut reading = pin!(exchange.read_head(limits.head_bytes));
+    let mut head = future::poll_once(&mut reading).await;
+    if head.is_none() {
+        let bytes = limits.head_bytes.saturating_mul(PARTIAL_HEAD_FACTOR);
+        if !memory.resize(arrived, bytes) {
+            return Err(HeadFault::Problem(no_memory()));
+        }
+        head = deadline::until(instance.clock, arrived + limits.head_time, reading).await;
+    }
     let problem = match head {
-        Some(Ok(head)) => return exchange.run(head).await,
-        Some(Err(HeadError::Closed | HeadError::Broken(_))) => return Disposition::Abort,
+        Some(Ok(head)) => return Ok(head),
+        Some(Err(HeadError::Closed | HeadError::Broken(_))) => return Err(HeadFault::CallerLeft),
         Some(Err(HeadError::TooLarge(_) | HeadError::TooManyFields)) => Problem::head_too_large(),
         Some(Err(HeadError::Malformed(detail))) => Problem::unreadable(Reason::BadRequest, detail),
         None => Problem::unreadable(Reason::SlowCaller, "the head came too slowly"),
     };
-    exchange.reject(&problem, None).await
+    Err(HeadFault::Problem(problem))
 }
 
 /// Closes a connection gracefully: reads and discards what the caller still sends, since closing a
--- a/crates/edge/src/exchange.rs
+++ b/crates/edge/src/exchange.rs
@@ -13,7 +13,8 @@
 use crate::{
     FieldError, Instance,
     attempt::{HeldResponse, RunningAttempt},
-    body_quota::{BodyQuota, read_counted},
+    counted_body::read_counted,
+    memory::{MemoryUse, Reservation},
     outgoing::OutgoingRequest,
     problem::Problem,
     response::Response,
@@ -21,7 +22,7 @@
 
 /// Bytes of pipelined requests that are buffered while a request runs; beyond that, the connection
 /// is not read until the response is complete.
-const MAX_PIPELINED_BYTES: usize = 32 << 10;
+const MAX_PIPELINED_BYTES: usize = 4 << 10;
 /// Timeout for writing an error response of this process to a caller, and for reading the body of a
 /// request that is rejected. A quarter of it is the `Retry-After` of a request whose body finds no
 /// memory.
@@ -55,8 +56,8 @@
     id: Arc<str>,
     routed: Routed,
     outgoing: OutgoingRequest,
-    /// Releases the memory reserved for the body when the request ends.
-    _quota: BodyQuota,
+    /// The memory of the body.
+    _memory: Reservation,
 }
 
 impl<'a> Exchange<'a> {
@@ -114,7 +115,7 @@
         };
         let caller_deadline = self.arrived + timeout.unwrap_or(routed.route.timeout);
         let by = caller_deadline.min(self.arrived + routed.route.timeout);
-        let (body, quota) = self.read_body(&head, by).await?;
+        let (body, memory) = self.read_body(&head, by).await?;
         let outgoing = OutgoingRequest { head, body };
         let new = NewRequest {
             id: Arc::clone(&id),
@@ -123,7 +124,7 @@
             caller_deadline,
             prompt,
         };
-        Ok((Accepted { id, routed, outgoing, _quota: quota }, new))
+        Ok((Accepted { id, routed, outgoing, _memory: memory }, new))
     }
 
     /// Logs the rejection of a request that could not be routed, and discards its body.
@@ -194,7 +195,7 @@
         &mut self,
         head: &RequestHead,
         by: Time,
-    ) -> Result<(Vec<u8>, BodyQuota), Rejection> {
+    ) -> Result<(Vec<u8>, Reservation), Rejection> {
         let instance = &self.instance;
         let limit = instance.limits();
         let length = match head.framing() {
@@ -205,25 +206,30 @@
             let detail = format!("the body is larger than {} bytes", limit.body_bytes);
             return Err(Problem::unreadable(Reason::TooLarge, detail).into());
         }
-        let Some(mut quota) = BodyQuota::reserve(&self.instance, length) else {
+        let clock = instance.clock;
+        let mut memory = Reservation::new(&instance.memory, MemoryUse::Bodies);
+        let is_scarce = instance.memory.is_scarce(MemoryUse::Responses);
+        if is_scarce || !memory.resize(clock.now(), length) {
             return Err(Rejection::no_memory());
-        };
+        }
         if head.expects_continue() && head.framing().has_body() {
             self.response.send_continue().await.map_err(|_| Rejection::CallerLeft)?;
         }
         let reading = async {
             match head.framing() {
-                Framing::Chunked => read_counted(self.input, limit.body_bytes, &mut quota).await,
+                Framing::Chunked => {
+                    read_counted(self.input, limit.body_bytes, clock, &mut memory).await
+                }
                 framing => read_whole(self.input, framing, limit.body_bytes).await.map(Some),
             }
         };
-        let Some(read) = deadline::until(self.instance.clock, by, reading).await else {
+        let Some(read) = deadline::until(clock, by, reading).await else {
             return Err(Problem::unreadable(Reason::SlowCaller, "the body came too slowly").into());
         };
         let body = read.map_err(|err| Rejection::unreadable_body(&err))?;
         let body = body.ok_or_else(Rejection::no_memory)?;
         self.has_unread_input = false;
-        Ok((body, quota))
+        Ok((body, memory))
     }
 
     /// Serves a request that was read whole, until it ends or the caller leaves.
@@ -279,10 +285,9 @@
 }
 
 impl Rejection {
-    /// The request bodies of all callers leave too little memory for another one.
+    /// What the process holds for other callers leaves too little memory for another request.
     fn no_memory() -> Self {
-        let refusal = Refusal::not_run(Reason::Capacity).retry_after(PROBLEM_TIMEOUT / 4);
-        Self::Problem(refusal.into())
+        Self::Problem(no_memory())
     }
 
     fn unreadable_body(err: &BodyError) -> Self {
@@ -387,6 +392,11 @@
     }
 }
 
+/// Returns the response to a request for which there is too little memory.
+pub(crate) fn no_memory() -> Problem {
+    Refusal::not_run(Reason::Capacity).retry_after(PROBLEM_TIMEOUT / 4).into()
+}
+
 /// Waits until the caller closes its connection. Pipelined requests stay in the buffer; once it
 /// holds [`MAX_PIPELINED_BYTES`], this waits forever.
 async fn wait_for_disconnect(input: &mut Buffered<TcpStream>) {
--- a/crates/edge/src/instance.rs
+++ b/crates/edge/src/instance.rs
@@ -21,7 +21,8 @@
 use slotmap::SlotMap;
 
 use crate::{
-    HeaderCodec, Settings, connection_pool::ConnectionPool, journal::Journal, metrics::Metrics,
+    HeaderCodec, Settings, connection_pool::ConnectionPool, journal::Journal, memory::Memory,
+    metrics::Metrics,
 };
 
 /// A running instance: the reducer, and what is needed to carry out its effects.
@@ -41,8 +42,7 @@
     pub(crate) is_draining: Cell<bool>,
     /// Open connections of callers.
     pub(crate) caller_connections: Cell<usize>,
-    /// Bytes reserved for request bodies.
-    pub(crate) body_bytes: Cell<usize>,
+    pub(crate) memory: Rc<Memory>,
     is_ready: Cell<bool>,
     socket: Async<UdpSocket>,
     state: RefCell<State>,
@@ -85,7 +85,7 @@
             exit: Latch::default(),
             is_draining: Cell::new(false),
             caller_connections: Cell::new(0),
-            body_bytes: Cell::new(0),
+            memory: Rc::new(Memory::new(parts.settings.memory_bytes)),
             is_ready: Cell::new(false),
             tasks: RefCell::default(),
             journal: RefCell::new(Journal::new(parts.clock.now())),
--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -6,14 +6,16 @@
 //! [`Instance`].
 
 mod attempt;
-mod body_quota;
 mod caller;
 mod connection_pool;
+mod counted_body;
+mod event_memory;
 mod events;
 mod exchange;
 mod headers;
 mod instance;
 mod journal;
+mod memory;
 mod metrics;
 mod outgoing;
 mod part_id;
--- a/crates/edge/src/relay.rs
+++ b/crates/edge/src/relay.rs
@@ -6,7 +6,9 @@
 use crate::{
     attempt::{Fault, RunningAttempt},
     connection_pool::Connection,
+    event_memory::EventMemory,
     events::EventSplitter,
+    memory::{MemoryUse, Reservation},
     second_response::find_second_response,
 };
 
@@ -14,7 +16,7 @@
 /// follow if it breaks off; a larger one is relayed as it arrives.
 const MAX_BUFFERED_BYTES: usize = 32 << 10;
 /// Size limit of one server-sent event; a larger one fails the attempt.
-const MAX_EVENT_BYTES: usize = 256 << 10;
+pub(crate) const MAX_EVENT_BYTES: usize = 256 << 10;
 
 /// A response that was relayed completely.
 #[derive(Clone, Copy, Debug)]
@@ -110,10 +112,13 @@
     if started.head.framing() == Framing::Absent {
         return running.response.send_bodiless(&started.head).await.map_err(|_| Fault::CallerLeft);
     }
+    let clock = running.instance.clock;
+    let mut memory = Reservation::new(&running.instance.memory, MemoryUse::Responses);
     let mut body = Vec::new();
     while let Some(piece) = started.next().await? {
+        let has_memory = memory.grow(clock.now(), piece.len());
         body.extend_from_slice(&piece);
-        if body.len() > MAX_BUFFERED_BYTES {
+        if body.len() > MAX_BUFFERED_BYTES || !has_memory {
             return relay_parts(running, started, body).await;
         }
     }
@@ -145,12 +150,14 @@
     started: &mut StartedResponse,
 ) -> Result<(), Fault> {
     let mut splitter = EventSplitter::default();
+    let mut memory = EventMemory::new(&running.instance.memory);
     // Where in an event a second response begins. Events before it still belong to the stream.
     let mut second_response = None;
     while second_response.is_none()
         && let Some(piece) = started.next().await?
     {
         running.instance.handle_event(Event::BytesReceived { server: running.attempt.server });
+        memory.wait_for(running.instance, splitter.pending() + piece.len()).await;
         let complete = splitter.push(&piece);
         if splitter.pending() > MAX_EVENT_BYTES {
             return Err(Fault::Broken);
@@ -176,6 +183,7 @@
             running.response.start_events(&started.head, &bytes).await
         };
         written.map_err(|_| Fault::CallerLeft)?;
+        memory.resize(running.instance.clock.now(), splitter.pending());
     }
     let is_within_event = second_response.map_or(splitter.pending() > 0, |index| index > 0);
     if is_within_event {
