Keep the cold limit of servers that are listed as cold

A server that became cold again within its first cold time got 80 requests in a second from the end of the first time on, where 35 are allowed. Cause: the digest of a view holds whether a server is cold and not for how long, so instances that follow another one's view did not learn of the second time, and counted the first one down.

A server keeps its limit while the latest entry says that it is cold and the view is current; the change to warm is in the digest and reaches every instance. No message or read is added.

--- a/crates/dispatch/src/placement.rs
+++ b/crates/dispatch/src/placement.rs
@@ -26,6 +26,10 @@
 /// Such a retry is made only after at least this many times the expected time to first byte.
 const FIRST_BYTE_EXPECTED_FACTOR: u32 = 3;
 
+/// The oldest view whose entries still tell that a server is cold. From an older one only the time that
+/// the entry gave counts, as nobody would learn that it is over.
+const MAX_COLD_VIEW_AGE: Duration = Duration::from_secs(4);
+
 impl State {
     pub(crate) fn dispatch_all(&mut self, now: Time) {
         for pool in self.queue.pools() {
@@ -201,7 +205,8 @@
         if !self.servers.is_eligible(server) || is_out {
             return false;
         }
-        if !server.is_cold(now) || pool.cold_rate <= 0.0 {
+        let is_cold = server.is_cold(now) || self.is_listed_as_cold(now, server);
+        if !is_cold || pool.cold_rate <= 0.0 {
             return true;
         }
         let bounds = &self.setup.bounds;
@@ -211,6 +216,14 @@
         count < self.share.whole_units(limit, server.id)
     }
 
+    /// Returns whether the latest entry of a server says that it is cold, in a view that is current. The
+    /// time that the entry gives may have been extended since: instances that follow the views of
+    /// others learn only whether a server is cold.
+    fn is_listed_as_cold(&self, now: Time, server: &Server) -> bool {
+        let is_current = self.view_age(now).is_some_and(|age| age <= MAX_COLD_VIEW_AGE);
+        is_current && !server.entry.cold.is_zero()
+    }
+
     /// Returns the servers that rendezvous hashing prefers for the shared prefix of a request, among
     /// those for which `suits_kind` holds, and the one that has most of it cached.
     fn preferred_servers(
--- a/crates/dispatch/tests/decisions/main.rs
+++ b/crates/dispatch/tests/decisions/main.rs
@@ -3,6 +3,7 @@
 #![allow(clippy::unwrap_used)]
 
 mod affinity;
+mod cold_again;
 mod copies;
 mod ends;
 mod held_errors;
