Write a request to its end while its server responds

A server that sends the head of its response before it has read the whole body never got the rest: the caller had 504 after 2.5 s, and the request may have run. The writing of a request ended with the reading of the head (`read_while_writing`), so only what the system had buffered arrived. Suspected by the review from reading.

The request is now written alongside all of the response.

--- a/crates/edge/src/attempt.rs
+++ b/crates/edge/src/attempt.rs
@@ -1,6 +1,12 @@
 //! Attempts at backend servers.
 
-use std::{future::Future, io, pin::pin, sync::Arc, task::Poll};
+use std::{
+    future::Future,
+    io,
+    pin::{Pin, pin},
+    sync::Arc,
+    task::Poll,
+};
 
 use aio::deadline;
 use async_net::TcpStream;
@@ -121,18 +127,26 @@
     async fn send_and_relay(&mut self, progress: &mut Progress) -> Result<Relayed, Fault> {
         let clock = self.instance.clock;
         let first_byte_by = self.attempt.first_byte_by.unwrap_or(self.attempt.end_by);
-        let sending = self.send_request(progress);
-        let started = deadline::until(clock, first_byte_by, sending).await;
+        let preparing = self.prepare(progress);
+        let (mut connection, head) =
+            deadline::until(clock, first_byte_by, preparing).await.ok_or(Fault::TimedOut)??;
+        let outgoing = self.outgoing;
+        let writing = pin!(write(connection.stream.clone(), head, &outgoing.body));
+        let mut sending = Sending { writing, is_written: None };
+        let reading = self.read_head(&mut connection.input, progress);
+        let read = deadline::until(clock, first_byte_by, sending.alongside(reading)).await;
+        let (head, is_clean) = read.ok_or(Fault::TimedOut)??;
+        let is_reusable = sending.is_written == Some(true) && is_clean && !head.closes();
+        let starting = self.start_response(connection, head, is_reusable);
+        let started = deadline::until(clock, first_byte_by, sending.alongside(starting)).await;
         let started = started.ok_or(Fault::TimedOut)??;
-        relay::run(self, started).await
+        // A server may read the rest of the request while it responds.
+        sending.alongside(relay::run(self, started)).await
     }
 
-    /// Sends the request and reads the response up to the first bytes of its body.
-    async fn send_request(
-        &mut self,
-        progress: &mut Progress,
-    ) -> Result<relay::StartedResponse, Fault> {
-        let mut connection = self.connect().await?;
+    /// Opens or takes a connection and returns it with the encoded head, if the request may be sent now.
+    async fn prepare(&mut self, progress: &mut Progress) -> Result<(Connection, Vec<u8>), Fault> {
+        let connection = self.connect().await?;
         let now = self.instance.clock.now();
         if now >= self.attempt.start_by {
             return Err(Fault::Unused);
@@ -153,12 +167,16 @@
         let head = self.outgoing.encode_head(&*self.instance.header_codec, &fields);
         progress.is_sent = true;
         self.instance.handle_event(Event::Sent { key: self.key });
-        let stream = connection.stream.clone();
-        let writing = write(stream, head, &self.outgoing.body);
-        let reading = self.read_head(&mut connection.input, progress);
-        let (read, is_written) = read_while_writing(writing, reading).await;
-        let (head, is_clean) = read?;
-        let is_reusable = is_written && is_clean && !head.closes();
+        Ok((connection, head))
+    }
+
+    /// Checks a response whose head was read, and reads the first bytes of its body.
+    async fn start_response(
+        &mut self,
+        mut connection: Connection,
+        head: ResponseHead,
+        is_reusable: bool,
+    ) -> Result<relay::StartedResponse, Fault> {
         self.check_response(&head, &mut connection, is_reusable).await?;
         let started = relay::StartedResponse::read(connection, head, is_reusable).await?;
         self.instance.handle_event(Event::FirstByte { key: self.key });
@@ -314,23 +332,26 @@
     stream.write_all(body).await
 }
 
-/// Polls both futures until `reading` completes, since a server may respond before it has read the
-/// whole request. Also returns whether `writing` had succeeded by then.
-async fn read_while_writing<T>(
-    writing: impl Future<Output = io::Result<()>>,
-    reading: impl Future<Output = T>,
-) -> (T, bool) {
-    let mut writing = pin!(writing);
-    let mut reading = pin!(reading);
-    let mut written = None;
-    future::poll_fn(|cx| {
-        if written.is_none()
-            && let Poll::Ready(result) = writing.as_mut().poll(cx)
-        {
-            // After a failed write a response may still have arrived.
-            written = Some(result.is_ok());
-        }
-        reading.as_mut().poll(cx).map(|read| (read, written == Some(true)))
-    })
-    .await
+/// A request that is being written to a server. The server may respond before it has read all of it.
+struct Sending<'a, W> {
+    writing: Pin<&'a mut W>,
+    /// Whether all was written; `None` while it is being written.
+    is_written: Option<bool>,
+}
+
+impl<W: Future<Output = io::Result<()>>> Sending<'_, W> {
+    /// Goes on writing until `reading` completes.
+    async fn alongside<T>(&mut self, reading: impl Future<Output = T>) -> T {
+        let mut reading = pin!(reading);
+        future::poll_fn(|cx| {
+            if self.is_written.is_none()
+                && let Poll::Ready(result) = self.writing.as_mut().poll(cx)
+            {
+                // After a failed write a response may still arrive.
+                self.is_written = Some(result.is_ok());
+            }
+            reading.as_mut().poll(cx)
+        })
+        .await
+    }
 }
