Pause between failed listings in large fleets

An instance of a large fleet that needed a listing and knew of a peer with a newer view asked the store 13,604 times in 1.5 s while the store rejected (16 real processes, 2 with a store of their own). Suspected by the review from reading.

Cause: the source of a read was decided by the view, also without a listing to which a peer's changes apply; the reader then listed the store under the rule for peers, which has no delay after a failure. Without a listing the store is now the source.

--- a/crates/edge/src/instance.rs
+++ b/crates/edge/src/instance.rs
@@ -118,11 +118,17 @@
         }
     }
 
-    /// Waits until changes must be read next, and returns from where. The platform is not read
-    /// before `earliest` under the policy on retries, which may change meanwhile.
-    pub async fn wait_until_read_due(&self, earliest: impl Fn(RetryPolicy) -> Time) -> ReadSource {
+    /// Waits until changes must be read next, and returns from where: the platform if no peer is
+    /// acceptable, as this instance lacks what changes apply to. The platform is not read before
+    /// `earliest` under the policy on retries, which may change meanwhile.
+    pub async fn wait_until_read_due(
+        &self,
+        accepts_peers: bool,
+        earliest: impl Fn(RetryPolicy) -> Time,
+    ) -> ReadSource {
         loop {
             let (due, source) = self.read_state(|state| (state.next_read(), state.read_source()));
+            let source = if accepts_peers { source } else { ReadSource::Platform };
             let earliest = earliest(self.read_state(State::retry_policy));
             let due = if source == ReadSource::Platform { due.max(earliest) } else { due };
             if self.clock.now() >= due {
