Release the memory of a response when it is relayed; split exchange and attempt

A long plain response kept its 32 KiB reserved until its end, although its first part had been written: 400 such responses would have had new requests refused for lack of memory. The reservation goes with the first part.

`Rejection` and the writing of requests have files of their own; the refusal for lack of memory is a `Problem` like the others.

--- a/crates/dispatch/src/servers.rs
+++ b/crates/dispatch/src/servers.rs
@@ -92,7 +92,7 @@
     }
 
     /// Returns whether a server said that it leaves.
-    pub(crate) fn is_leaving(&self, server: &Server) -> bool {
+    fn is_leaving(&self, server: &Server) -> bool {
         let leaving = self.leaving.get(&server.id);
         leaving.is_some_and(|it| it.incarnation == server.entry.incarnation)
     }
--- a/crates/edge/src/attempt.rs
+++ b/crates/edge/src/attempt.rs
@@ -1,17 +1,10 @@
 //! Attempts at backend servers.
 
-use std::{
-    future::Future,
-    io,
-    pin::{Pin, pin},
-    sync::Arc,
-    task::Poll,
-};
+use std::{pin::pin, sync::Arc};
 
 use aio::deadline;
 use async_net::TcpStream;
 use dispatch::{Attempt, AttemptEnd, Event, LogEntry, RequestKey};
-use futures_lite::{AsyncWriteExt as _, future};
 use http1::{Buffered, ConnectionError, Framing, ResponseHead, discard, read_whole};
 use model::prelude::*;
 use rustix::net::sockopt::set_tcp_user_timeout;
@@ -23,6 +16,7 @@
     outgoing::OutgoingRequest,
     relay::{self, Relayed},
     response::Response,
+    sending::{Sending, write},
 };
 
 /// Timeout for establishing a TCP connection: several round trips between zones, but less than the
@@ -38,8 +32,6 @@
 /// Responses to other requests that are skipped on a connection before the expected one; the
 /// attempt fails if more arrive.
 const MAX_FOREIGN_RESPONSES: usize = 2;
-/// Request bodies up to this size are sent in one write with the head.
-const MAX_JOINED_BODY_BYTES: usize = 4 << 10;
 
 /// An attempt that is in progress.
 pub(crate) struct RunningAttempt<'a> {
@@ -132,11 +124,11 @@
             deadline::until(clock, first_byte_by, preparing).await.ok_or(Fault::TimedOut)??;
         let outgoing = self.outgoing;
         let writing = pin!(write(connection.stream.clone(), head, &outgoing.body));
-        let mut sending = Sending { writing, is_written: None };
+        let mut sending = Sending::new(writing);
         let reading = self.read_head(&mut connection.input, progress);
         let read = deadline::until(clock, first_byte_by, sending.alongside(reading)).await;
         let (head, is_clean) = read.ok_or(Fault::TimedOut)??;
-        let is_reusable = sending.is_written == Some(true) && is_clean && !head.closes();
+        let is_reusable = sending.is_whole() && is_clean && !head.closes();
         let starting = self.start_response(connection, head, is_reusable);
         let started = deadline::until(clock, first_byte_by, sending.alongside(starting)).await;
         let started = started.ok_or(Fault::TimedOut)??;
@@ -322,36 +314,3 @@
         log::debug!("cannot set the timeout for unacknowledged bytes: {err}");
     }
 }
-
-async fn write(mut stream: TcpStream, mut head: Vec<u8>, body: &[u8]) -> io::Result<()> {
-    if body.len() <= MAX_JOINED_BODY_BYTES {
-        head.extend_from_slice(body);
-        return stream.write_all(&head).await;
-    }
-    stream.write_all(&head).await?;
-    stream.write_all(body).await
-}
-
-/// A request that is being written to a server. The server may respond before it has read all of it.
-struct Sending<'a, W> {
-    writing: Pin<&'a mut W>,
-    /// Whether all was written; `None` while it is being written.
-    is_written: Option<bool>,
-}
-
-impl<W: Future<Output = io::Result<()>>> Sending<'_, W> {
-    /// Goes on writing until `reading` completes.
-    async fn alongside<T>(&mut self, reading: impl Future<Output = T>) -> T {
-        let mut reading = pin!(reading);
-        future::poll_fn(|cx| {
-            if self.is_written.is_none()
-                && let Poll::Ready(result) = self.writing.as_mut().poll(cx)
-            {
-                // After a failed write a response may still arrive.
-                self.is_written = Some(result.is_ok());
-            }
-            reading.as_mut().poll(cx)
-        })
-        .await
-    }
-}
--- a/crates/edge/src/caller.rs
+++ b/crates/edge/src/caller.rs
@@ -11,7 +11,7 @@
 use crate::{
     Instance,
     attempt::set_socket_options,
-    exchange::{Disposition, Exchange, no_memory},
+    exchange::{Disposition, Exchange},
     memory::{MemoryUse, Reservation},
     problem::Problem,
     response::Response,
@@ -129,7 +129,7 @@
     if head.is_none() {
         let bytes = limits.head_bytes.saturating_mul(PARTIAL_HEAD_FACTOR);
         if !memory.resize(arrived, bytes) {
-            return Err(HeadFault::Problem(no_memory()));
+            return Err(HeadFault::Problem(Problem::no_memory()));
         }
         head = deadline::until(instance.clock, arrived + limits.head_time, reading).await;
     }
--- a/crates/edge/src/exchange.rs
+++ b/crates/edge/src/exchange.rs
@@ -17,6 +17,7 @@
     memory::{MemoryUse, Reservation},
     outgoing::OutgoingRequest,
     problem::Problem,
+    rejection::Rejection,
     response::Response,
 };
 
@@ -24,8 +25,7 @@
 /// is not read until the response is complete.
 const MAX_PIPELINED_BYTES: usize = 4 << 10;
 /// Timeout for writing an error response of this process to a caller, and for reading the body of a
-/// request that is rejected. A quarter of it is the `Retry-After` of a request whose body finds no
-/// memory.
+/// request that is rejected.
 const PROBLEM_TIMEOUT: Duration = Duration::from_secs(2);
 
 /// What happens to the caller's connection after a request.
@@ -210,7 +210,7 @@
         let mut memory = Reservation::new(&instance.memory, MemoryUse::Bodies);
         let is_scarce = instance.memory.is_scarce(MemoryUse::Responses);
         if is_scarce || !memory.resize(clock.now(), length) {
-            return Err(Rejection::no_memory());
+            return Err(Problem::no_memory().into());
         }
         if head.expects_continue() && head.framing().has_body() {
             self.response.send_continue().await.map_err(|_| Rejection::CallerLeft)?;
@@ -227,7 +227,7 @@
             return Err(Problem::unreadable(Reason::SlowCaller, "the body came too slowly").into());
         };
         let body = read.map_err(|err| Rejection::unreadable_body(&err))?;
-        let body = body.ok_or_else(Rejection::no_memory)?;
+        let body = body.ok_or_else(Problem::no_memory)?;
         self.has_unread_input = false;
         Ok((body, memory))
     }
@@ -276,35 +276,6 @@
     }
 }
 
-/// Why a request is not served.
-enum Rejection {
-    /// The caller gets this error response.
-    Problem(Problem),
-    /// No caller waits for a response.
-    CallerLeft,
-}
-
-impl Rejection {
-    /// What the process holds for other callers leaves too little memory for another request.
-    fn no_memory() -> Self {
-        Self::Problem(no_memory())
-    }
-
-    fn unreadable_body(err: &BodyError) -> Self {
-        match err {
-            BodyError::Broken(_) => Self::CallerLeft,
-            BodyError::Malformed => Problem::unreadable(Reason::BadRequest, err.to_string()).into(),
-            BodyError::TooLarge(_) => Problem::unreadable(Reason::TooLarge, err.to_string()).into(),
-        }
-    }
-}
-
-impl From<Problem> for Rejection {
-    fn from(problem: Problem) -> Self {
-        Self::Problem(problem)
-    }
-}
-
 /// A request that is being served.
 struct ActiveRequest<'a> {
     instance: &'a Instance,
@@ -392,11 +363,6 @@
     }
 }
 
-/// Returns the response to a request for which there is too little memory.
-pub(crate) fn no_memory() -> Problem {
-    Refusal::not_run(Reason::Capacity).retry_after(PROBLEM_TIMEOUT / 4).into()
-}
-
 /// Waits until the caller closes its connection. Pipelined requests stay in the buffer; once it
 /// holds [`MAX_PIPELINED_BYTES`], this waits forever.
 async fn wait_for_disconnect(input: &mut Buffered<TcpStream>) {
--- a/crates/edge/src/problem.rs
+++ b/crates/edge/src/problem.rs
@@ -3,6 +3,9 @@
 use model::prelude::*;
 use serde_json::json;
 
+/// When a caller may return whose request found no memory.
+const NO_MEMORY_RETRY_AFTER: Duration = Duration::from_millis(500);
+
 /// An error response that this process generates itself.
 #[derive(Clone, Debug)]
 pub(crate) struct Problem {
@@ -26,6 +29,11 @@
         Self { status, phrase, reason, execution, detail: detail.into(), retry_after: None }
     }
 
+    /// The response to a request for which other ones leave too little memory.
+    pub(crate) fn no_memory() -> Self {
+        Refusal::not_run(Reason::Capacity).retry_after(NO_MEMORY_RETRY_AFTER).into()
+    }
+
     /// The response to a request whose head exceeds the limits.
     pub(crate) fn head_too_large() -> Self {
         let problem = Self::unreadable(Reason::TooLarge, "the head is too large");
--- a/crates/edge/src/relay.rs
+++ b/crates/edge/src/relay.rs
@@ -119,7 +119,7 @@
         let has_memory = memory.grow(clock.now(), piece.len());
         body.extend_from_slice(&piece);
         if body.len() > MAX_BUFFERED_BYTES || !has_memory {
-            return relay_parts(running, started, body).await;
+            return relay_parts(running, started, body, memory).await;
         }
     }
     if let Some(end) = started.find_second_response(running, &body) {
@@ -128,15 +128,16 @@
     running.response.send_whole(&started.head, &body).await.map_err(|_| Fault::CallerLeft)
 }
 
-/// Relays a long response as it arrives; `first` is what was buffered of its body.
+/// Relays a long response as it arrives; `first` is what was buffered of its body, in `memory`.
 async fn relay_parts(
     running: &mut RunningAttempt<'_>,
     started: &mut StartedResponse,
     first: Vec<u8>,
+    memory: Reservation,
 ) -> Result<(), Fault> {
     let written = running.response.start(&started.head, &first).await;
     written.map_err(|_| Fault::CallerLeft)?;
-    drop(first);
+    drop((first, memory));
     while let Some(piece) = started.next().await? {
         running.response.send_part(&piece).await.map_err(|_| Fault::CallerLeft)?;
     }
