Test resumed streams, copies and fetches while servers give notice

Two tests more; no fault was found. With the checks of leaving and paused servers taken out of `may_send` both fail, and so do six of the seven that stood.

--- a/crates/dispatch/tests/decisions/notice_limits.rs
+++ b/crates/dispatch/tests/decisions/notice_limits.rs
@@ -2,7 +2,7 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 
-use dispatch::{AttemptEnd, Effect, Event, RequestKey, ServerEntry};
+use dispatch::{AttemptEnd, Effect, Event, Prompt, RequestKey, ServerEntry};
 use model::prelude::*;
 
 use crate::support::{Bench, attempts, prompt, refusals, server};
@@ -218,3 +218,50 @@
     assert_ne!(next.address, holder);
     assert_eq!(next.fetch_source, None);
 }
+
+/// The same of a server that leaves.
+#[test]
+fn a_leaving_engine_is_no_fetch_source() {
+    let names = (1..=3).map(|no| server(&format!("e{no}"), "engines", 10 + no));
+    let mut bench = Bench::new(names.collect());
+    let (key, effects) = bench.request("batch", prompt(6_000, 2_890, 7));
+    let holder = attempts(&effects)[0].1.address;
+    bench.step(Event::Sent { key });
+
+    bench.step(Event::ServerLeaving { key });
+    let (_, effects) = bench.request("batch", prompt(6_000, 2_890, 7));
+
+    let next = &attempts(&effects)[0].1;
+    assert_ne!(next.address, holder);
+    assert_ne!(next.fetch_source, Some(holder));
+}
+
+/// Guards against streams that go on at a server that gave notice, and copies that are sent there.
+#[test]
+fn an_engine_that_gives_notice_gets_neither_resumed_streams_nor_copies() {
+    for notice in NOTICES {
+        let names = (1..=3).map(|no| server(&format!("e{no}"), "engines", 10 + no));
+        let mut bench = Bench::new(names.collect());
+        let start = |bench: &mut Bench| {
+            let talk = Prompt { max_output: 280, ..prompt(172, 543, 1) };
+            let (key, effects) = bench.request("live", talk);
+            bench.step(Event::Sent { key });
+            bench.step(Event::FirstByte { key });
+            (key, attempts(&effects)[0].1.clone())
+        };
+        let (stream, attempt) = start(&mut bench);
+        let told = attempt.backup.unwrap();
+        let other = (0..60).find_map(|topic| {
+            let (key, effects) = bench.request("batch", prompt(6_000, 100, topic));
+            bench.step(Event::Sent { key });
+            (attempts(&effects).first()?.1.address == told).then_some(key)
+        });
+
+        bench.step(notice(other.expect("a request at the engine with the copy")));
+        let resumed = bench.ended(stream, AttemptEnd::Broken { is_partial: true });
+        let later: Vec<_> = (0..20).map(|_| start(&mut bench).1).collect();
+
+        assert!(attempts(&resumed).iter().all(|it| it.1.address != told));
+        assert!(later.iter().all(|it| it.address != told && it.backup != Some(told)));
+    }
+}
