--- /dev/null
+++ b/crates/fair/src/lib.rs
@@ -0,0 +1,1 @@
+//! Shares of client accounts in engines that are short.
--- a/crates/gossip/src/lib.rs
+++ b/crates/gossip/src/lib.rs
@@ -16,6 +16,7 @@
 //! * [`PeerLoads`]: the load that peers put on backend servers,
 //! * [`Packet`]: the message and its codec.
 
+mod account;
 mod checked;
 mod demand;
 mod evidence;
@@ -28,7 +29,9 @@
 mod rank;
 mod tree;
 mod upstream;
+mod zone;
 
+pub use account::{AccountTag, AccountUse};
 pub use demand::{Demand, PoolDemand, PoolTag};
 pub use evidence::{EndTag, PartEvidence, ServerEnd};
 pub use loads::{Load, PeerLoads, ServerTag, TotalLoad};
@@ -39,3 +42,4 @@
 pub use rank::{LoadByRank, RankTag, RankedLoad};
 pub use tree::{Answer, Datagram, OutgoingTreeMessage, Probe, TreeContent, TreeMessage};
 pub use upstream::Upstream;
+pub use zone::ZoneTag;
