Add the loads of all instances up along the broadcast tree

Cause: an instance of 60 hears of a third of its peers' loads, up to 1 s old, and its packets are full of them. Change: sums up the tree and totals down it, with the own part taken off exactly; a request considers a sample of four servers, as all instances would choose the same best one.

--- a/crates/dispatch/src/choice.rs
+++ b/crates/dispatch/src/choice.rs
@@ -5,12 +5,12 @@
 
 use crate::{Pool, Prompt, Rank, Server};
 
-/// Rate at which an engine is assumed to read uncached prompt tokens: rounded down from the 112 and
+/// Rate at which an engine is assumed to read uncached prompt tokens until that is known: rounded down from the 112 and
 /// 157 tokens per ms that engines are specified for.
 pub(crate) const PREFILL_TOKENS_PER_MS: f64 = 100.0;
 /// Expected time to the first event at an engine without other work: the 26 to 31 ms that engines
 /// are specified for, and some generation steps.
-const ENGINE_BASE_LATENCY: Duration = Duration::from_millis(55);
+pub(crate) const ENGINE_BASE_LATENCY: Duration = Duration::from_millis(55);
 /// Added to the expected time to the first event for each request that runs at the engine. Engines
 /// are specified to take 0.05 to 0.1 ms longer for each generation step, and a first event takes
 /// several steps.
@@ -82,6 +82,8 @@
     pub cached_tokens: u32,
     /// Whether it can fetch the shared prefix from another server.
     pub has_fetch_source: bool,
+    /// Prompt tokens that it reads in a millisecond.
+    pub tokens_per_ms: f64,
     /// How much of the random addition to the cost applies, from 0 to 1.
     pub spread: f64,
 }
@@ -160,10 +162,14 @@
     pub cost: Duration,
     /// Prompt tokens that the server is expected to read.
     pub prefill_tokens: u32,
+    /// Prompt tokens that the server reads before it responds, those of other requests included.
+    pub tokens_ahead: f64,
     /// Whether the server has room for the request.
     pub room: Room,
     /// Whether the server runs nothing, so that waiting changes nothing.
     pub is_idle: bool,
+    /// The time that the server still reads for other requests.
+    pub reading: Duration,
     /// The time that the server still reads for more urgent requests.
     pub urgent_reading: Duration,
 }
@@ -194,21 +200,24 @@
         let leaving = if is_leaving { REPORTED_LEAVING_COST } else { Duration::ZERO };
         let safe = target.mul_f64(SAFE_TARGET_SHARE);
         let late = first_byte.saturating_sub(safe).mul_f64(LATE_COST_FACTOR);
-        let reading = Duration::from_secs_f64(uncached * UNCACHED_TOKEN_COST_MS / 1e3);
+        let slower = PREFILL_TOKENS_PER_MS / self.tokens_per_ms;
+        let reading = Duration::from_secs_f64(uncached * UNCACHED_TOKEN_COST_MS * slower / 1e3);
         let wait = first_byte.min(safe) + late;
         let spread = SPREAD_COST.mul_f64(self.spread);
         let silence = 2 * health.excess_silence(now);
         let cost = wait + spread + reading + zone + failures + leaving + silence;
         let prefill_tokens = prompt.own_tokens().saturating_add(uncached as u32);
         let is_idle = self.load.all.attempts == 0;
-        let urgent_reading = reading_time(self.load.more_urgent.prefill_tokens);
+        let urgent_reading = self.reading_time(self.load.more_urgent.prefill_tokens);
         Estimate {
             first_byte,
             first_byte_by_rank,
             cost,
             prefill_tokens,
+            tokens_ahead: self.load.all.prefill_tokens as f64 + f64::from(prefill_tokens),
             room,
             is_idle,
+            reading: self.reading_time(self.load.all.prefill_tokens),
             urgent_reading,
         }
     }
@@ -219,7 +228,7 @@
     fn at_engine(&self, slots: u32, prompt: &Prompt, uncached: f64) -> (Duration, Room) {
         let SeenLoad { all, ahead, .. } = self.load;
         let own = Duration::from_secs_f64(
-            (uncached + f64::from(prompt.own_tokens())) / PREFILL_TOKENS_PER_MS / 1e3,
+            (uncached + f64::from(prompt.own_tokens())) / self.tokens_per_ms / 1e3,
         );
         let is_filled = |attempts: u32, share| f64::from(attempts) >= f64::from(slots) * share;
         let is_full = is_filled(ahead.attempts, ENGINE_FILL_SHARE)
@@ -230,13 +239,18 @@
             false => Room::Free,
         };
         let latency = ENGINE_BASE_LATENCY + ENGINE_LATENCY_PER_REQUEST * all.attempts;
-        (latency + reading_time(all.prefill_tokens) + own, room)
+        (latency + self.reading_time(all.prefill_tokens) + own, room)
     }
 
     /// Returns the time that an engine still reads for less urgent requests.
     fn less_urgent_reading(&self) -> Duration {
         let SeenLoad { all, ahead, .. } = self.load;
-        reading_time(all.prefill_tokens.saturating_sub(ahead.prefill_tokens))
+        self.reading_time(all.prefill_tokens.saturating_sub(ahead.prefill_tokens))
+    }
+
+    /// Returns the time in which the engine reads prompt tokens.
+    fn reading_time(&self, tokens: u64) -> Duration {
+        Duration::from_secs_f64(tokens as f64 / self.tokens_per_ms / 1e3)
     }
 
     /// Returns how many tokens of the shared prefix the server is expected not to have cached.
@@ -275,8 +289,9 @@
             if demand.is_overdue { OVERDUE_MAX_FIRST_BYTE_SHARE } else { MAX_FIRST_BYTE_SHARE };
         let limit = |target: Duration, share| target.mul_f64(share).max(2 * ENGINE_BASE_LATENCY);
         let Some(least_target_above) = demand.least_target_above else { return !self.is_full() };
-        let leaves_room = ENGINE_BASE_LATENCY + self.urgent_reading
-            <= limit(least_target_above, MAX_FIRST_BYTE_SHARE);
+        let reading = if demand.keeps_engines_open { self.reading } else { self.urgent_reading };
+        let leaves_room =
+            ENGINE_BASE_LATENCY + reading <= limit(least_target_above, MAX_FIRST_BYTE_SHARE);
         let is_soon = self.first_byte_by_rank <= limit(demand.target, share);
         !self.is_full() && leaves_room && (self.is_idle || is_soon)
     }
@@ -290,11 +305,9 @@
     /// The least target among the routes to the pool that have a higher tier; `None` if the request
     /// has the highest one.
     pub least_target_above: Option<Duration>,
+    /// Whether the load of the whole fleet is known, so that each engine is kept open for requests of
+    /// higher tiers.
+    pub keeps_engines_open: bool,
     /// Whether the request has waited so long that it will hardly meet its target.
     pub is_overdue: bool,
 }
-
-/// Returns the time in which an engine is assumed to read prompt tokens.
-fn reading_time(tokens: u64) -> Duration {
-    Duration::from_secs_f64(tokens as f64 / PREFILL_TOKENS_PER_MS / 1e3)
-}
--- a/crates/dispatch/src/effect.rs
+++ b/crates/dispatch/src/effect.rs
@@ -2,7 +2,7 @@
 
 use std::{net::SocketAddrV4, sync::Arc};
 
-use gossip::{OutgoingPacket, OutgoingTreeMessage};
+use gossip::{OutgoingLoadMessage, OutgoingPacket, OutgoingTreeMessage};
 use model::prelude::*;
 
 use crate::{
@@ -25,6 +25,8 @@
     Send(OutgoingPacket),
     /// Send a message along the broadcast tree.
     SendTree(OutgoingTreeMessage),
+    /// Send a sum of loads to another instance.
+    SendLoads(OutgoingLoadMessage),
     /// Close the idle connections to a server that has been restarted or is gone.
     Disconnect {
         /// The server's address.
--- a/crates/dispatch/src/event.rs
+++ b/crates/dispatch/src/event.rs
@@ -2,7 +2,7 @@
 
 use std::{collections::BTreeSet, sync::Arc};
 
-use gossip::{Packet, TreeMessage, ViewSummary};
+use gossip::{LoadMessage, Packet, TreeMessage, ViewSummary};
 use model::prelude::*;
 
 use crate::{
@@ -59,6 +59,8 @@
     Packet(Packet),
     /// A message of another instance along the broadcast tree arrived.
     Tree(TreeMessage),
+    /// A sum of loads of another instance arrived.
+    Loads(LoadMessage),
     /// A request of a caller was read completely.
     Request {
         /// Identifies the request in later events and commands.
--- a/crates/dispatch/src/fleet.rs
+++ b/crates/dispatch/src/fleet.rs
@@ -187,7 +187,9 @@
         if now < self.members.next_wake() {
             return;
         }
-        let (loads, ranked_loads) = self.own_loads();
+        // Where sums reach everybody, packets do not repeat a part of them.
+        let (loads, ranked_loads) =
+            if self.knows_fleet_loads(now) { <_>::default() } else { self.own_loads() };
         let evidence = self.quarantine.report(now);
         let leaving = self.leaving_report(now);
         let (packets, died) = self.members.tick(now, self.freshness.view_status(now), &loads);
--- a/crates/dispatch/src/outcome.rs
+++ b/crates/dispatch/src/outcome.rs
@@ -8,6 +8,7 @@
 
 use crate::{
     AttemptEnd, Command, Delivered, Effect, LogEntry, RequestKey, ResponseTrace, Room, ServerKey,
+    choice::ENGINE_BASE_LATENCY,
     placement::Choice,
     request::{MIN_REMAINING, Request, RunningAttempt, Stage},
     route::Repeat,
@@ -60,14 +61,17 @@
         let Stage::Running(running) = &mut req.stage else { return };
         running.begun_at.get_or_insert(now);
         let prefill_tokens = std::mem::take(&mut running.prefill_tokens).into();
-        let RunningAttempt { server: key, sent_at, expected, rank, .. } = *running;
+        let RunningAttempt { server: key, sent_at, expected, rank, tokens_ahead, .. } = *running;
         if let Some(sent_at) = sent_at {
             self.quarantine.begun(now, &req.prompt, sent_at);
         }
         let Some(server) = self.servers.get_mut(key) else { return };
-        server.load.remove(rank.into(), TotalLoad { attempts: 0, prefill_tokens });
+        server.load.remove(rank.into(), TotalLoad { prefill_tokens, ..TotalLoad::default() });
         if let Some(sent_at) = sent_at {
-            server.health.record_first_byte(now.since(sent_at), expected);
+            let took = now.since(sent_at);
+            server.health.record_first_byte(took, expected);
+            let reading = took.saturating_sub(ENGINE_BASE_LATENCY);
+            server.reading.record(now, tokens_ahead, reading);
         }
         self.bytes_received(now, key);
         self.dispatch(now, pool);
@@ -217,7 +221,7 @@
         if !is_midway || is_late || is_doubtful || !self.may_send(now, server, pool) {
             return None;
         }
-        let others = self.loads.total(server.id.into()).attempts;
+        let others = self.others_load(now, server).map_or(0, |load| load.total().attempts);
         let choice = Choice {
             server: running.backup?,
             room: Room::Free,
@@ -228,6 +232,7 @@
             backup: None,
             fetch_source: None,
             prefill_tokens: 0,
+            tokens_ahead: 0.0,
         };
         self.reserve_retry(now, key).then_some(choice)
     }
--- a/crates/dispatch/src/placement.rs
+++ b/crates/dispatch/src/placement.rs
@@ -26,6 +26,11 @@
 /// Such a retry is made only after at least this many times the expected time to first byte.
 const FIRST_BYTE_EXPECTED_FACTOR: u32 = 3;
 
+/// The mean number of servers that a request considers beside the preferred ones if all instances
+/// know the same loads: if they all chose the best server of all, they would overload it before
+/// any of them is told.
+const SAMPLED_SERVERS: f64 = 4.0;
+
 /// The oldest view whose entries still tell that a server is cold. From an older one only the time that
 /// the entry gave counts, as nobody would learn that it is over.
 const MAX_COLD_VIEW_AGE: Duration = Duration::from_secs(4);
@@ -66,7 +71,8 @@
         let is_overdue = now.since(req.arrived) > target.mul_f64(OVERDUE_SHARE);
         let tier = req.routed.route.tier;
         let least_target_above = catalog.least_target_above(req.pool, tier);
-        let demand = Demand { target, least_target_above, is_overdue };
+        let keeps_engines_open = false;
+        let demand = Demand { target, least_target_above, keeps_engines_open, is_overdue };
         let servers = self.servers.in_pool(req.pool);
         let is_live_stream = req.is_live_stream();
         let live_engines = self.live_engines(req.pool, pool);
@@ -77,10 +83,14 @@
         let preferred = self.preferred_servers(now, req, servers, suits_kind);
         let max_connections = self.max_connections(req.pool);
         // Long prompts go to the engines of live streams only when no other one takes them in time.
-        let may_mix = is_live_stream || is_overdue;
+        let may_mix = is_live_stream || is_overdue && !keeps_engines_open;
         let can_fetch = pool.engine.is_some_and(|engine| engine.fetch_per_token.is_some());
         let is_backed_up =
             req.is_backed_up() && pool.engine.is_some_and(|engine| engine.has_backups);
+        let suited = servers.iter().filter_map(|key| self.servers.get(*key));
+        let suited = suited.filter(|server| suits_kind(server)).count();
+        let sampled = self.sampled_share(now, suited);
+        let sampled_mixed = self.sampled_share(now, servers.len() - suited);
         let mut best: Option<Choice> = None;
         let mut second: Option<Choice> = None;
         let mut unacceptable = Vec::new();
@@ -94,7 +104,12 @@
             {
                 continue;
             }
+            let affinity = preferred.affinity(key);
             let is_mixed = !suits_kind(server);
+            let sampled = if is_mixed { sampled_mixed } else { sampled };
+            if affinity == Affinity::Other && spread(&req.id, server) > sampled {
+                continue;
+            }
             if is_mixed && !may_mix {
                 continue;
             }
@@ -104,8 +119,8 @@
                 fetch_source.filter(|source| can_fetch && self.is_available(now, *source));
             let candidate = Candidate {
                 has_fetch_source: fetch_source.is_some(),
-                affinity: preferred.affinity(key),
-                ..self.candidate(req, server)
+                affinity,
+                ..self.candidate(now, req, server)
             };
             let estimate = candidate.estimate(now, pool, &req.prompt, target);
             if !estimate.is_acceptable(&demand) {
@@ -119,6 +134,7 @@
                 cost: estimate.cost,
                 expected: estimate.first_byte,
                 prefill_tokens: estimate.prefill_tokens,
+                tokens_ahead: estimate.tokens_ahead,
                 others: candidate.load.all.attempts.saturating_sub(server.attempts()),
                 backup: None,
                 fetch_source,
@@ -136,16 +152,22 @@
         best.map(|best| Choice { backup, ..best })
     }
 
+    /// Returns the share of this many servers that a request considers beside the preferred ones.
+    fn sampled_share(&self, now: Time, servers: usize) -> f64 {
+        if self.knows_fleet_loads(now) { SAMPLED_SERVERS / servers as f64 } else { 1.0 }
+    }
+
     /// Returns a server as a candidate for a request, without what the preferred servers for its
     /// prefix add.
-    fn candidate<'a>(&self, req: &Request, server: &'a Server) -> Candidate<'a> {
+    fn candidate<'a>(&self, now: Time, req: &Request, server: &'a Server) -> Candidate<'a> {
         Candidate {
             server,
-            load: SeenLoad::new(&server.load, self.loads.by_rank(server.id.into()), req.rank()),
+            load: SeenLoad::new(&server.load, self.others_load(now, server), req.rank()),
             is_same_zone: server.entry.zone == self.setup.zone,
             affinity: Affinity::Other,
             cached_tokens: server.prefixes.cached_tokens(&req.prompt),
             has_fetch_source: false,
+            tokens_per_ms: self.reading_speed(now, server),
             spread: if req.is_live_stream() { spread(&req.id, server) } else { 0.0 },
         }
     }
@@ -163,7 +185,8 @@
             }
             survey.usable += 1;
             let target = req.routed.route.target;
-            let estimate = self.candidate(req, server).estimate(now, pool, &req.prompt, target);
+            let estimate =
+                self.candidate(now, req, server).estimate(now, pool, &req.prompt, target);
             if estimate.is_full() {
                 survey.full += 1;
                 continue;
@@ -283,6 +306,8 @@
             has_closed: false,
             expected: choice.expected,
             prefill_tokens: if resumes_from_backup { 0 } else { choice.prefill_tokens },
+            tokens_ahead: choice.tokens_ahead,
+            held_tokens: req.prompt.held_tokens(),
             live_pool: req.is_live_stream().then_some(req.pool),
             backup: choice.backup,
         };
@@ -353,6 +378,8 @@
     pub(crate) expected: Duration,
     /// Prompt tokens that the server is expected to read.
     pub(crate) prefill_tokens: u32,
+    /// Prompt tokens that it reads before it responds, those of other requests included.
+    pub(crate) tokens_ahead: f64,
     /// Attempts that other instances run there.
     pub(crate) others: u32,
     /// The engine that gets a copy of the KV cache.
--- a/crates/dispatch/src/prompt.rs
+++ b/crates/dispatch/src/prompt.rs
@@ -28,6 +28,14 @@
         self.parts.last().map_or(self.tokens, |part| part.tokens.min(self.tokens))
     }
 
+    /// Returns the tokens that a generation adds to the memory of its engine: the request's own part,
+    /// the part before it, which few requests share at a time, and the response. Parts that begin
+    /// many prompts are in memory anyway.
+    pub fn held_tokens(&self) -> u32 {
+        let shared = self.last_shared_part().map_or(0, |part| part.tokens);
+        self.own_tokens().saturating_add(shared).saturating_add(self.max_output)
+    }
+
     /// Returns the parts that other requests may share: all but the last one.
     pub fn shared_parts(&self) -> &[Part] {
         self.parts.split_last().map_or(&[], |(_, shared)| shared)
--- a/crates/dispatch/src/request.rs
+++ b/crates/dispatch/src/request.rs
@@ -83,6 +83,11 @@
     pub(crate) expected: Duration,
     /// Prompt tokens that the server still has to read for it.
     pub(crate) prefill_tokens: u32,
+    /// Prompt tokens that the server was expected to read before it responds, those of other requests
+    /// included.
+    pub(crate) tokens_ahead: f64,
+    /// Tokens that it holds in the server's memory when it ends.
+    pub(crate) held_tokens: u32,
     /// The pool in which it counts as a live stream; `None` if it is not one.
     pub(crate) live_pool: Option<PoolId>,
     /// The engine that gets a copy of its KV cache.
@@ -92,7 +97,11 @@
 impl RunningAttempt {
     /// Returns what it adds to the load of its server.
     pub(crate) fn load(&self) -> TotalLoad {
-        TotalLoad { attempts: 1, prefill_tokens: self.prefill_tokens.into() }
+        TotalLoad {
+            attempts: 1,
+            prefill_tokens: self.prefill_tokens.into(),
+            held_tokens: self.held_tokens.into(),
+        }
     }
 }
 
--- a/crates/dispatch/src/state.rs
+++ b/crates/dispatch/src/state.rs
@@ -2,7 +2,7 @@
 
 use std::{collections::HashMap, net::SocketAddrV4, sync::Arc};
 
-use gossip::{Member, Members, PeerLoads, Upstream, ViewStatus, ViewSummary};
+use gossip::{FleetLoads, Member, Members, PeerLoads, Upstream, ViewStatus, ViewSummary};
 use model::prelude::*;
 use rand::{RngExt as _, SeedableRng as _};
 use rand_chacha::ChaCha8Rng;
@@ -10,8 +10,8 @@
 
 use crate::{
     Catalog, Effect, EngineDemand, Event, Freshness, HeldPart, LiveEngines, LogEntry, Quarantine,
-    RequestKey, RetryBudget, ServerKey, Setup, Share, queue::Queue, request::Request,
-    server_ends::PossibleEnd, servers::Servers,
+    RequestKey, RetryBudget, ServerKey, Setup, Share, queue::Queue, reading_speed::ReadingSpeeds,
+    request::Request, server_ends::PossibleEnd, servers::Servers,
 };
 
 /// The longest time between two ticks. A tick tries to start waiting requests, since gossip may
@@ -57,6 +57,8 @@
     pub(crate) members: Members,
     pub(crate) upstream: Upstream,
     pub(crate) loads: PeerLoads,
+    pub(crate) fleet_loads: FleetLoads,
+    pub(crate) reading_speeds: ReadingSpeeds,
     pub(crate) share: Share,
     pub(crate) budgets: HashMap<PoolId, RetryBudget>,
     pub(crate) demand: HashMap<PoolId, EngineDemand>,
@@ -97,7 +99,6 @@
             started_at: now,
             phase: Phase::Serving,
             upstream: Upstream::new(setup.address, rng.random()),
-            rng,
             catalog: None,
             servers: Servers::default(),
             has_server_list: false,
@@ -109,6 +110,8 @@
             platform_back_at: None,
             members: Members::new(now, member, &setup.seeds, setup.seed),
             loads: PeerLoads::default(),
+            fleet_loads: FleetLoads::new(now, setup.address, rng.random()),
+            reading_speeds: ReadingSpeeds::default(),
             share: Share::new(setup.address, setup.zones),
             budgets: HashMap::new(),
             demand: HashMap::new(),
@@ -120,6 +123,7 @@
             is_ready: false,
             next_tick: now,
             effects: Vec::new(),
+            rng,
             setup,
         }
     }
@@ -152,6 +156,7 @@
             Event::PeerReadFailed => self.peer_read_failed(),
             Event::Packet(packet) => self.packet(now, packet),
             Event::Tree(message) => self.tree_message(now, message),
+            Event::Loads(message) => self.loads_message(now, message),
             Event::Request { key, new } => self.request(now, key, *new),
             Event::Sent { key } => self.sent(now, key),
             Event::FirstByte { key } => self.first_byte(now, key),
@@ -181,8 +186,9 @@
     /// Returns when the next [`Event::Tick`] is due.
     pub fn next_wake(&self, now: Time) -> Time {
         let busy = self.queue.next_refusal().map(|time| time.min(now + BUSY_TICK));
-        let due = [self.members.next_wake(), self.next_tick];
-        due.into_iter().chain(busy).min().unwrap_or(self.next_tick)
+        let loads = self.members.is_large().then(|| self.fleet_loads.next_wake());
+        let due = [self.members.next_wake(), self.next_tick].into_iter().chain(loads);
+        due.chain(busy).min().unwrap_or(self.next_tick)
     }
 
     /// Returns the configuration in force; `None` before the first one.
@@ -246,9 +252,11 @@
     fn tick(&mut self, now: Time) {
         self.next_tick = now + MAX_TICK;
         self.gossip(now);
+        self.tell_loads(now);
         self.remove_expired_servers(now);
         self.refuse_expired(now);
         self.record_survivals(now);
+        self.update_reading_speeds(now);
         self.update_live_engines(now);
         self.dispatch_all(now);
         self.update_phase(now);
--- a/crates/edge/src/instance.rs
+++ b/crates/edge/src/instance.rs
@@ -206,6 +206,7 @@
             Effect::Command { key, command } => self.send_command(key, command),
             Effect::Send(outgoing) => self.send(outgoing.to, outgoing.packet.encode()),
             Effect::SendTree(outgoing) => self.send(outgoing.to, outgoing.message.encode()),
+            Effect::SendLoads(outgoing) => self.send(outgoing.to, outgoing.message.encode()),
             Effect::ReadPlatform => {
                 // A full channel means that the task that reads will wake anyway.
                 let _ = self.read_now.0.try_send(());
--- a/crates/gossip/src/lib.rs
+++ b/crates/gossip/src/lib.rs
@@ -13,13 +13,17 @@
 //! * [`Members`]: the known members, and which packets are to be sent,
 //! * [`Upstream`]: the position in the broadcast tree,
 //! * [`Demand`]: what members tell up the tree of their work,
-//! * [`PeerLoads`]: the load that peers put on backend servers,
+//! * [`PeerLoads`]: the load that peers put on backend servers, as packets tell it,
+//! * [`FleetLoads`]: the same in a large fleet, added up along the tree,
 //! * [`Packet`]: the message and its codec.
 
 mod account;
 mod checked;
 mod demand;
 mod evidence;
+mod fleet_loads;
+mod load_message;
+mod load_sum;
 mod loads;
 mod member;
 mod members;
@@ -34,6 +38,9 @@
 pub use account::{AccountTag, AccountUse};
 pub use demand::{Demand, PoolDemand, PoolTag};
 pub use evidence::{EndTag, PartEvidence, ServerEnd};
+pub use fleet_loads::FleetLoads;
+pub use load_message::{Direction, LoadMessage, OutgoingLoadMessage};
+pub use load_sum::{LoadSum, RankSum, ServerSum, SpeedEvidence};
 pub use loads::{Load, PeerLoads, ServerTag, TotalLoad};
 pub use member::Member;
 pub use members::{Members, OutgoingPacket, PeerUpdate};
--- a/crates/gossip/src/loads.rs
+++ b/crates/gossip/src/loads.rs
@@ -56,11 +56,30 @@
     pub attempts: u32,
     /// Uncached prompt tokens of attempts whose response has not begun.
     pub prefill_tokens: u64,
+    /// Tokens that the attempts hold in the server's memory when they end, and copies of the KV
+    /// caches of others. Known only for own attempts and from [`FleetLoads`](crate::FleetLoads).
+    pub held_tokens: u64,
+}
+
+impl TotalLoad {
+    /// Returns the load multiplied by a factor.
+    pub fn scaled(self, factor: f64) -> Self {
+        let scaled = |it: u64| (it as f64 * factor).round() as u64;
+        Self {
+            attempts: (f64::from(self.attempts) * factor).round() as u32,
+            prefill_tokens: scaled(self.prefill_tokens),
+            held_tokens: scaled(self.held_tokens),
+        }
+    }
 }
 
 impl From<Load> for TotalLoad {
     fn from(load: Load) -> Self {
-        Self { attempts: load.attempts.into(), prefill_tokens: load.prefill_tokens.into() }
+        Self {
+            attempts: load.attempts.into(),
+            prefill_tokens: load.prefill_tokens.into(),
+            held_tokens: 0,
+        }
     }
 }
 
@@ -71,6 +90,7 @@
         Self {
             attempts: self.attempts.saturating_add(other.attempts),
             prefill_tokens: self.prefill_tokens.saturating_add(other.prefill_tokens),
+            held_tokens: self.held_tokens.saturating_add(other.held_tokens),
         }
     }
 }
@@ -92,7 +112,11 @@
             let prefill_tokens = u64::from(part.prefill_tokens).min(rest.prefill_tokens);
             rest.attempts -= attempts;
             rest.prefill_tokens -= prefill_tokens;
-            split.push((load.server, part.rank, TotalLoad { attempts, prefill_tokens }));
+            split.push((
+                load.server,
+                part.rank,
+                TotalLoad { attempts, prefill_tokens, held_tokens: 0 },
+            ));
         }
         for (load, rest) in loads.iter().zip(rest) {
             split.push((load.server, RankTag::default(), rest));
--- a/crates/gossip/src/rank.rs
+++ b/crates/gossip/src/rank.rs
@@ -43,6 +43,7 @@
         let own = self.entry(rank);
         own.attempts = own.attempts.saturating_sub(load.attempts);
         own.prefill_tokens = own.prefill_tokens.saturating_sub(load.prefill_tokens);
+        own.held_tokens = own.held_tokens.saturating_sub(load.held_tokens);
         self.ranks.retain(|it| it.1 != TotalLoad::default());
     }
 
--- a/crates/gossip/src/tree.rs
+++ b/crates/gossip/src/tree.rs
@@ -4,7 +4,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::{DecodeError, Demand, Packet, ViewStatus};
+use crate::{DecodeError, Demand, LoadMessage, Packet, ViewStatus, load_message};
 
 /// The version of the format of tree messages, and the first byte of each. A [`Packet`] begins with
 /// another one, and instances that know only packets ignore these messages.
@@ -81,14 +81,17 @@
     Packet(Packet),
     /// A message along the broadcast tree.
     Tree(TreeMessage),
+    /// A sum of loads, along the same tree.
+    Loads(LoadMessage),
 }
 
 impl Datagram {
-    /// Decodes a datagram of either kind. Bytes after it are ignored.
+    /// Decodes a datagram of any kind. Bytes after it are ignored.
     pub fn decode(bytes: &[u8]) -> Result<Self, DecodeError> {
-        if bytes.first() == Some(&FORMAT_VERSION) {
-            return Ok(Self::Tree(postcard::from_bytes(bytes)?));
+        match bytes.first() {
+            Some(&FORMAT_VERSION) => Ok(Self::Tree(postcard::from_bytes(bytes)?)),
+            Some(&load_message::FORMAT_VERSION) => Ok(Self::Loads(postcard::from_bytes(bytes)?)),
+            _ => Packet::decode(bytes).map(Self::Packet),
         }
-        Packet::decode(bytes).map(Self::Packet)
     }
 }
