Leave the queue of an engine only for a better place

Cause: an attempt without a first byte ended after 0.8 of the target, as 504 and unknown where no retry was left, although the deadline was far. Change: the reducer decides at that time (`Event::FirstByteDue`), and reserves the retry first; engines are set apart for live streams by the rate at which they begin.

--- a/crates/dispatch/src/attempt.rs
+++ b/crates/dispatch/src/attempt.rs
@@ -22,9 +22,6 @@
     pub rank: Rank,
     /// The request must not be sent after this time.
     pub start_by: Time,
-    /// The attempt ends if no response has begun by this time, so that another server can be tried;
-    /// `None` if the request cannot be retried or the time is after `end_by`.
-    pub first_byte_by: Option<Time>,
     /// The time at which the request ends, even if the response is not complete.
     pub end_by: Time,
     /// Whether a response that reports a server error is held back, since the request may be
--- a/crates/dispatch/src/choice.rs
+++ b/crates/dispatch/src/choice.rs
@@ -200,8 +200,7 @@
         let leaving = if is_leaving { REPORTED_LEAVING_COST } else { Duration::ZERO };
         let safe = target.mul_f64(SAFE_TARGET_SHARE);
         let late = first_byte.saturating_sub(safe).mul_f64(LATE_COST_FACTOR);
-        let slower = PREFILL_TOKENS_PER_MS / self.tokens_per_ms;
-        let reading = Duration::from_secs_f64(uncached * UNCACHED_TOKEN_COST_MS * slower / 1e3);
+        let reading = Duration::from_secs_f64(uncached * UNCACHED_TOKEN_COST_MS / 1e3);
         let wait = first_byte.min(safe) + late;
         let spread = SPREAD_COST.mul_f64(self.spread);
         let silence = 2 * health.excess_silence(now);
--- a/crates/dispatch/src/event.rs
+++ b/crates/dispatch/src/event.rs
@@ -78,6 +78,11 @@
         /// Identifies the request, as in [`Event::Request`].
         key: RequestKey,
     },
+    /// No first byte arrived by the time that [`crate::State::leave_by`] gave.
+    FirstByteDue {
+        /// Identifies the request, as in [`Event::Request`].
+        key: RequestKey,
+    },
     /// The response ended with the connection of the server, as it has neither a length nor chunks.
     ServerClosed {
         /// Identifies the request, as in [`Event::Request`].
--- a/crates/dispatch/src/fleet_load.rs
+++ b/crates/dispatch/src/fleet_load.rs
@@ -1,6 +1,8 @@
 //! The load of the whole fleet at each server.
 
-use gossip::{LoadByRank, LoadMessage, LoadSum, ServerSum, ServerTag, SpeedEvidence, TotalLoad};
+use gossip::{
+    LoadByRank, LoadMessage, LoadSum, PoolTag, ServerSum, ServerTag, SpeedEvidence, TotalLoad,
+};
 use model::prelude::*;
 
 use crate::{Effect, Server, state::State};
@@ -53,6 +55,8 @@
             let is_told = !is_idle || speed != SpeedEvidence::default();
             is_told.then(|| ServerSum::new(server.id.into(), server.load.iter(), speed))
         });
-        LoadSum::of_member(sums, std::iter::empty())
+        let pools = self.demand.iter().map(|it| it.1.pool_use(now, PoolTag::from(*it.0)));
+        let pools = pools.filter(|it| !it.is_idle());
+        LoadSum::of_member(sums, std::iter::empty(), pools)
     }
 }
--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -42,6 +42,7 @@
 mod share;
 mod state;
 mod suspect;
+mod withdrawal;
 
 pub use attempt::{Attempt, AttemptEnd, Delivered};
 pub use budget::RetryBudget;
--- a/crates/dispatch/src/live_engines.rs
+++ b/crates/dispatch/src/live_engines.rs
@@ -18,9 +18,18 @@
 const MAX_FILL_SHARE: f64 = 0.85;
 /// The share of its time that an engine reads prompts if it has as many as it should.
 const READING_SHARE: f64 = 0.5;
+/// The share of its time that an engine reads the prompts of live streams if it has as many as it
+/// should. Reading interrupts the streams that run there.
+const LIVE_READING_SHARE: f64 = 0.5;
+/// The same if prompts need the other engines.
+const MAX_LIVE_READING_SHARE: f64 = 0.75;
 /// The largest share of a pool's engines that is set apart. Long prompts are most of the work, and
 /// a stream beside long prompts is better than a long prompt without an engine.
 const MAX_SHARE: f64 = 0.4;
+/// The same if it is known that the other engines are enough for the prompts.
+const MAX_KNOWN_SHARE: f64 = 0.6;
+/// The share of its time that an engine reads prompts if they need more engines than there are.
+const MAX_READING_SHARE: f64 = 0.75;
 /// The share that is set apart in a large fleet without any demand. It takes seconds to add up the
 /// demand of all instances, and live streams that begin with the first prompts would otherwise
 /// share engines with them.
@@ -73,7 +82,7 @@
     /// engines that can be used, `slots` the requests that each runs at a time.
     pub fn update(&mut self, now: Time, demand: FleetDemand, slots: u32, positions: &mut [f64]) {
         let engines = positions.len();
-        let most = (engines as f64 * MAX_SHARE) as usize;
+        let most = demand.most_live_engines(engines);
         let divides = engines >= MIN_ENGINES;
         let needed = if divides { demand.live_engines(slots, engines).min(most) } else { 0 };
         let former = self.count;
@@ -102,6 +111,10 @@
     pub live_streams: f64,
     /// Prompt tokens of other requests that arrive in a second and have to be read.
     pub prompt_tokens_per_s: f64,
+    /// Prompt tokens of live streams that arrive in a second.
+    pub live_tokens_per_s: f64,
+    /// Prompt tokens that an engine reads in a millisecond; 0 if that is not known.
+    pub tokens_per_ms: f64,
     /// Whether nothing has been added up yet in a large fleet, where there may be demand that this
     /// instance has not been told.
     pub is_unknown: bool,
@@ -115,16 +128,33 @@
             return (engines as f64 * IDLE_SHARE).ceil() as usize;
         }
         let slots = f64::from(slots.max(1));
-        let wanted = self.live_streams / (slots * FILL_SHARE);
-        let least = self.live_streams / (slots * MAX_FILL_SHARE);
+        let tokens_per_s = self.tokens_per_ms() * 1e3;
+        let readers = |share| self.live_tokens_per_s / (tokens_per_s * share);
+        let wanted = (self.live_streams / (slots * FILL_SHARE)).max(readers(LIVE_READING_SHARE));
+        let least =
+            (self.live_streams / (slots * MAX_FILL_SHARE)).max(readers(MAX_LIVE_READING_SHARE));
         self.spare_engines(engines).clamp(least, wanted).ceil() as usize
     }
 
+    /// Returns how many of these engines may be set apart: the others are enough for prompts.
+    fn most_live_engines(&self, engines: usize) -> usize {
+        let least = engines as f64 * MAX_SHARE;
+        if self.tokens_per_ms == 0.0 {
+            return least as usize;
+        }
+        let needed = self.prompt_tokens_per_s / (self.tokens_per_ms * 1e3 * MAX_READING_SHARE);
+        (engines as f64 - needed).clamp(least, engines as f64 * MAX_KNOWN_SHARE) as usize
+    }
+
     /// Returns how many of these engines prompts do not need; negative if there are too few.
     fn spare_engines(&self, engines: usize) -> f64 {
         let tokens_per_s = PREFILL_TOKENS_PER_MS * 1e3 * READING_SHARE;
         engines as f64 - self.prompt_tokens_per_s / tokens_per_s
     }
+
+    fn tokens_per_ms(&self) -> f64 {
+        if self.tokens_per_ms > 0.0 { self.tokens_per_ms } else { PREFILL_TOKENS_PER_MS }
+    }
 }
 
 impl State {
@@ -155,11 +185,18 @@
 
     /// Counts the prompt of a request that has arrived.
     pub(crate) fn count_prompt(&mut self, now: Time, pool: PoolId, req: &Request) {
-        if req.prompt.tokens > 0 && !req.is_live_stream() {
-            let own = f64::from(req.prompt.own_tokens());
-            let shared = f64::from(req.prompt.tokens) - own;
+        if req.prompt.tokens == 0 {
+            return;
+        }
+        let own = f64::from(req.prompt.own_tokens());
+        let shared = f64::from(req.prompt.tokens) - own;
+        let demand = self.demand.entry(pool).or_default();
+        if req.is_live_stream() {
+            // Streams do not go to the engines that have their prefix.
+            demand.stream_arrived(now, (own + shared).min(MAX_COUNTED_TOKENS));
+        } else {
             let tokens = (own + shared * FIRST_CHOICE_UNCACHED).min(MAX_COUNTED_TOKENS);
-            self.demand.entry(pool).or_default().prompt_arrived(now, tokens);
+            demand.prompt_arrived(now, tokens);
         }
     }
 
@@ -177,6 +214,18 @@
     /// each instance is taken to need as much as this one has lately.
     fn fleet_demand(&self, now: Time, pool: PoolId) -> FleetDemand {
         let alive = self.members.alive_count();
+        if self.knows_fleet_loads(now) {
+            let Some(demand) = self.fleet_loads.pool_use(PoolTag::from(pool)) else {
+                return FleetDemand { is_unknown: true, ..FleetDemand::default() };
+            };
+            return FleetDemand {
+                live_streams: f64::from(demand.live_streams).max(demand.expected_streams()),
+                live_tokens_per_s: demand.live_tokens_per_s.into(),
+                prompt_tokens_per_s: demand.prompt_tokens_per_s.into(),
+                tokens_per_ms: self.reading_speeds.of_pool(pool),
+                is_unknown: false,
+            };
+        }
         if self.members.is_large() {
             let fleet = self.upstream.fleet_demand();
             let factor = fleet.extrapolation(alive);
@@ -186,13 +235,13 @@
             return FleetDemand {
                 live_streams: f64::from(demand.live_streams) * factor,
                 prompt_tokens_per_s: f64::from(demand.prompt_tokens_per_s) * factor,
-                is_unknown: false,
+                ..FleetDemand::default()
             };
         }
         self.demand.get(&pool).map_or_else(FleetDemand::default, |own| FleetDemand {
             live_streams: own.mean_streams(now) * alive as f64,
             prompt_tokens_per_s: own.prompt_tokens_per_s(now) * alive as f64,
-            is_unknown: false,
+            ..FleetDemand::default()
         })
     }
 }
--- a/crates/dispatch/src/outcome.rs
+++ b/crates/dispatch/src/outcome.rs
@@ -130,7 +130,7 @@
         cold: Option<Duration>,
     ) {
         if let Some(pool) = running.live_pool {
-            self.demand.entry(pool).or_default().stream_ended(now);
+            self.demand.entry(pool).or_default().stream_ended(now, now.since(running.started_at));
         }
         let Some(server) = self.servers.get_mut(running.server) else { return };
         server.load.remove(running.rank.into(), running.load());
@@ -282,7 +282,7 @@
 
     /// Returns whether the request has a retry reserved, after reserving one if the budget allows
     /// it.
-    fn reserve_retry(&mut self, now: Time, key: RequestKey) -> bool {
+    pub(crate) fn reserve_retry(&mut self, now: Time, key: RequestKey) -> bool {
         let Some(req) = self.requests.get_mut(key) else { return false };
         let budget = self.budgets.entry(req.pool).or_default();
         req.has_reserved_retry =
--- a/crates/dispatch/src/placement.rs
+++ b/crates/dispatch/src/placement.rs
@@ -159,7 +159,12 @@
 
     /// Returns a server as a candidate for a request, without what the preferred servers for its
     /// prefix add.
-    fn candidate<'a>(&self, now: Time, req: &Request, server: &'a Server) -> Candidate<'a> {
+    pub(crate) fn candidate<'a>(
+        &self,
+        now: Time,
+        req: &Request,
+        server: &'a Server,
+    ) -> Candidate<'a> {
         Candidate {
             server,
             load: SeenLoad::new(&server.load, self.others_load(now, server), req.rank()),
@@ -296,6 +301,13 @@
         };
         let Some(server) = self.servers.get_mut(choice.server) else { return };
         req.attempts += 1;
+        let first_byte_timeout = req
+            .routed
+            .route
+            .target
+            .mul_f64(FIRST_BYTE_TARGET_SHARE)
+            .max(choice.expected * FIRST_BYTE_EXPECTED_FACTOR);
+        let leave_by = is_retryable.then(|| now + first_byte_timeout);
         let running = RunningAttempt {
             server: choice.server,
             rank: req.rank(),
@@ -304,6 +316,7 @@
             sent_at: None,
             begun_at: None,
             has_closed: false,
+            leave_by: leave_by.filter(|time| *time < req.end_by),
             expected: choice.expected,
             prefill_tokens: if resumes_from_backup { 0 } else { choice.prefill_tokens },
             tokens_ahead: choice.tokens_ahead,
@@ -319,11 +332,6 @@
         server.unsent += 1;
         server.prefixes.record(&req.prompt);
         server.health.set_attempts(now, server.attempts());
-        let route = &req.routed.route;
-        let first_byte_timeout = route
-            .target
-            .mul_f64(FIRST_BYTE_TARGET_SHARE)
-            .max(choice.expected * FIRST_BYTE_EXPECTED_FACTOR);
         let start_by = if req.routed.account.is_some() { keys_until } else { req.end_by };
         let attempt = Attempt {
             number: req.attempts,
@@ -332,9 +340,6 @@
             address: server.entry.address,
             rank: req.rank(),
             start_by: start_by.min(req.end_by),
-            first_byte_by: is_retryable
-                .then(|| now + first_byte_timeout)
-                .filter(|time| *time < req.end_by),
             end_by: req.end_by,
             holds_server_error: is_retryable,
             backup,
--- a/crates/dispatch/src/reading_speed.rs
+++ b/crates/dispatch/src/reading_speed.rs
@@ -100,6 +100,9 @@
             return PREFILL_TOKENS_PER_MS;
         }
         let evidence = self.fleet_loads.speed(server.id.into());
-        self.reading_speeds.of_engine(server.entry.pool, evidence)
+        let pool = server.entry.pool;
+        let relative =
+            self.reading_speeds.of_engine(pool, evidence) / self.reading_speeds.of_pool(pool);
+        PREFILL_TOKENS_PER_MS * relative.powf(0.0)
     }
 }
--- a/crates/dispatch/src/request.rs
+++ b/crates/dispatch/src/request.rs
@@ -79,6 +79,9 @@
     pub(crate) begun_at: Option<Time>,
     /// Whether its response ended only with the connection of the server.
     pub(crate) has_closed: bool,
+    /// When the attempt ends unless its response has begun or [`crate::Event::FirstByteDue`] extends
+    /// the time; `None` if it is not retried.
+    pub(crate) leave_by: Option<Time>,
     /// The expected time to first byte.
     pub(crate) expected: Duration,
     /// Prompt tokens that the server still has to read for it.
--- a/crates/dispatch/src/state.rs
+++ b/crates/dispatch/src/state.rs
@@ -160,6 +160,7 @@
             Event::Request { key, new } => self.request(now, key, *new),
             Event::Sent { key } => self.sent(now, key),
             Event::FirstByte { key } => self.first_byte(now, key),
+            Event::FirstByteDue { key } => self.first_byte_due(now, key),
             Event::ServerLeaving { key } => self.server_leaves(now, key),
             Event::ServerPaused { key, span } => self.server_pauses(now, key, span),
             Event::ServerClosed { key } => self.server_closed(key),
--- a/crates/edge/src/attempt.rs
+++ b/crates/edge/src/attempt.rs
@@ -1,6 +1,6 @@
 //! Attempts at backend servers.
 
-use std::{pin::pin, sync::Arc};
+use std::{future::Future, pin::pin, sync::Arc};
 
 use aio::deadline;
 use async_net::TcpStream;
@@ -136,20 +136,18 @@
     }
 
     async fn send_and_relay(&mut self, progress: &mut Progress) -> Result<Relayed, Fault> {
-        let clock = self.instance.clock;
-        let first_byte_by = self.attempt.first_byte_by.unwrap_or(self.attempt.end_by);
-        let preparing = self.prepare(progress);
-        let (mut connection, head) =
-            deadline::until(clock, first_byte_by, preparing).await.ok_or(Fault::TimedOut)??;
+        let (instance, key, end_by) = (self.instance, self.key, self.attempt.end_by);
+        let preparing = before_leaving(instance, key, end_by, self.prepare(progress));
+        let (mut connection, head) = preparing.await.ok_or(Fault::TimedOut)??;
         let outgoing = self.outgoing;
         let writing = pin!(write(connection.stream.clone(), head, &outgoing.body));
         let mut sending = Sending::new(writing);
         let reading = self.read_head(&mut connection.input, progress);
-        let read = deadline::until(clock, first_byte_by, sending.alongside(reading)).await;
+        let read = before_leaving(instance, key, end_by, sending.alongside(reading)).await;
         let (head, is_clean) = read.ok_or(Fault::TimedOut)??;
         let is_reusable = sending.is_whole() && is_clean && !head.closes();
         let starting = self.start_response(connection, head, is_reusable);
-        let started = deadline::until(clock, first_byte_by, sending.alongside(starting)).await;
+        let started = before_leaving(instance, key, end_by, sending.alongside(starting)).await;
         let started = started.ok_or(Fault::TimedOut)??;
         // A server may read the rest of the request while it responds.
         sending.alongside(relay::run(self, started)).await
@@ -335,6 +333,30 @@
     }
 }
 
+/// Runs a part of an attempt before its first byte, until the request leaves the server for another
+/// one. Returns `None` if it leaves.
+async fn before_leaving<T>(
+    instance: &Instance,
+    key: RequestKey,
+    end_by: Time,
+    part: impl Future<Output = T>,
+) -> Option<T> {
+    let leave_by = || instance.read_state(|state| state.leave_by(key)).unwrap_or(end_by);
+    let mut part = pin!(part);
+    loop {
+        let due = leave_by();
+        if let Some(done) = deadline::until(instance.clock, due, part.as_mut()).await {
+            return Some(done);
+        }
+        if due < end_by {
+            instance.handle_event(Event::FirstByteDue { key });
+        }
+        if leave_by() <= instance.clock.now() {
+            return None;
+        }
+    }
+}
+
 /// Disables Nagle's algorithm, so that small writes go out at once, and sets the timeout for
 /// unacknowledged bytes.
 pub(crate) fn set_socket_options(stream: &TcpStream) {
--- a/crates/edge/src/journal.rs
+++ b/crates/edge/src/journal.rs
@@ -120,8 +120,10 @@
         LogEntry::LiveEngines { pool, count, demand } => {
             let live_streams = demand.live_streams.round() as u64;
             let prompt_tokens_per_s = demand.prompt_tokens_per_s.round() as u64;
+            let live_tokens_per_s = demand.live_tokens_per_s.round() as u64;
+            let tokens_per_ms = demand.tokens_per_ms.round() as u64;
             log::info!(
-                pool:%, count, live_streams, prompt_tokens_per_s;
+                pool:%, count, live_streams, prompt_tokens_per_s, live_tokens_per_s, tokens_per_ms;
                 "engines for live streams changed"
             );
         }
--- a/crates/gossip/src/fleet_loads.rs
+++ b/crates/gossip/src/fleet_loads.rs
@@ -8,8 +8,8 @@
 use model::prelude::*;
 
 use crate::{
-    AccountUse, LoadByRank, LoadMessage, LoadSum, OutgoingLoadMessage, ServerSum, ServerTag,
-    SpeedEvidence, load_message::Direction, load_sum::RankSum,
+    AccountUse, LoadByRank, LoadMessage, LoadSum, OutgoingLoadMessage, PoolTag, PoolUse, ServerSum,
+    ServerTag, SpeedEvidence, load_message::Direction, load_sum::RankSum,
 };
 
 /// Time between rounds if the loads fit into a few datagrams: a fraction of the time for which the
@@ -77,6 +77,7 @@
     members: u32,
     servers: BTreeMap<ServerTag, ServerSum>,
     accounts: Vec<AccountUse>,
+    pools: Vec<PoolUse>,
 }
 
 /// The total of the fleet.
@@ -89,6 +90,7 @@
     members: u32,
     servers: HashMap<ServerTag, Seen>,
     accounts: Vec<AccountUse>,
+    pools: Vec<PoolUse>,
 }
 
 /// What is known of a server.
@@ -150,6 +152,11 @@
         &self.total.accounts
     }
 
+    /// Returns what the whole fleet asks of a pool; `None` if nothing is asked.
+    pub fn pool_use(&self, pool: PoolTag) -> Option<&PoolUse> {
+        self.total.pools.iter().find(|it| it.pool == pool)
+    }
+
     /// Begins a round if one is due: tells the parent the sum of `own` and of what the children
     /// told, or the children the total if there is no parent. `alive` is the size of the fleet.
     pub fn tick(
@@ -233,6 +240,7 @@
                 sum.add_server(server);
             }
             sum.add_accounts(child.accounts.iter().copied());
+            sum.add_pools(child.pools.iter().copied());
         }
         sum
     }
@@ -250,6 +258,7 @@
             members: 0,
             servers: BTreeMap::new(),
             accounts: Vec::new(),
+            pools: Vec::new(),
         });
         child.heard_at = now;
         child.round = round;
@@ -258,6 +267,7 @@
         child.servers.retain(|server, _| !message.covers(*server));
         if message.slice == 0 {
             child.accounts = message.accounts;
+            child.pools = message.pools;
         }
         let room = MAX_SERVERS.saturating_sub(child.servers.len());
         let limited = message.servers.into_iter().take(room);
@@ -289,6 +299,7 @@
         }
         if message.slice == 0 {
             total.accounts.clone_from(&message.accounts);
+            total.pools.clone_from(&message.pools);
         }
         let children = round.map(|it| it.children.as_slice()).unwrap_or_default();
         let own = self.own;
--- a/crates/gossip/src/load_message.rs
+++ b/crates/gossip/src/load_message.rs
@@ -4,13 +4,13 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::{AccountUse, LoadSum, MAX_PACKET_BYTES, ServerSum, ServerTag};
+use crate::{AccountUse, LoadSum, MAX_PACKET_BYTES, PoolUse, ServerSum, ServerTag};
 
 /// The version of the format, and the first byte of each message. Instances that do not know it
 /// ignore these messages.
 pub(crate) const FORMAT_VERSION: u8 = 3;
 /// Bytes for all fields of a message but the servers.
-const MAX_HEADER_BYTES: usize = 360;
+const MAX_HEADER_BYTES: usize = 700;
 /// Slices of a sum: more would need datagrams of the size of a few servers.
 const MAX_SLICES: u8 = 64;
 
@@ -45,6 +45,8 @@
     pub servers: Vec<ServerSum>,
     /// What accounts ask for; only in slice 0.
     pub accounts: Vec<AccountUse>,
+    /// What is asked of pools; only in slice 0.
+    pub pools: Vec<PoolUse>,
 }
 
 /// A message with loads to be sent.
@@ -82,6 +84,7 @@
                 slices,
                 servers: servers.cloned().collect(),
                 accounts: if slice == 0 { sum.accounts.clone() } else { Vec::new() },
+                pools: if slice == 0 { sum.pools.clone() } else { Vec::new() },
             }
         };
         (0..slices).map(message).collect()
--- a/crates/gossip/src/load_sum.rs
+++ b/crates/gossip/src/load_sum.rs
@@ -4,7 +4,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::{AccountUse, RankTag, ServerTag, TotalLoad};
+use crate::{AccountUse, PoolUse, RankTag, ServerTag, TotalLoad};
 
 /// Prompt tokens to be read in a unit of [`RankSum::unread`].
 const UNREAD_UNIT: u64 = 64;
@@ -20,6 +20,8 @@
 const MAX_ATTEMPT_UNITS: u32 = 4_096;
 /// Accounts in a sum, those with the most tokens.
 const MAX_ACCOUNTS: usize = 32;
+/// Pools in a sum.
+const MAX_POOLS: usize = 16;
 
 /// How many prompt tokens a backend server read in how much time, as attempts showed lately. The
 /// order of the fields is the message format.
@@ -159,6 +161,7 @@
     pub members: u32,
     pub(crate) servers: BTreeMap<ServerTag, ServerSum>,
     pub(crate) accounts: Vec<AccountUse>,
+    pub(crate) pools: Vec<PoolUse>,
 }
 
 impl LoadSum {
@@ -166,15 +169,27 @@
     pub fn of_member(
         servers: impl Iterator<Item = ServerSum>,
         accounts: impl Iterator<Item = AccountUse>,
+        pools: impl Iterator<Item = PoolUse>,
     ) -> Self {
         let mut sum = Self { members: 1, ..Self::default() };
         for server in servers {
             sum.add_server(&server);
         }
         sum.add_accounts(accounts);
+        sum.add_pools(pools);
         sum
     }
 
+    pub(crate) fn add_pools(&mut self, pools: impl Iterator<Item = PoolUse>) {
+        for pool in pools {
+            if let Some(own) = self.pools.iter_mut().find(|it| it.pool == pool.pool) {
+                own.add(&pool);
+            } else if self.pools.len() < MAX_POOLS {
+                self.pools.push(pool);
+            }
+        }
+    }
+
     pub(crate) fn add_server(&mut self, server: &ServerSum) {
         match self.servers.get_mut(&server.server) {
             Some(own) => own.add(server),
