Wait for the best server rather than go to a worse one

Cause: a server that was not acceptable was left out, so a request went to another one that had to read its shared prefix anew. Change: where the load of the fleet is known the server with the least cost is chosen first, and waited for if it is not acceptable now.

--- a/crates/dispatch/src/choice.rs
+++ b/crates/dispatch/src/choice.rs
@@ -168,8 +168,6 @@
     pub room: Room,
     /// Whether the server runs nothing, so that waiting changes nothing.
     pub is_idle: bool,
-    /// The time that the server still reads for other requests.
-    pub reading: Duration,
     /// The time that the server still reads for more urgent requests.
     pub urgent_reading: Duration,
 }
@@ -216,7 +214,6 @@
             tokens_ahead: self.load.all.prefill_tokens as f64 + f64::from(prefill_tokens),
             room,
             is_idle,
-            reading: self.reading_time(self.load.all.prefill_tokens),
             urgent_reading,
         }
     }
@@ -288,10 +285,11 @@
             if demand.is_overdue { OVERDUE_MAX_FIRST_BYTE_SHARE } else { MAX_FIRST_BYTE_SHARE };
         let limit = |target: Duration, share| target.mul_f64(share).max(2 * ENGINE_BASE_LATENCY);
         let Some(least_target_above) = demand.least_target_above else { return !self.is_full() };
-        let reading = if demand.keeps_engines_open { self.reading } else { self.urgent_reading };
-        let leaves_room =
-            ENGINE_BASE_LATENCY + reading <= limit(least_target_above, MAX_FIRST_BYTE_SHARE);
-        let is_soon = self.first_byte_by_rank <= limit(demand.target, share);
+        let leaves_room = ENGINE_BASE_LATENCY + self.urgent_reading
+            <= limit(least_target_above, MAX_FIRST_BYTE_SHARE);
+        let reading = self.first_byte_by_rank.saturating_sub(ENGINE_BASE_LATENCY);
+        let first_byte = ENGINE_BASE_LATENCY + reading.mul_f64(demand.reading_factor);
+        let is_soon = first_byte <= limit(demand.target, share);
         !self.is_full() && leaves_room && (self.is_idle || is_soon)
     }
 }
@@ -304,9 +302,8 @@
     /// The least target among the routes to the pool that have a higher tier; `None` if the request
     /// has the highest one.
     pub least_target_above: Option<Duration>,
-    /// Whether the load of the whole fleet is known, so that each engine is kept open for requests of
-    /// higher tiers.
-    pub keeps_engines_open: bool,
+    /// How many times longer than assumed the engines of the pool take to read.
+    pub reading_factor: f64,
     /// Whether the request has waited so long that it will hardly meet its target.
     pub is_overdue: bool,
 }
--- a/crates/dispatch/src/outcome.rs
+++ b/crates/dispatch/src/outcome.rs
@@ -225,6 +225,7 @@
         let choice = Choice {
             server: running.backup?,
             room: Room::Free,
+            is_acceptable: true,
             is_mixed: false,
             cost: Duration::ZERO,
             expected: running.expected,
--- a/crates/dispatch/src/placement.rs
+++ b/crates/dispatch/src/placement.rs
@@ -9,6 +9,7 @@
     Affinity, Attempt, Candidate, Command, Demand, Effect, LogEntry, Pool, RequestKey, Room,
     SeenLoad, Server, ServerKey, ServerSurvey, Verdict,
     awaited_servers::AwaitedServers,
+    choice::PREFILL_TOKENS_PER_MS,
     preferred_servers::PreferredServers,
     request::{Request, RunningAttempt, Stage},
     state::State,
@@ -71,8 +72,8 @@
         let is_overdue = now.since(req.arrived) > target.mul_f64(OVERDUE_SHARE);
         let tier = req.routed.route.tier;
         let least_target_above = catalog.least_target_above(req.pool, tier);
-        let keeps_engines_open = false;
-        let demand = Demand { target, least_target_above, keeps_engines_open, is_overdue };
+        let reading_factor = PREFILL_TOKENS_PER_MS / self.reading_speeds.of_pool(req.pool);
+        let demand = Demand { target, least_target_above, reading_factor, is_overdue };
         let servers = self.servers.in_pool(req.pool);
         let is_live_stream = req.is_live_stream();
         let live_engines = self.live_engines(req.pool, pool);
@@ -83,12 +84,13 @@
         let preferred = self.preferred_servers(now, req, servers, suits_kind);
         let max_connections = self.max_connections(req.pool);
         // Long prompts go to the engines of live streams only when no other one takes them in time.
-        let may_mix = is_live_stream || is_overdue && !keeps_engines_open;
+        let may_mix = is_live_stream || is_overdue;
         let can_fetch = pool.engine.is_some_and(|engine| engine.fetch_per_token.is_some());
         let is_backed_up =
             req.is_backed_up() && pool.engine.is_some_and(|engine| engine.has_backups);
         let suited = servers.iter().filter_map(|key| self.servers.get(*key));
         let suited = suited.filter(|server| suits_kind(server)).count();
+        let is_known = self.knows_fleet_loads(now);
         let sampled = self.sampled_share(now, suited);
         let sampled_mixed = self.sampled_share(now, servers.len() - suited);
         let mut best: Option<Choice> = None;
@@ -123,13 +125,15 @@
                 ..self.candidate(now, req, server)
             };
             let estimate = candidate.estimate(now, pool, &req.prompt, target);
-            if !estimate.is_acceptable(&demand) {
+            let is_acceptable = estimate.is_acceptable(&demand);
+            if !is_acceptable && (estimate.is_full() || !is_known) {
                 unacceptable.push(key);
                 continue;
             }
             let choice = Choice {
                 server: key,
                 room: estimate.room,
+                is_acceptable,
                 is_mixed,
                 cost: estimate.cost,
                 expected: estimate.first_byte,
@@ -145,6 +149,10 @@
                 second = Some(choice);
             }
         }
+        if let Some(awaited) = best.filter(|it| !it.is_acceptable) {
+            best = None;
+            unacceptable.push(awaited.server);
+        }
         if best.is_none() {
             awaited.add(rank, unacceptable);
         }
@@ -373,6 +381,8 @@
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct Choice {
     pub(crate) server: ServerKey,
+    /// Whether the request goes there now rather than waits for it.
+    pub(crate) is_acceptable: bool,
     /// The room that it has.
     pub(crate) room: Room,
     /// Whether it is an engine set apart for live streams and the request is none, or the reverse.
