--- a/crates/dispatch/src/choice.rs
+++ b/crates/dispatch/src/choice.rs
@@ -24,7 +24,7 @@
 const CROSS_ZONE_COST: Duration = Duration::from_millis(10);
 /// Added to the cost of a server, in milliseconds, for each token of the shared prefix that it has
 /// to read: prefill takes the engine's time from all its other requests.
-const UNCACHED_TOKEN_COST_MS: f64 = 0.25;
+const UNCACHED_TOKEN_COST_MS: f64 = 0.4;
 /// The share of a request's target up to which each millisecond of the expected time to first byte
 /// adds one millisecond to the cost. Beyond it the target is at risk.
 const SAFE_TARGET_SHARE: f64 = 0.5;
@@ -65,7 +65,7 @@
 /// Longer queues are kept at this instance, where they are ordered by rank.
 const MAX_FIRST_BYTE_SHARE: f64 = 0.6;
 /// The same for an overdue request, which will hardly meet its target any more.
-const OVERDUE_MAX_FIRST_BYTE_SHARE: f64 = 1.5;
+const OVERDUE_MAX_FIRST_BYTE_SHARE: f64 = 0.8;
 
 /// A server that could take a request.
 #[derive(Clone, Copy, Debug)]
