Keep most packets and branches of the tree within a zone in large fleets

Cause: bytes between zones are billed, and receivers of packets and parents in the broadcast tree were chosen without regard to zones, so two thirds of the bytes crossed them. Change: packets of fleets with more than 12 peers tell the zones of the sender and the other members behind the notices, where old builds ignore them. A member follows a preceding one of its own zone; the first three of a zone follow the first of all (one would add a fourth level at 342, where views get older than members wait before they read the store). Packets of smaller fleets are the same.

--- a/crates/dispatch/src/reading.rs
+++ b/crates/dispatch/src/reading.rs
@@ -167,7 +167,7 @@
         if !self.members.is_large() {
             return;
         }
-        let candidates = self.members.preceding();
+        let candidates = self.members.candidates();
         let is_failing = self.failing_since.is_some();
         let substitute = if is_failing { self.members.any_available() } else { None };
         let was_root = self.upstream.is_root();
--- a/crates/dispatch/src/state.rs
+++ b/crates/dispatch/src/state.rs
@@ -108,7 +108,7 @@
             failing_since: None,
             platform_seen_at: None,
             platform_back_at: None,
-            members: Members::new(now, member, &setup.seeds, setup.seed),
+            members: Members::new(now, member, &setup.seeds, setup.seed).in_zone(setup.zone.into()),
             loads: PeerLoads::default(),
             fleet_loads: FleetLoads::new(now, setup.address, rng.random()),
             reading_speeds: ReadingSpeeds::default(),
@@ -211,6 +211,18 @@
         self.members.rank()
     }
 
+    /// Returns whether another instance runs in the zone of this one; `None` if that is not known.
+    /// The instances of a small fleet do not tell each other.
+    pub fn is_peer_in_own_zone(&self, address: SocketAddrV4) -> Option<bool> {
+        self.members.is_in_own_zone(address)
+    }
+
+    /// Returns whether a server runs in the zone of this instance; `None` if it is not listed any
+    /// more.
+    pub fn is_server_in_own_zone(&self, server: ServerKey) -> Option<bool> {
+        self.servers.get(server).map(|it| it.entry.zone == self.setup.zone)
+    }
+
     /// Returns the view of the platform that was read last.
     pub fn view(&self) -> ViewSummary {
         self.freshness.view()
--- a/crates/dispatch/tests/decisions/tree.rs
+++ b/crates/dispatch/tests/decisions/tree.rs
@@ -63,14 +63,27 @@
     SocketAddrV4::new([10, 3, (no >> 8) as u8, no as u8].into(), 7_000)
 }
 
+fn zone(no: usize) -> ZoneId {
+    ZoneId::of(&format!("zone-{no}"))
+}
+
 impl Fleet {
     /// Returns a fleet that has run long enough for all members to know each other.
     fn new(size: usize, seed: u64) -> Self {
         Self::with_bounds(size, seed, Bounds::default())
     }
 
+    /// Does the same as [`Self::new`] in three zones.
+    fn in_zones(size: usize, seed: u64) -> Self {
+        Self::with(size, seed, Bounds::default(), 3)
+    }
+
     /// Does the same as [`Self::new`] with other bounds.
     fn with_bounds(size: usize, seed: u64, bounds: Bounds) -> Self {
+        Self::with(size, seed, bounds, 1)
+    }
+
+    fn with(size: usize, seed: u64, bounds: Bounds, zones: usize) -> Self {
         let now = Time::from_millis(10_000_000);
         let seeds = vec![address(0), address(1), address(2)];
         let member = |no: usize| {
@@ -78,6 +91,7 @@
             let seeds = seeds.clone();
             let setup = Setup {
                 address: address(no),
+                zone: zone(no % zones),
                 seeds,
                 incarnation,
                 seed: no as u64,
@@ -212,6 +226,14 @@
         eager.min_by_key(next_read).unwrap_or_default()
     }
 
+    /// Returns the first member of each of three zones.
+    fn first_of_zones(&self) -> [usize; 3] {
+        let preceding = |no: &usize| self.members[*no].as_ref().map(State::preceding_count);
+        let members = 0..self.members.len();
+        let first = |zone| members.clone().skip(zone).step_by(3).min_by_key(preceding);
+        [0, 1, 2].map(|zone| first(zone).unwrap_or_default())
+    }
+
     /// Lets time pass until all members have the platform's view, and returns how long that took.
     fn pass_until_all_follow(&mut self) -> Duration {
         let started = self.now;
@@ -239,6 +261,43 @@
     }
 }
 
+/// A tree with a level more makes the views on it older.
+#[test]
+fn large_fleets_in_three_zones_read_as_often_as_in_one_and_follow_changes_as_soon() {
+    for size in [20, 77, LARGEST] {
+        let mut fleet = Fleet::in_zones(size, 12);
+
+        fleet.pass(Duration::from_secs(10));
+        let (reads, oldest) = (fleet.reads, fleet.oldest);
+        fleet.view.digest = 7;
+        let took = fleet.pass_until_all_follow();
+
+        assert!(reads <= 40, "{reads} reads in 10 s by {size}");
+        assert!(oldest < MAX_STALENESS, "a view was {oldest:?} old of {size}");
+        assert!(took <= MAX_CHANGE_TIME, "{took:?} until all {size} followed");
+    }
+}
+
+/// Guards against zones that depend on their first member: nobody else there follows another zone.
+#[test]
+fn first_members_of_zones_that_die_are_replaced_before_any_member_loses_its_evidence() {
+    for dying in [vec![0], vec![1], vec![2], vec![0, 1, 2]] {
+        let mut fleet = Fleet::in_zones(77, 13);
+        let first = fleet.first_of_zones();
+        for zone in dying {
+            fleet.members[first[zone]] = None;
+        }
+
+        fleet.pass(Duration::from_secs(4));
+        fleet.view.digest = 8;
+        let took = fleet.pass_until_all_follow();
+        fleet.pass(Duration::from_secs(8));
+
+        assert!(fleet.oldest < MAX_STALENESS, "a view was {:?} old", fleet.oldest);
+        assert!(took <= MAX_CHANGE_TIME, "{took:?} until all followed");
+    }
+}
+
 #[test]
 fn every_member_follows_a_change_within_the_bound_although_packets_are_lost() {
     for (size, seed) in [(62, 1), (295, 2), (LARGEST, 3)] {
--- a/crates/gossip/src/checked.rs
+++ b/crates/gossip/src/checked.rs
@@ -6,6 +6,8 @@
 use crate::DecodeError;
 
 const CHECKSUM_BYTES: usize = 4;
+/// Bytes of an empty list that others follow.
+pub(crate) const EMPTY_LIST_BYTES: usize = 1 + CHECKSUM_BYTES;
 
 /// Encodes a list with a checksum: as many items as fit into `room`, in the order given. Returns no
 /// bytes if none fits.
@@ -19,8 +21,16 @@
     Ok(Vec::new())
 }
 
+/// Joins encoded lists. Empty ones have bytes only if others follow.
+pub(crate) fn join<const N: usize>(lists: [Vec<u8>; N]) -> Result<Vec<u8>, postcard::Error> {
+    let empty = encode_all::<()>(&[])?;
+    let used = lists.iter().rposition(|it| !it.is_empty()).map_or(0, |last| last + 1);
+    let lists = lists.into_iter().take(used);
+    Ok(lists.flat_map(|it| if it.is_empty() { empty.clone() } else { it }).collect())
+}
+
 /// Encodes a list, which may be empty, with a checksum.
-pub(crate) fn encode_all<T: Serialize>(items: &[T]) -> Result<Vec<u8>, postcard::Error> {
+fn encode_all<T: Serialize>(items: &[T]) -> Result<Vec<u8>, postcard::Error> {
     let mut bytes = postcard::to_stdvec(items)?;
     bytes.extend(checksum(&bytes).to_le_bytes());
     Ok(bytes)
--- a/crates/gossip/src/lib.rs
+++ b/crates/gossip/src/lib.rs
@@ -8,9 +8,11 @@
 //! considered dead.
 //!
 //! In a large fleet views spread along a broadcast tree: each member probes its parent, and follows
-//! the parent's view. Only the first member reads the platform.
+//! the parent's view. Only the first member reads the platform. Most packets and all but a few
+//! branches of the tree stay within an availability zone.
 //!
 //! * [`Members`]: the known members, and which packets are to be sent,
+//! * [`Candidates`]: the members that may be followed in the broadcast tree,
 //! * [`Upstream`]: the position in the broadcast tree,
 //! * [`Demand`]: what members tell up the tree of their work,
 //! * [`PeerLoads`]: the load that peers put on backend servers, as packets tell it,
@@ -18,6 +20,7 @@
 //! * [`Packet`]: the message and its codec.
 
 mod account;
+mod candidates;
 mod checked;
 mod demand;
 mod evidence;
@@ -30,12 +33,15 @@
 mod notice;
 mod packet;
 mod peer;
+mod peer_update;
 mod rank;
+mod recipients;
 mod tree;
 mod upstream;
 mod zone;
 
 pub use account::{AccountTag, AccountUse};
+pub use candidates::Candidates;
 pub use demand::{Demand, PoolDemand, PoolTag};
 pub use evidence::{EndTag, PartEvidence, ServerEnd};
 pub use fleet_loads::FleetLoads;
@@ -43,10 +49,11 @@
 pub use load_sum::{LoadSum, RankSum, ServerSum, SpeedEvidence};
 pub use loads::{Load, PeerLoads, ServerTag, TotalLoad};
 pub use member::Member;
-pub use members::{Members, OutgoingPacket, PeerUpdate};
+pub use members::Members;
 pub use notice::IncarnationTag;
-pub use packet::{DecodeError, MAX_PACKET_BYTES, Packet, ViewStatus, ViewSummary};
+pub use packet::{DecodeError, MAX_PACKET_BYTES, OutgoingPacket, Packet, ViewStatus, ViewSummary};
+pub use peer_update::PeerUpdate;
 pub use rank::{LoadByRank, RankTag, RankedLoad};
 pub use tree::{Answer, Datagram, OutgoingTreeMessage, Probe, TreeContent, TreeMessage};
 pub use upstream::Upstream;
-pub use zone::ZoneTag;
+pub use zone::{ZoneMembers, ZoneTag};
--- a/crates/gossip/src/members.rs
+++ b/crates/gossip/src/members.rs
@@ -13,16 +13,11 @@
 use rand_chacha::ChaCha8Rng;
 
 use crate::{
-    IncarnationTag, Load, Member, Packet, PartEvidence, RankedLoad, ViewStatus,
+    Candidates, Load, Member, OutgoingPacket, Packet, PeerUpdate, ViewStatus, ZoneMembers, ZoneTag,
     peer::{Peer, available, order_hash},
+    recipients::{self, FULL_MESH_PEERS},
 };
 
-/// Up to this many peers, every alive peer gets every packet. In a larger fleet a random sample of
-/// [`FANOUT`] peers does.
-const FULL_MESH_PEERS: usize = 12;
-/// Peers that get a packet in a larger fleet. With [`LARGE_FLEET_INTERVAL`] and packets of 300
-/// bytes, an instance sends less than 10 KB/s.
-const FANOUT: usize = 8;
 /// Time between rounds of packets in a small fleet, short enough to report a load several times
 /// while a request runs.
 const SMALL_FLEET_INTERVAL: Duration = Duration::from_millis(150);
@@ -47,42 +42,13 @@
 /// Upper bound on the peers that are kept: three times the size that fleets are designed for.
 const MAX_PEERS: usize = 1_024;
 
-/// A packet to be sent.
-#[derive(Debug)]
-pub struct OutgoingPacket {
-    /// The receiver's address.
-    pub to: SocketAddrV4,
-    /// Made for this receiver: it echoes the last packet received from there, if any.
-    pub packet: Packet,
-}
-
-/// What a received packet says about its sender.
-#[derive(Debug)]
-pub struct PeerUpdate {
-    /// The entry of the sender.
-    pub sender: Member,
-    /// Whether the sender was unknown or considered dead, or has restarted.
-    pub is_new: bool,
-    /// The sender's view of the platform.
-    pub view_status: ViewStatus,
-    /// A time at which the sender's view was up to date, on this process's clock; `None` if
-    /// the packet gives no bound.
-    pub as_of: Option<Time>,
-    /// The sender's load at backend servers.
-    pub loads: Vec<Load>,
-    /// The same by rank, as far as the sender tells it.
-    pub ranked_loads: Vec<RankedLoad>,
-    /// Evidence against prompt parts that end servers, as far as the sender tells it.
-    pub evidence: Vec<PartEvidence>,
-    /// Servers that told the sender lately that they leave.
-    pub leaving: Vec<IncarnationTag>,
-}
-
 /// All known members of the fleet.
 #[derive(Debug)]
 pub struct Members {
     /// The entry of this instance.
     own: Member,
+    /// Where it runs; `None` if that is not known.
+    zone: Option<ZoneTag>,
     seeds: Vec<SocketAddrV4>,
     /// Without this instance, by address.
     peers: BTreeMap<SocketAddrV4, Peer>,
@@ -104,6 +70,7 @@
         let sequence = rng.random();
         let mut members = Self {
             own,
+            zone: None,
             seeds: Vec::new(),
             peers: BTreeMap::new(),
             rng,
@@ -116,6 +83,12 @@
         members
     }
 
+    /// Sets the zone of this instance. In a large fleet most packets then stay within it.
+    pub fn in_zone(mut self, zone: ZoneTag) -> Self {
+        self.zone = Some(zone);
+        self
+    }
+
     /// Replaces the addresses of the seeds. The own address may be among them.
     pub fn set_seeds(&mut self, seeds: &[SocketAddrV4]) {
         self.seeds = seeds.iter().copied().filter(|it| *it != self.own.address).collect();
@@ -154,13 +127,16 @@
         available(&self.peers).filter(|it| order_hash(it) < own).count()
     }
 
-    /// Returns the alive members that are not leaving and precede this one, in the order.
-    pub fn preceding(&self) -> Vec<SocketAddrV4> {
-        let own = order_hash(&self.own.address);
-        let ordered = available(&self.peers).map(|it| (order_hash(&it), it));
-        let mut preceding: Vec<_> = ordered.filter(|it| it.0 < own).collect();
-        preceding.sort_unstable();
-        preceding.into_iter().map(|it| it.1).collect()
+    /// Returns the members that this one may follow in the broadcast tree.
+    pub fn candidates(&self) -> Candidates {
+        Candidates::new(self.own.address, self.zone, &self.peers)
+    }
+
+    /// Returns whether a member runs in the zone of this instance; `None` if one of the two zones is
+    /// not known.
+    pub fn is_in_own_zone(&self, address: SocketAddrV4) -> Option<bool> {
+        let zone = self.peers.get(&address)?.zone?;
+        Some(zone == self.zone?)
     }
 
     /// Returns an alive member that is not leaving, chosen at random.
@@ -184,6 +160,7 @@
         for member in &packet.others {
             self.merge(now, *member, false);
         }
+        self.learn_zones(&packet);
         if let Some(peer) = self.peers.get_mut(&sender.address) {
             let is_newer =
                 peer.last_sequence.is_none_or(|it| packet.sequence.wrapping_sub(it) as i32 > 0);
@@ -246,6 +223,17 @@
         peer.update(now, member, is_direct)
     }
 
+    /// Takes over the zones that a packet tells. Only the sender's own is trusted to be new.
+    fn learn_zones(&mut self, packet: &Packet) {
+        for (no, member) in [&packet.sender].into_iter().chain(&packet.others).enumerate() {
+            let Some(zone) = ZoneMembers::zone_of(&packet.zones, no) else { continue };
+            let Some(peer) = self.peers.get_mut(&member.address) else { continue };
+            if no == 0 || peer.zone.is_none() {
+                peer.zone = Some(zone);
+            }
+        }
+    }
+
     /// Marks silent members as dead and returns them, and removes dead members that do not count
     /// any more.
     fn expire(&mut self, now: Time) -> Vec<Member> {
@@ -268,12 +256,7 @@
     /// Chooses the receivers of a round of packets: alive peers, and from time to time a seed and
     /// a dead member, which join or rejoin that way.
     fn recipients(&mut self, now: Time) -> Vec<SocketAddrV4> {
-        let alive = self.peers.iter().filter(|it| !it.1.is_dead).map(|it| *it.0);
-        let mut to: Vec<_> = if self.peers.len() <= FULL_MESH_PEERS {
-            alive.collect()
-        } else {
-            alive.sample(&mut self.rng, FANOUT)
-        };
+        let mut to = recipients::choose(self.zone, &self.peers, &mut self.rng);
         if now >= self.next_seed_packet {
             self.next_seed_packet = now + SEED_INTERVAL.mul_f64(self.rng.random_range(0.8..1.2));
             let other_seeds: Vec<_> =
@@ -291,7 +274,13 @@
     fn address_packet(&mut self, to: SocketAddrV4, mut packet: Packet) -> OutgoingPacket {
         packet.echo = self.peers.get(&to).and_then(|it| it.last_sequence);
         let others = self.peers.values().filter(|it| !it.is_dead && it.member.address != to);
-        packet.others = others.map(|it| it.member).sample(&mut self.rng, MAX_OTHERS);
+        let others = others.sample(&mut self.rng, MAX_OTHERS);
+        packet.others = others.iter().map(|it| it.member).collect();
+        // In a small fleet everybody gets every packet, whatever the zones.
+        if self.is_large() {
+            let zones = [self.zone].into_iter().chain(others.iter().map(|it| it.zone));
+            packet.zones = ZoneMembers::group(zones);
+        }
         OutgoingPacket { to, packet }
     }
 
--- a/crates/gossip/src/packet.rs
+++ b/crates/gossip/src/packet.rs
@@ -1,9 +1,14 @@
 //! The message between instances and its codec.
 
+use std::net::SocketAddrV4;
+
 use serde::{Deserialize, Serialize};
 use thiserror::Error;
 
-use crate::{IncarnationTag, Load, Member, PartEvidence, RankedLoad, checked};
+use crate::{
+    IncarnationTag, Load, Member, PartEvidence, RankedLoad, ZoneMembers,
+    checked::{self, EMPTY_LIST_BYTES},
+};
 
 /// The version of the packet format. Packets of another version are rejected.
 const FORMAT_VERSION: u8 = 1;
@@ -46,6 +51,19 @@
     /// follow it.
     #[serde(skip)]
     pub leaving: Vec<IncarnationTag>,
+    /// The zones of the sender and the other members, as far as the sender knows them. They follow the
+    /// notices, in large fleets only.
+    #[serde(skip)]
+    pub zones: Vec<ZoneMembers>,
+}
+
+/// A packet to be sent.
+#[derive(Debug)]
+pub struct OutgoingPacket {
+    /// The receiver's address.
+    pub to: SocketAddrV4,
+    /// Made for this receiver: it echoes the last packet received from there, if any.
+    pub packet: Packet,
 }
 
 /// An instance's view of the platform and its staleness.
@@ -76,8 +94,8 @@
     /// The bytes are not an encoded packet.
     #[error("malformed packet: {0}")]
     Malformed(#[from] postcard::Error),
-    /// The evidence or the notices in the packet do not match their checksum.
-    #[error("the evidence against prompt parts or the notices of servers are damaged")]
+    /// The evidence, the notices or the zones in the packet do not match their checksum.
+    #[error("the evidence against prompt parts, the notices of servers or the zones are damaged")]
     DamagedList,
     /// The sender uses another version of the packet format.
     #[error("unsupported packet format {0}, expected {FORMAT_VERSION}")]
@@ -104,35 +122,33 @@
             ranked_loads: Vec::new(),
             evidence: Vec::new(),
             leaving: Vec::new(),
+            zones: Vec::new(),
         }
     }
 
-    /// Encodes the packet, with as much of the evidence and the ranked loads as fits into a datagram.
+    /// Encodes the packet, with as much of the zones, the evidence and the ranked loads as fits into a
+    /// datagram.
     pub fn encode(&self) -> Result<Vec<u8>, postcard::Error> {
         let mut bytes = postcard::to_stdvec(self)?;
         let room = MAX_PACKET_BYTES.saturating_sub(bytes.len());
-        let evidence = self.encode_evidence(room.saturating_sub(1))?;
-        let room = (room - evidence.len()) / MAX_RANKED_LOAD_BYTES;
+        let lists = self.encode_lists(room.saturating_sub(1))?;
+        let room = (room - lists.len()) / MAX_RANKED_LOAD_BYTES;
         let count = self.ranked_loads.len().min(room.saturating_sub(1));
         bytes.extend(postcard::to_stdvec(&self.ranked_loads[..count])?);
-        bytes.extend(evidence);
+        bytes.extend(lists);
         Ok(bytes)
     }
 
-    /// Encodes as much as fits of the evidence, and of the notices in the room that it leaves.
-    fn encode_evidence(&self, room: usize) -> Result<Vec<u8>, postcard::Error> {
-        let room = room.min(MAX_EVIDENCE_BYTES);
-        let mut bytes = checked::encode(&self.evidence, room)?;
-        let before = if bytes.is_empty() {
-            checked::encode_all::<PartEvidence>(&[])?
-        } else {
-            bytes.clone()
-        };
-        let notices = checked::encode(&self.leaving, room.saturating_sub(before.len()))?;
-        if !notices.is_empty() {
-            bytes = [before, notices].concat();
-        }
-        Ok(bytes)
+    /// Encodes as much as fits of the zones, of the evidence in the room that they leave, and of the
+    /// notices in the rest.
+    fn encode_lists(&self, room: usize) -> Result<Vec<u8>, postcard::Error> {
+        let zones = checked::encode(&self.zones, room.saturating_sub(2 * EMPTY_LIST_BYTES))?;
+        let reserved = if zones.is_empty() { 0 } else { zones.len() + EMPTY_LIST_BYTES };
+        let room = (room - reserved).min(MAX_EVIDENCE_BYTES);
+        let evidence = checked::encode(&self.evidence, room)?;
+        let room = room.saturating_sub(evidence.len().max(EMPTY_LIST_BYTES));
+        let notices = checked::encode(&self.leaving, room)?;
+        checked::join([evidence, notices, zones])
     }
 
     /// Decodes a packet. Bytes after it are ignored.
@@ -147,7 +163,10 @@
                     // Damaged evidence is rejected, as it could speak against another part.
                     let (evidence, rest) = checked::decode(rest)?;
                     packet.evidence = evidence;
-                    packet.leaving = checked::decode(rest)?.0;
+                    let (leaving, rest) = checked::decode(rest)?;
+                    packet.leaving = leaving;
+                    // Packets of small fleets and of instances that do not tell zones end here.
+                    packet.zones = checked::decode(rest)?.0;
                 }
                 Ok(packet)
             }
--- a/crates/gossip/src/peer.rs
+++ b/crates/gossip/src/peer.rs
@@ -5,7 +5,7 @@
 use model::prelude::*;
 use xxhash_rust::xxh3::xxh3_64;
 
-use crate::Member;
+use crate::{Member, ZoneTag};
 
 /// What this instance knows of another member.
 #[derive(Debug)]
@@ -16,11 +16,13 @@
     /// The highest sequence number that was received from it.
     pub(crate) last_sequence: Option<u32>,
     pub(crate) is_dead: bool,
+    /// Where it runs; `None` if no packet has told that.
+    pub(crate) zone: Option<ZoneTag>,
 }
 
 impl Peer {
     pub(crate) fn new(now: Time, member: Member) -> Self {
-        Self { member, heartbeat_at: now, last_sequence: None, is_dead: false }
+        Self { member, heartbeat_at: now, last_sequence: None, is_dead: false, zone: None }
     }
 
     /// Merges an entry of the member and returns whether it was dead or has restarted. `is_direct`
--- a/crates/gossip/src/upstream.rs
+++ b/crates/gossip/src/upstream.rs
@@ -7,10 +7,15 @@
 
 use model::prelude::*;
 
-use crate::{Answer, Demand, OutgoingTreeMessage, Probe, TreeContent, TreeMessage, ViewStatus};
+use crate::{
+    Answer, Candidates, Demand, OutgoingTreeMessage, Probe, TreeContent, TreeMessage, ViewStatus,
+};
 
 /// Children of each member. In a fleet of 340 no member is more than three levels below the first.
 const TREE_FANOUT: usize = 8;
+/// The first members of a zone, which follow the first member of all if that is in another zone: with
+/// them, no member of a zone of 219 is more than three levels below it either.
+const ZONE_HEADS: usize = 3;
 /// Probes in a row without an answer after which another parent is chosen. One may be lost.
 const MAX_MISSED_PROBES: u32 = 2;
 /// How long a member that did not answer is not chosen again.
@@ -31,8 +36,9 @@
 /// The position of this instance in the broadcast tree over which views of the platform spread.
 ///
 /// All members order themselves by a hash of their addresses. The parent of a member precedes it in
-/// that order, so there are no cycles even while members know different parts of the fleet. The
-/// first member has no parent and reads the platform. A parent that does not answer or whose view
+/// that order, so there are no cycles even while members know different parts of the fleet. It is
+/// in the same zone, except for the first few members of a zone, which follow the first member of
+/// all. That one has no parent and reads the platform. A parent that does not answer or whose view
 /// is old is avoided for a while, and the members that precede it remain to choose from; one that
 /// avoids them all is a root itself. The answer to a probe bounds the staleness of the parent's
 /// view by the time at which the probe was sent, without common clocks.
@@ -108,15 +114,14 @@
         &self.fleet_demand
     }
 
-    /// Chooses the parent among `candidates`, alive members in the order of the tree that precede
-    /// this instance, and returns a probe for it. A root probes `substitute` if there is one, the
+    /// Chooses the parent among `candidates` and returns a probe for it. A root probes `substitute` if there is one, the
     /// member whose view it follows while it cannot read the platform. `own` is the demand of this
     /// instance. Called once in each round of packets, after the answer to the previous probe had
     /// the time of a round to arrive.
     pub fn tick(
         &mut self,
         now: Time,
-        candidates: &[SocketAddrV4],
+        candidates: &Candidates,
         substitute: Option<SocketAddrV4>,
         own: Demand,
     ) -> Option<OutgoingTreeMessage> {
@@ -128,9 +133,7 @@
                 self.avoid(parent, now + SILENT_AVOIDANCE);
             }
         }
-        let usable = candidates.iter().filter(|it| !self.avoided.contains_key(it));
-        let usable: Vec<_> = usable.copied().collect();
-        let parent = usable.len().checked_sub(1).map(|last| usable[last / TREE_FANOUT]);
+        let parent = self.choose_parent(candidates);
         if parent != self.parent {
             self.parent = parent;
             self.missed = 0;
@@ -195,6 +198,22 @@
         children.map(|(to, child)| self.answer(*to, child.number, view_status, false)).collect()
     }
 
+    /// Returns the parent among the candidates that are not avoided.
+    fn choose_parent(&self, candidates: &Candidates) -> Option<SocketAddrV4> {
+        let usable = |members: &[SocketAddrV4]| -> Vec<SocketAddrV4> {
+            let usable = members.iter().filter(|it| !self.avoided.contains_key(it));
+            usable.copied().collect()
+        };
+        let all = usable(&candidates.all);
+        let Some(own_zone) = &candidates.own_zone else {
+            return nth_parent(&all, 1);
+        };
+        let own_zone = usable(own_zone);
+        let is_first_near = own_zone.first() == all.first();
+        let heads = if is_first_near { 1 } else { ZONE_HEADS };
+        nth_parent(&own_zone, heads).or_else(|| all.first().copied())
+    }
+
     fn answer(
         &self,
         to: SocketAddrV4,
@@ -212,3 +231,10 @@
         self.missed = 0;
     }
 }
+
+/// Returns the parent of the member that follows `preceding` in the order; `None` if it is among the
+/// first `heads` members, which have no parent among these.
+fn nth_parent(preceding: &[SocketAddrV4], heads: usize) -> Option<SocketAddrV4> {
+    let place = preceding.len().checked_sub(heads)?;
+    preceding.get(place / TREE_FANOUT).copied()
+}
--- a/crates/gossip/tests/upstream.rs
+++ b/crates/gossip/tests/upstream.rs
@@ -5,8 +5,9 @@
 use std::{collections::BTreeMap, net::SocketAddrV4};
 
 use gossip::{
-    Answer, Datagram, DecodeError, Demand, MAX_PACKET_BYTES, OutgoingTreeMessage, Packet,
-    PoolDemand, PoolTag, Probe, TreeContent, TreeMessage, Upstream, ViewStatus, ViewSummary,
+    Answer, Candidates, Datagram, DecodeError, Demand, MAX_PACKET_BYTES, OutgoingTreeMessage,
+    Packet, PoolDemand, PoolTag, Probe, TreeContent, TreeMessage, Upstream, ViewStatus,
+    ViewSummary,
 };
 use model::prelude::*;
 use rand::{RngExt as _, SeedableRng as _};
@@ -30,6 +31,11 @@
     ViewStatus { view: ViewSummary::default(), staleness_ms: Some(100) }
 }
 
+/// Returns these candidates, whose zones are not known.
+fn candidates(members: impl IntoIterator<Item = usize>) -> Candidates {
+    Candidates { all: members.into_iter().map(address).collect(), own_zone: None }
+}
+
 /// Members in the order of their numbers, of which each precedes the next one.
 struct Tree {
     now: Time,
@@ -60,7 +66,7 @@
         for _ in 0..rounds {
             self.now = self.now + ROUND;
             for no in self.members.keys().copied().collect::<Vec<_>>() {
-                let candidates: Vec<_> = (0..no).map(address).collect();
+                let candidates = candidates(0..no);
                 let member = self.members.get_mut(&no).unwrap();
                 let own = streams(self.running);
                 if let Some(outgoing) = member.tick(self.now, &candidates, None, own) {
@@ -143,6 +149,50 @@
     assert!(near * 10 >= told.len() * 9, "{near} of {} know the demand", told.len());
 }
 
+/// Returns the candidates of a member among members that run in three zones by turns.
+fn zoned(no: usize) -> Candidates {
+    let near = (0..no).filter(|it| it % 3 == no % 3).map(address);
+    Candidates { own_zone: Some(near.collect()), ..candidates(0..no) }
+}
+
+/// Bytes between zones are billed; with each level, views get older.
+#[test]
+fn members_in_three_zones_follow_their_own_zone_on_at_most_three_levels() {
+    let now = Time::from_millis(10_000);
+    let mut levels: BTreeMap<SocketAddrV4, usize> = BTreeMap::new();
+    let mut followed_elsewhere = 0;
+
+    for no in 0..342 {
+        let mut member = Upstream::new(address(no), 1);
+        member.tick(now, &zoned(no), None, streams(1));
+        let level = member.parent().map_or(0, |parent| levels[&parent] + 1);
+        levels.insert(address(no), level);
+        let is_near = |parent| zoned(no).own_zone.unwrap().contains(&parent);
+        followed_elsewhere += usize::from(member.parent().is_some_and(|it| !is_near(it)));
+    }
+
+    assert_eq!(levels.values().filter(|it| **it == 0).count(), 1);
+    assert_eq!(levels.values().max(), Some(&3));
+    // Three in each of the two zones without the first member of all.
+    assert_eq!(followed_elsewhere, 6);
+}
+
+#[test]
+fn a_member_follows_another_zone_if_few_in_its_own_answer() {
+    let mut child = Upstream::new(address(16), 1);
+    let mut parents = Vec::new();
+
+    // Those of its zone that precede it are 1, 4, 7, 10 and 13.
+    for round in 0..12 {
+        let now = Time::from_millis(10_000) + ROUND * round;
+        child.tick(now, &zoned(16), None, streams(1));
+        parents.extend(child.parent());
+    }
+
+    parents.dedup();
+    assert_eq!(parents[..4], [1, 4, 7, 0].map(address));
+}
+
 #[test]
 fn no_member_sends_more_than_the_bound_on_control_traffic() {
     let mut tree = Tree::new(342, 3);
@@ -160,7 +210,7 @@
 fn only_the_answer_of_the_probed_member_bounds_the_staleness() {
     let now = Time::from_millis(10_000);
     let mut child = Upstream::new(address(5), 1);
-    let probe = child.tick(now, &[address(1)], None, streams(1)).unwrap();
+    let probe = child.tick(now, &candidates([1]), None, streams(1)).unwrap();
     let TreeContent::Probe(Probe { number, .. }) = probe.message.content else { panic!() };
     let answer =
         |number| Answer { number, view_status: fresh(), is_cut_off: false, demand: streams(0) };
@@ -180,7 +230,7 @@
 fn a_root_that_cannot_read_the_platform_is_replaced_at_once() {
     let now = Time::from_millis(10_000);
     let mut child = Upstream::new(address(5), 1);
-    let candidates = [address(1), address(2)];
+    let candidates = candidates([1, 2]);
     let probe = child.tick(now, &candidates, None, streams(1)).unwrap();
     let TreeContent::Probe(Probe { number, .. }) = probe.message.content else { panic!() };
     let view_status = fresh();
@@ -197,7 +247,7 @@
 #[test]
 fn an_instance_that_knows_only_packets_rejects_tree_messages() {
     let mut child = Upstream::new(address(5), 1);
-    let probe = child.tick(Time::from_millis(10_000), &[address(1)], None, streams(1)).unwrap();
+    let probe = child.tick(Time::from_millis(10_000), &candidates([1]), None, streams(1)).unwrap();
 
     let decoded = Packet::decode(&probe.message.encode().unwrap());
 
