Count bytes by cause and by zone

Change: the counter family clementine_bytes with cause (Packet, Tree, Loads, Requests, Responses) and zone (Same, Other, Unknown). Fleets of up to 13 instances do not tell each other their zones, so their messages count as Unknown; heads and changes that instances read from each other are not counted. No test reads the metric yet.

--- a/crates/edge/src/attempt.rs
+++ b/crates/edge/src/attempt.rs
@@ -7,6 +7,7 @@
 use dispatch::{Attempt, AttemptEnd, Event, LogEntry, RequestKey, ResponseTrace};
 use http1::{Buffered, ConnectionError, Framing, ResponseHead, discard, read_whole};
 use model::prelude::*;
+use prometheus_client::metrics::counter::Counter;
 use rustix::net::sockopt::set_tcp_user_timeout;
 
 use crate::{
@@ -17,6 +18,7 @@
     relay::{self, Ending, Relayed},
     response::{Response, WriteError},
     sending::{Sending, write},
+    traffic::{Cause, Zone},
 };
 
 /// Timeout for establishing a TCP connection: several round trips between zones, but less than the
@@ -142,6 +144,7 @@
         let (mut connection, head) =
             deadline::until(clock, first_byte_by, preparing).await.ok_or(Fault::TimedOut)??;
         let outgoing = self.outgoing;
+        self.bytes(Cause::Requests).inc_by(outgoing.body.len() as u64);
         let writing = pin!(write(connection.stream.clone(), head, &outgoing.body));
         let mut sending = Sending::new(writing);
         let reading = self.read_head(&mut connection.input, progress);
@@ -189,11 +192,19 @@
         is_reusable: bool,
     ) -> Result<relay::StartedResponse, Fault> {
         self.check_response(&head, &mut connection, is_reusable).await?;
-        let started = relay::StartedResponse::read(connection, head, is_reusable).await?;
+        let received = self.bytes(Cause::Responses);
+        let started = relay::StartedResponse::read(connection, head, is_reusable, received).await?;
         self.instance.handle_event(Event::FirstByte { key: self.key });
         Ok(started)
     }
 
+    /// Returns the counter of bytes that are exchanged with the server.
+    fn bytes(&self, cause: Cause) -> Counter {
+        let server = self.attempt.server;
+        let is_near = self.instance.read_state(|state| state.is_server_in_own_zone(server));
+        self.instance.metrics.traffic.bytes(cause, Zone::new(is_near))
+    }
+
     /// Takes an idle connection from the pool, or opens one.
     async fn connect(&self) -> Result<Connection, Fault> {
         let clock = self.instance.clock;
--- a/crates/edge/src/instance.rs
+++ b/crates/edge/src/instance.rs
@@ -21,8 +21,12 @@
 use slotmap::SlotMap;
 
 use crate::{
-    HeaderCodec, Settings, connection_pool::ConnectionPool, journal::Journal, memory::Memory,
+    HeaderCodec, Settings,
+    connection_pool::ConnectionPool,
+    journal::Journal,
+    memory::Memory,
     metrics::Metrics,
+    traffic::{Cause, Zone},
 };
 
 /// A running instance: the reducer, and what is needed to carry out its effects.
@@ -204,9 +208,15 @@
     fn execute(&self, now: Time, effect: Effect) {
         match effect {
             Effect::Command { key, command } => self.send_command(key, command),
-            Effect::Send(outgoing) => self.send(outgoing.to, outgoing.packet.encode()),
-            Effect::SendTree(outgoing) => self.send(outgoing.to, outgoing.message.encode()),
-            Effect::SendLoads(outgoing) => self.send(outgoing.to, outgoing.message.encode()),
+            Effect::Send(outgoing) => {
+                self.send(Cause::Packet, outgoing.to, outgoing.packet.encode());
+            }
+            Effect::SendTree(outgoing) => {
+                self.send(Cause::Tree, outgoing.to, outgoing.message.encode());
+            }
+            Effect::SendLoads(outgoing) => {
+                self.send(Cause::Loads, outgoing.to, outgoing.message.encode());
+            }
             Effect::ReadPlatform => {
                 // A full channel means that the task that reads will wake anyway.
                 let _ = self.read_now.0.try_send(());
@@ -237,11 +247,13 @@
         }
     }
 
-    fn send<E: Display>(&self, to: SocketAddrV4, encoded: Result<Vec<u8>, E>) {
+    fn send<E: Display>(&self, cause: Cause, to: SocketAddrV4, encoded: Result<Vec<u8>, E>) {
         let bytes = match encoded {
             Ok(bytes) => bytes,
             Err(err) => return log::error!("cannot encode a datagram: {err}"),
         };
+        let zone = Zone::new(self.read_state(|state| state.is_peer_in_own_zone(to)));
+        self.metrics.traffic.bytes(cause, zone).inc_by(bytes.len() as u64);
         // A datagram that the socket does not accept at once is dropped, as the network may drop
         // any: the next one carries the same state.
         if let Err(err) = self.socket.get_ref().send_to(&bytes, to) {
--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -32,6 +32,7 @@
 mod server_check;
 mod settings;
 mod status;
+mod traffic;
 
 pub use events::{EventSplitter, StreamEvent};
 pub use headers::{AttemptFields, BackendFields, CallerFields, FieldError, HeaderCodec};
--- a/crates/edge/src/metrics.rs
+++ b/crates/edge/src/metrics.rs
@@ -10,6 +10,8 @@
     registry::Registry,
 };
 
+use crate::traffic::Traffic;
+
 /// Upper bounds of the histogram buckets for durations, in seconds. They include the deployments'
 /// targets for the time to first byte.
 const TIME_BUCKETS: [f64; 12] = [0.02, 0.05, 0.1, 0.15, 0.2, 0.3, 0.4, 0.8, 1.2, 2.0, 4.0, 12.0];
@@ -35,6 +37,7 @@
     servers_leaving: Counter,
     server_pauses: Counter,
     quarantined_parts: Gauge,
+    pub(crate) traffic: Traffic,
 }
 
 #[derive(Clone, PartialEq, Eq, Hash, Debug, EncodeLabelSet)]
@@ -87,6 +90,7 @@
             servers_leaving: Counter::default(),
             server_pauses: Counter::default(),
             quarantined_parts: Gauge::default(),
+            traffic: Traffic::default(),
         };
         metrics.register();
         metrics
@@ -174,6 +178,7 @@
             "Parts of prompts that are held back as they end servers",
             self.quarantined_parts.clone(),
         );
+        self.traffic.register(registry);
     }
 
     /// Updates the metrics for a decision.
--- a/crates/edge/src/relay.rs
+++ b/crates/edge/src/relay.rs
@@ -2,6 +2,7 @@
 
 use dispatch::Event;
 use http1::{BodyDecoder, Framing, ResponseHead, is_event};
+use prometheus_client::metrics::counter::Counter;
 
 use crate::{
     attempt::{Fault, RunningAttempt},
@@ -44,6 +45,8 @@
     decoder: BodyDecoder,
     first: Option<Vec<u8>>,
     is_reusable: bool,
+    /// Counts the bytes of the body.
+    received: Counter,
 }
 
 impl StartedResponse {
@@ -52,17 +55,21 @@
         mut connection: Connection,
         head: ResponseHead,
         is_reusable: bool,
+        received: Counter,
     ) -> Result<Self, Fault> {
         let mut decoder = BodyDecoder::new(head.framing());
         let first = decoder.next(&mut connection.input).await?;
-        Ok(Self { connection, head, decoder, first, is_reusable })
+        received.inc_by(first.as_ref().map_or(0, |it| it.len() as u64));
+        Ok(Self { connection, head, decoder, first, is_reusable, received })
     }
 
     async fn next(&mut self) -> Result<Option<Vec<u8>>, Fault> {
-        match self.first.take() {
-            Some(piece) => Ok(Some(piece)),
-            None => Ok(self.decoder.next(&mut self.connection.input).await?),
+        if let Some(piece) = self.first.take() {
+            return Ok(Some(piece));
         }
+        let piece = self.decoder.next(&mut self.connection.input).await?;
+        self.received.inc_by(piece.as_ref().map_or(0, |it| it.len() as u64));
+        Ok(piece)
     }
 
     fn body_kind(&self) -> BodyKind {
