--- a/crates/gossip/src/account.rs
+++ b/crates/gossip/src/account.rs
@@ -1,5 +1,6 @@
 //! What client accounts ask for.
 
+use model::prelude::*;
 use serde::{Deserialize, Serialize};
 
 /// Identifies a client account in messages: a hash of its name. Two accounts with the same tag
@@ -7,6 +8,12 @@
 #[derive(Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord, Debug, Serialize, Deserialize)]
 pub struct AccountTag(pub u32);
 
+impl From<AccountId> for AccountTag {
+    fn from(id: AccountId) -> Self {
+        Self(id.0 as u32)
+    }
+}
+
 /// What an account asked for lately, at one or all instances. The order of the fields is the
 /// message format.
 #[derive(Clone, Copy, PartialEq, Eq, Debug, Serialize, Deserialize)]
