Order queues within a rank by the excess of accounts

Cause: see the crate `fair`; the totals of the fleet already carry what accounts ask for, but nobody filled them in. Change: admission counts the tokens of requests for engines, sums of loads tell them, and the queue orders requests of a rank by the excess of their account, then by time. Only fleets that know their total are concerned. A log line tells when an excess begins and ends, and a gauge how many accounts have one. Evidence: 96 tests of `dispatch/decisions` pass, four of them new, on a fleet of 14 that exchanges its messages; with the excess left out of the queue the test of the order fails.

--- a/crates/dispatch/src/admission.rs
+++ b/crates/dispatch/src/admission.rs
@@ -84,6 +84,7 @@
         };
         if let Some(pool) = pool {
             self.count_prompt(now, pool, &req);
+            self.record_use(now, pool, &req);
         }
         self.requests.insert(key, req);
         let Some(pool) = pool else {
@@ -99,8 +100,10 @@
         if self.refuse_if_quarantined(now, key) || self.refuse_if_paused(now, key, now + wait) {
             return;
         }
+        let excess = self.requests.get(key).map(|req| self.excess(req)).unwrap_or_default();
         let Some(req) = self.requests.get_mut(key) else { return };
-        let entry = QueueEntry { rank: req.rank(), refuse_at: (now + wait).min(req.end_by), key };
+        let refuse_at = (now + wait).min(req.end_by);
+        let entry = QueueEntry { rank: req.rank(), excess, refuse_at, key };
         req.stage = Stage::Waiting(entry);
         let pool = req.pool;
         self.queue.insert(pool, entry);
--- a/crates/dispatch/src/catalog.rs
+++ b/crates/dispatch/src/catalog.rs
@@ -5,6 +5,7 @@
     sync::Arc,
 };
 
+use gossip::AccountTag;
 use model::prelude::*;
 
 use crate::Route;
@@ -138,6 +139,13 @@
     pub tier: Option<Tier>,
 }
 
+impl Account {
+    /// Returns the tag of the account in messages between instances.
+    pub(crate) fn tag(&self) -> AccountTag {
+        AccountId::of(&self.name).into()
+    }
+}
+
 /// The accounts by API key.
 #[derive(Clone, Debug, Default)]
 pub struct Accounts {
@@ -159,4 +167,10 @@
         let bucket = self.by_key.get(&key.bucket())?;
         bucket.iter().find(|entry| entry.0 == *key).map(|entry| &entry.1)
     }
+
+    /// Returns an account with this tag; `None` if there is none.
+    pub(crate) fn by_tag(&self, tag: AccountTag) -> Option<&Arc<Account>> {
+        let mut accounts = self.by_key.values().flatten().map(|entry| &entry.1);
+        accounts.find(|account| account.tag() == tag)
+    }
 }
--- a/crates/dispatch/src/effect.rs
+++ b/crates/dispatch/src/effect.rs
@@ -176,6 +176,20 @@
         /// The number of parts that are held back now.
         held: usize,
     },
+    /// A client account begins or ceases to ask for more than its share of the engines.
+    AccountExcess {
+        /// The account's name; its tag if the configuration has no such account.
+        account: Box<str>,
+        /// Whether it asks for more from now on. Its requests then wait behind others of their
+        /// rank.
+        is_above: bool,
+        /// The tokens a second for which it asks in the whole fleet.
+        tokens_per_s: u32,
+        /// The tokens a second that any account may use; `None` if there is enough for all.
+        share: Option<u32>,
+        /// The number of accounts that ask for more than their share now.
+        accounts: usize,
+    },
     /// A request with a part that is held back is sent, to learn whether it still ends servers.
     QuarantineTrial {
         /// The request's id.
--- a/crates/dispatch/src/fleet_load.rs
+++ b/crates/dispatch/src/fleet_load.rs
@@ -44,8 +44,10 @@
         }
     }
 
-    /// Returns what this instance puts on the servers, and what it knows of their speed.
-    fn own_load_sum(&self, now: Time) -> LoadSum {
+    /// Returns what this instance puts on the servers, what it knows of their speed, and what its
+    /// accounts ask for.
+    fn own_load_sum(&mut self, now: Time) -> LoadSum {
+        let uses = self.account_shares.uses(now);
         let servers = self.servers.iter().map(|it| it.1);
         let sums = servers.filter_map(|server| {
             let speed = server.reading.evidence(now);
@@ -53,6 +55,6 @@
             let is_told = !is_idle || speed != SpeedEvidence::default();
             is_told.then(|| ServerSum::new(server.id.into(), server.load.iter(), speed))
         });
-        LoadSum::of_member(sums, std::iter::empty())
+        LoadSum::of_member(sums, uses.into_iter())
     }
 }
--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -6,6 +6,7 @@
 //! fleet are divided into shares that add up to no more than the limit, whatever the other
 //! instances do: see [`Share`], [`RetryBudget`] and [`RequestWindow`].
 
+mod account_shares;
 mod admission;
 mod attempt;
 mod awaited_servers;
--- a/crates/dispatch/src/queue.rs
+++ b/crates/dispatch/src/queue.rs
@@ -2,15 +2,17 @@
 
 use std::collections::{BTreeSet, HashMap};
 
+use fair::Excess;
 use model::prelude::*;
 
 use crate::{Rank, RequestKey};
 
-/// A request in the queue. Requests are ordered by rank, then by the time at which they are
-/// refused.
+/// A request in the queue. Requests are ordered by rank, then by the excess of their accounts when
+/// they came into the queue, then by the time at which they are refused.
 #[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Debug)]
 pub(crate) struct QueueEntry {
     pub(crate) rank: Rank,
+    pub(crate) excess: Excess,
     pub(crate) refuse_at: Time,
     pub(crate) key: RequestKey,
 }
--- a/crates/dispatch/src/route.rs
+++ b/crates/dispatch/src/route.rs
@@ -2,6 +2,7 @@
 
 use std::sync::Arc;
 
+use gossip::AccountTag;
 use model::prelude::*;
 
 use crate::{Account, Rank};
@@ -90,4 +91,9 @@
         let account = self.account.as_ref().and_then(|account| account.tier).unwrap_or(route);
         Rank { account, route }
     }
+
+    /// Returns the tag of the account; `None` if the request runs for none.
+    pub(crate) fn account_tag(&self) -> Option<AccountTag> {
+        self.account.as_ref().map(|account| account.tag())
+    }
 }
--- a/crates/dispatch/src/state.rs
+++ b/crates/dispatch/src/state.rs
@@ -10,8 +10,8 @@
 
 use crate::{
     Catalog, Effect, EngineDemand, Event, Freshness, HeldPart, LiveEngines, LogEntry, Quarantine,
-    RequestKey, RetryBudget, ServerKey, Setup, Share, queue::Queue, reading_speed::ReadingSpeeds,
-    request::Request, server_ends::PossibleEnd, servers::Servers,
+    RequestKey, RetryBudget, ServerKey, Setup, Share, account_shares::AccountShares, queue::Queue,
+    reading_speed::ReadingSpeeds, request::Request, server_ends::PossibleEnd, servers::Servers,
 };
 
 /// The longest time between two ticks. A tick tries to start waiting requests, since gossip may
@@ -59,6 +59,7 @@
     pub(crate) loads: PeerLoads,
     pub(crate) fleet_loads: FleetLoads,
     pub(crate) reading_speeds: ReadingSpeeds,
+    pub(crate) account_shares: AccountShares,
     pub(crate) share: Share,
     pub(crate) budgets: HashMap<PoolId, RetryBudget>,
     pub(crate) demand: HashMap<PoolId, EngineDemand>,
@@ -112,6 +113,7 @@
             loads: PeerLoads::default(),
             fleet_loads: FleetLoads::new(now, setup.address, rng.random()),
             reading_speeds: ReadingSpeeds::default(),
+            account_shares: AccountShares::default(),
             share: Share::new(setup.address, setup.zones),
             budgets: HashMap::new(),
             demand: HashMap::new(),
@@ -258,6 +260,7 @@
         self.record_survivals(now);
         self.update_reading_speeds(now);
         self.update_live_engines(now);
+        self.update_account_shares(now);
         self.dispatch_all(now);
         self.update_phase(now);
     }
--- a/crates/dispatch/tests/decisions/main.rs
+++ b/crates/dispatch/tests/decisions/main.rs
@@ -2,6 +2,7 @@
 
 #![allow(clippy::unwrap_used)]
 
+mod account_shares;
 mod affinity;
 mod cold_again;
 mod copies;
--- a/crates/dispatch/tests/decisions/support.rs
+++ b/crates/dispatch/tests/decisions/support.rs
@@ -180,8 +180,18 @@
 
     /// Sends a request and returns its key and the effects.
     pub(crate) fn request(&mut self, route: &str, prompt: Prompt) -> (RequestKey, Vec<Effect>) {
+        self.request_of(KEY, route, prompt)
+    }
+
+    /// Does the same as [`Self::request`] for the account with this key.
+    pub(crate) fn request_of(
+        &mut self,
+        api_key: &[u8],
+        route: &str,
+        prompt: Prompt,
+    ) -> (RequestKey, Vec<Effect>) {
         let path = format!("/{route}/x");
-        let routed = self.state.route(self.now, "host.example", &path, Some(KEY)).unwrap();
+        let routed = self.state.route(self.now, "host.example", &path, Some(api_key)).unwrap();
         let key = self.keys.insert(());
         self.next_id += 1;
         let new = NewRequest {
--- a/crates/edge/src/journal.rs
+++ b/crates/edge/src/journal.rs
@@ -10,8 +10,8 @@
 /// Lines per [`WINDOW`] about attempts and responses without a failure; further ones are only
 /// counted. At about 200 bytes each this stays below 20 KB/s.
 const MAX_ROUTINE_LINES: u32 = 80;
-/// Lines per [`WINDOW`] about failures, rejections and callers that left; further ones are only
-/// counted.
+/// Lines per [`WINDOW`] about failures, rejections, shares of accounts and callers that left;
+/// further ones are only counted.
 const MAX_FAILURE_LINES: u32 = 120;
 /// Prompt parts in a line; further ones are left out.
 const MAX_LOGGED_PARTS: usize = 16;
@@ -50,6 +50,7 @@
             | LogEntry::ServerPaused { .. }
             | LogEntry::Rejected { .. }
             | LogEntry::SentLate { .. }
+            | LogEntry::AccountExcess { .. }
             | LogEntry::CallerLeft { .. } => (&mut self.failures, MAX_FAILURE_LINES),
             _ => return write(entry),
         };
@@ -125,6 +126,12 @@
                 "engines for live streams changed"
             );
         }
+        LogEntry::AccountExcess { account, is_above, tokens_per_s, share, accounts } => {
+            log::info!(
+                account:%, above = is_above, tokens_per_s, share:?, accounts;
+                "share of an account in the engines"
+            );
+        }
         LogEntry::MemberFound { address, alive } => log::info!(address:%, alive; "instance joined"),
         LogEntry::MemberLost { address, alive } => log::warn!(address:%, alive; "instance lost"),
         LogEntry::Ready { ready, why } => log::info!(ready, why; "readiness changed"),
--- a/crates/edge/src/metrics.rs
+++ b/crates/edge/src/metrics.rs
@@ -35,6 +35,7 @@
     servers_leaving: Counter,
     server_pauses: Counter,
     quarantined_parts: Gauge,
+    accounts_above_share: Gauge,
 }
 
 #[derive(Clone, PartialEq, Eq, Hash, Debug, EncodeLabelSet)]
@@ -87,6 +88,7 @@
             servers_leaving: Counter::default(),
             server_pauses: Counter::default(),
             quarantined_parts: Gauge::default(),
+            accounts_above_share: Gauge::default(),
         };
         metrics.register();
         metrics
@@ -174,6 +176,11 @@
             "Parts of prompts that are held back as they end servers",
             self.quarantined_parts.clone(),
         );
+        registry.register(
+            "accounts_above_share",
+            "Client accounts that ask for more than their share of the engines",
+            self.accounts_above_share.clone(),
+        );
     }
 
     /// Updates the metrics for a decision.
@@ -217,6 +224,9 @@
             LogEntry::Quarantine { held, .. } => {
                 self.quarantined_parts.set(i64::try_from(*held).unwrap_or(i64::MAX));
             }
+            LogEntry::AccountExcess { accounts, .. } => {
+                self.accounts_above_share.set(i64::try_from(*accounts).unwrap_or(i64::MAX));
+            }
             _ => {}
         }
     }
