--- a/crates/edge/src/metrics.rs
+++ b/crates/edge/src/metrics.rs
@@ -38,6 +38,7 @@
     server_pauses: Counter,
     quarantined_parts: Gauge,
     pub(crate) traffic: Traffic,
+    accounts_above_share: Gauge,
 }
 
 #[derive(Clone, PartialEq, Eq, Hash, Debug, EncodeLabelSet)]
@@ -91,6 +92,7 @@
             server_pauses: Counter::default(),
             quarantined_parts: Gauge::default(),
             traffic: Traffic::default(),
+            accounts_above_share: Gauge::default(),
         };
         metrics.register();
         metrics
@@ -179,6 +181,11 @@
             self.quarantined_parts.clone(),
         );
         self.traffic.register(registry);
+        registry.register(
+            "accounts_above_share",
+            "Client accounts that ask for more than their share of the engines",
+            self.accounts_above_share.clone(),
+        );
     }
 
     /// Updates the metrics for a decision.
@@ -222,6 +229,9 @@
             LogEntry::Quarantine { held, .. } => {
                 self.quarantined_parts.set(i64::try_from(*held).unwrap_or(i64::MAX));
             }
+            LogEntry::AccountExcess { accounts, .. } => {
+                self.accounts_above_share.set(i64::try_from(*accounts).unwrap_or(i64::MAX));
+            }
             _ => {}
         }
     }
