Leave the own reading out of the wait that a request accepts

Cause: a prompt whose own reading takes most of its target was acceptable nowhere, and refused; the knowledge of the fleet's load was asked for at each server, which counted all members each time.

--- a/crates/dispatch/src/account_shares.rs
+++ b/crates/dispatch/src/account_shares.rs
@@ -48,7 +48,7 @@
             return;
         }
         self.account_shares.next_update = now + UPDATE_INTERVAL;
-        let is_known = self.knows_fleet_loads(now);
+        let is_known = self.knows_fleet_loads();
         let uses = if is_known { self.fleet_loads.accounts() } else { &[] };
         let capacity = if uses.is_empty() { 0.0 } else { self.engine_tokens_per_s(now) };
         let changes = self.account_shares.shares.update(uses, capacity);
@@ -66,7 +66,7 @@
         let usable = servers.filter(|it| {
             self.servers.is_eligible(it) && !it.is_paused(now) && !it.health.is_backed_off(now)
         });
-        usable.map(|it| self.reading_speed(now, it) * 1e3).sum()
+        usable.map(|it| self.reading_speed(it) * 1e3).sum()
     }
 
     fn log_excess(&mut self, change: ExcessChange) {
--- a/crates/dispatch/src/choice.rs
+++ b/crates/dispatch/src/choice.rs
@@ -24,7 +24,10 @@
 const CROSS_ZONE_COST: Duration = Duration::from_millis(10);
 /// Added to the cost of a server, in milliseconds, for each token of the shared prefix that it has
 /// to read: prefill takes the engine's time from all its other requests.
-const UNCACHED_TOKEN_COST_MS: f64 = 0.4;
+const UNCACHED_TOKEN_COST_MS: f64 = 0.25;
+/// The same where the load of the whole fleet is known: a request waits for the server that has its
+/// prefix rather than makes another one read it.
+const KNOWN_UNCACHED_TOKEN_COST_MS: f64 = 0.4;
 /// The share of a request's target up to which each millisecond of the expected time to first byte
 /// adds one millisecond to the cost. Beyond it the target is at risk.
 const SAFE_TARGET_SHARE: f64 = 0.5;
@@ -65,7 +68,9 @@
 /// Longer queues are kept at this instance, where they are ordered by rank.
 const MAX_FIRST_BYTE_SHARE: f64 = 0.6;
 /// The same for an overdue request, which will hardly meet its target any more.
-const OVERDUE_MAX_FIRST_BYTE_SHARE: f64 = 0.8;
+const OVERDUE_MAX_FIRST_BYTE_SHARE: f64 = 1.5;
+/// The same for the wait where the load of the whole fleet is known.
+const KNOWN_OVERDUE_SHARE: f64 = 0.8;
 
 /// A server that could take a request.
 #[derive(Clone, Copy, Debug)]
@@ -84,6 +89,8 @@
     pub has_fetch_source: bool,
     /// Prompt tokens that it reads in a millisecond.
     pub tokens_per_ms: f64,
+    /// Whether the load includes that of all other instances.
+    pub is_load_known: bool,
     /// How much of the random addition to the cost applies, from 0 to 1.
     pub spread: f64,
 }
@@ -168,6 +175,8 @@
     pub room: Room,
     /// Whether the server runs nothing, so that waiting changes nothing.
     pub is_idle: bool,
+    /// The time that the server still reads for requests that are not less urgent.
+    pub reading_ahead: Duration,
     /// The time that the server still reads for more urgent requests.
     pub urgent_reading: Duration,
 }
@@ -198,13 +207,16 @@
         let leaving = if is_leaving { REPORTED_LEAVING_COST } else { Duration::ZERO };
         let safe = target.mul_f64(SAFE_TARGET_SHARE);
         let late = first_byte.saturating_sub(safe).mul_f64(LATE_COST_FACTOR);
-        let reading = Duration::from_secs_f64(uncached * UNCACHED_TOKEN_COST_MS / 1e3);
+        let token_cost_ms =
+            if self.is_load_known { KNOWN_UNCACHED_TOKEN_COST_MS } else { UNCACHED_TOKEN_COST_MS };
+        let reading = Duration::from_secs_f64(uncached * token_cost_ms / 1e3);
         let wait = first_byte.min(safe) + late;
         let spread = SPREAD_COST.mul_f64(self.spread);
         let silence = 2 * health.excess_silence(now);
         let cost = wait + spread + reading + zone + failures + leaving + silence;
         let prefill_tokens = prompt.own_tokens().saturating_add(uncached as u32);
         let is_idle = self.load.all.attempts == 0;
+        let reading_ahead = self.reading_time(self.load.ahead.prefill_tokens);
         let urgent_reading = self.reading_time(self.load.more_urgent.prefill_tokens);
         Estimate {
             first_byte,
@@ -214,6 +226,7 @@
             tokens_ahead: self.load.all.prefill_tokens as f64 + f64::from(prefill_tokens),
             room,
             is_idle,
+            reading_ahead,
             urgent_reading,
         }
     }
@@ -281,15 +294,21 @@
     /// request accepts a longer time to first byte. No request goes where more urgent ones wait for
     /// as long as they tolerate.
     pub fn is_acceptable(&self, demand: &Demand) -> bool {
-        let share =
-            if demand.is_overdue { OVERDUE_MAX_FIRST_BYTE_SHARE } else { MAX_FIRST_BYTE_SHARE };
+        let share = match demand.is_overdue {
+            true if demand.is_load_known => KNOWN_OVERDUE_SHARE,
+            true => OVERDUE_MAX_FIRST_BYTE_SHARE,
+            false => MAX_FIRST_BYTE_SHARE,
+        };
         let limit = |target: Duration, share| target.mul_f64(share).max(2 * ENGINE_BASE_LATENCY);
         let Some(least_target_above) = demand.least_target_above else { return !self.is_full() };
         let leaves_room = ENGINE_BASE_LATENCY + self.urgent_reading
             <= limit(least_target_above, MAX_FIRST_BYTE_SHARE);
-        let reading = self.first_byte_by_rank.saturating_sub(ENGINE_BASE_LATENCY);
-        let first_byte = ENGINE_BASE_LATENCY + reading.mul_f64(demand.reading_factor);
-        let is_soon = first_byte <= limit(demand.target, share);
+        let is_soon = if demand.is_load_known {
+            let wait = ENGINE_BASE_LATENCY + self.reading_ahead.mul_f64(demand.reading_factor);
+            wait <= limit(demand.target, share)
+        } else {
+            self.first_byte_by_rank <= limit(demand.target, share)
+        };
         !self.is_full() && leaves_room && (self.is_idle || is_soon)
     }
 }
@@ -302,6 +321,9 @@
     /// The least target among the routes to the pool that have a higher tier; `None` if the request
     /// has the highest one.
     pub least_target_above: Option<Duration>,
+    /// Whether the load of the whole fleet is known, so that the wait is known without the time for
+    /// the request itself.
+    pub is_load_known: bool,
     /// How many times longer than assumed the engines of the pool take to read.
     pub reading_factor: f64,
     /// Whether the request has waited so long that it will hardly meet its target.
--- a/crates/dispatch/src/fleet.rs
+++ b/crates/dispatch/src/fleet.rs
@@ -189,7 +189,7 @@
         }
         // Where sums reach everybody, packets do not repeat a part of them.
         let (loads, ranked_loads) =
-            if self.knows_fleet_loads(now) { <_>::default() } else { self.own_loads() };
+            if self.knows_fleet_loads() { <_>::default() } else { self.own_loads() };
         let evidence = self.quarantine.report(now);
         let leaving = self.leaving_report(now);
         let (packets, died) = self.members.tick(now, self.freshness.view_status(now), &loads);
--- a/crates/dispatch/src/fleet_load.rs
+++ b/crates/dispatch/src/fleet_load.rs
@@ -10,14 +10,20 @@
 impl State {
     /// Returns whether this instance is told the sum of all loads, so that packets need not tell
     /// their parts.
-    pub(crate) fn knows_fleet_loads(&self, now: Time) -> bool {
-        self.members.is_large() && self.fleet_loads.is_known(now, self.members.alive_count())
+    pub(crate) fn knows_fleet_loads(&self) -> bool {
+        self.knows_fleet_loads
+    }
+
+    /// Updates [`State::knows_fleet_loads`]. Called once in each step, as it counts the members.
+    pub(crate) fn update_knowledge(&mut self, now: Time) {
+        self.knows_fleet_loads =
+            self.members.is_large() && self.fleet_loads.is_known(now, self.members.alive_count());
     }
 
     /// Returns the load that other instances put on a server; `None` if there is none.
-    pub(crate) fn others_load(&self, now: Time, server: &Server) -> Option<&LoadByRank> {
+    pub(crate) fn others_load(&self, server: &Server) -> Option<&LoadByRank> {
         let tag = ServerTag::from(server.id);
-        if self.knows_fleet_loads(now) {
+        if self.knows_fleet_loads() {
             self.fleet_loads.others(tag)
         } else {
             self.loads.by_rank(tag)
--- a/crates/dispatch/src/live_engines.rs
+++ b/crates/dispatch/src/live_engines.rs
@@ -214,7 +214,7 @@
     /// each instance is taken to need as much as this one has lately.
     fn fleet_demand(&self, now: Time, pool: PoolId) -> FleetDemand {
         let alive = self.members.alive_count();
-        if self.knows_fleet_loads(now) {
+        if self.knows_fleet_loads() {
             let Some(demand) = self.fleet_loads.pool_use(PoolTag::from(pool)) else {
                 return FleetDemand { is_unknown: true, ..FleetDemand::default() };
             };
--- a/crates/dispatch/src/outcome.rs
+++ b/crates/dispatch/src/outcome.rs
@@ -221,7 +221,7 @@
         if !is_midway || is_late || is_doubtful || !self.may_send(now, server, pool) {
             return None;
         }
-        let others = self.others_load(now, server).map_or(0, |load| load.total().attempts);
+        let others = self.others_load(server).map_or(0, |load| load.total().attempts);
         let choice = Choice {
             server: running.backup?,
             room: Room::Free,
--- a/crates/dispatch/src/placement.rs
+++ b/crates/dispatch/src/placement.rs
@@ -9,7 +9,6 @@
     Affinity, Attempt, Candidate, Command, Demand, Effect, LogEntry, Pool, RequestKey, Room,
     SeenLoad, Server, ServerKey, ServerSurvey, Verdict,
     awaited_servers::AwaitedServers,
-    choice::PREFILL_TOKENS_PER_MS,
     preferred_servers::PreferredServers,
     request::{Request, RunningAttempt, Stage},
     state::State,
@@ -64,6 +63,34 @@
         key: RequestKey,
         pool: &Pool,
         awaited: &mut AwaitedServers,
+    ) -> Option<Choice> {
+        let rank = self.requests.get(key)?.rank();
+        let mut waits_for = Vec::new();
+        let is_sampled = self.knows_fleet_loads();
+        let mut best = self.best_choice(now, key, pool, awaited, is_sampled, &mut waits_for);
+        if best.is_none() && waits_for.is_empty() && is_sampled {
+            best = self.best_choice(now, key, pool, awaited, false, &mut waits_for);
+        }
+        if let Some(awaited) = best.filter(|it| !it.is_acceptable) {
+            best = None;
+            waits_for.push(awaited.server);
+        }
+        if best.is_none() {
+            awaited.add(rank, waits_for);
+        }
+        best
+    }
+
+    /// Returns the server with the least cost for a request, with whether it is acceptable now. Servers
+    /// that are not considered since the request waits until they have room are added to `full`.
+    fn best_choice(
+        &self,
+        now: Time,
+        key: RequestKey,
+        pool: &Pool,
+        awaited: &AwaitedServers,
+        is_sampled: bool,
+        full: &mut Vec<ServerKey>,
     ) -> Option<Choice> {
         let req = self.requests.get(key)?;
         let rank = req.rank();
@@ -72,8 +99,10 @@
         let is_overdue = now.since(req.arrived) > target.mul_f64(OVERDUE_SHARE);
         let tier = req.routed.route.tier;
         let least_target_above = catalog.least_target_above(req.pool, tier);
-        let reading_factor = PREFILL_TOKENS_PER_MS / self.reading_speeds.of_pool(req.pool);
-        let demand = Demand { target, least_target_above, reading_factor, is_overdue };
+        let reading_factor = self.reading_factor(req.pool);
+        let is_load_known = self.knows_fleet_loads();
+        let demand =
+            Demand { target, least_target_above, is_load_known, reading_factor, is_overdue };
         let servers = self.servers.in_pool(req.pool);
         let is_live_stream = req.is_live_stream();
         let live_engines = self.live_engines(req.pool, pool);
@@ -90,12 +119,12 @@
             req.is_backed_up() && pool.engine.is_some_and(|engine| engine.has_backups);
         let suited = servers.iter().filter_map(|key| self.servers.get(*key));
         let suited = suited.filter(|server| suits_kind(server)).count();
-        let is_known = self.knows_fleet_loads(now);
-        let sampled = self.sampled_share(now, suited);
-        let sampled_mixed = self.sampled_share(now, servers.len() - suited);
+        let is_known = self.knows_fleet_loads();
+        let sampled_share = |servers| if is_sampled { sampled_share(servers) } else { 1.0 };
+        let sampled = sampled_share(suited);
+        let sampled_mixed = sampled_share(servers.len() - suited);
         let mut best: Option<Choice> = None;
         let mut second: Option<Choice> = None;
-        let mut unacceptable = Vec::new();
         for &key in servers {
             let Some(server) = self.servers.get(key) else { continue };
             let is_untried = !req.tried.contains(&key);
@@ -127,7 +156,7 @@
             let estimate = candidate.estimate(now, pool, &req.prompt, target);
             let is_acceptable = estimate.is_acceptable(&demand);
             if !is_acceptable && (estimate.is_full() || !is_known) {
-                unacceptable.push(key);
+                full.push(key);
                 continue;
             }
             let choice = Choice {
@@ -149,22 +178,10 @@
                 second = Some(choice);
             }
         }
-        if let Some(awaited) = best.filter(|it| !it.is_acceptable) {
-            best = None;
-            unacceptable.push(awaited.server);
-        }
-        if best.is_none() {
-            awaited.add(rank, unacceptable);
-        }
         let backup = second.filter(|_| is_backed_up).map(|second| second.server);
         best.map(|best| Choice { backup, ..best })
     }
 
-    /// Returns the share of this many servers that a request considers beside the preferred ones.
-    fn sampled_share(&self, now: Time, servers: usize) -> f64 {
-        if self.knows_fleet_loads(now) { SAMPLED_SERVERS / servers as f64 } else { 1.0 }
-    }
-
     /// Returns a server as a candidate for a request, without what the preferred servers for its
     /// prefix add.
     pub(crate) fn candidate<'a>(
@@ -175,12 +192,13 @@
     ) -> Candidate<'a> {
         Candidate {
             server,
-            load: SeenLoad::new(&server.load, self.others_load(now, server), req.rank()),
+            load: SeenLoad::new(&server.load, self.others_load(server), req.rank()),
             is_same_zone: server.entry.zone == self.setup.zone,
             affinity: Affinity::Other,
             cached_tokens: server.prefixes.cached_tokens(&req.prompt),
             has_fetch_source: false,
-            tokens_per_ms: self.reading_speed(now, server),
+            is_load_known: self.knows_fleet_loads(),
+            tokens_per_ms: self.reading_speed(server),
             spread: if req.is_live_stream() { spread(&req.id, server) } else { 0.0 },
         }
     }
@@ -298,6 +316,8 @@
         let backup = backup.map(|server| server.entry.address);
         let fetch_source = choice.fetch_source.and_then(|source| self.servers.get(source));
         let fetch_source = fetch_source.map(|server| server.entry.address);
+        let pool = self.requests.get(key).map(|req| req.pool);
+        let reading_factor = pool.map_or(1.0, |pool| self.reading_factor(pool));
         let Some(req) = self.requests.get_mut(key) else { return };
         let resumes_from_backup = match req.stage {
             Stage::Waiting(entry) => {
@@ -314,7 +334,7 @@
             .route
             .target
             .mul_f64(FIRST_BYTE_TARGET_SHARE)
-            .max(choice.expected * FIRST_BYTE_EXPECTED_FACTOR);
+            .max(choice.expected.mul_f64(reading_factor) * FIRST_BYTE_EXPECTED_FACTOR);
         let leave_by = is_retryable.then(|| now + first_byte_timeout);
         let running = RunningAttempt {
             server: choice.server,
@@ -410,6 +430,11 @@
     }
 }
 
+/// Returns the share of this many servers that a request considers beside the preferred ones.
+fn sampled_share(servers: usize) -> f64 {
+    SAMPLED_SERVERS / servers.max(1) as f64
+}
+
 /// Returns a number from 0 to 1 that is different for each pair of a request and a server.
 fn spread(id: &str, server: &Server) -> f64 {
     xxh3_64_with_seed(id.as_bytes(), server.id.0) as f64 / u64::MAX as f64
--- a/crates/dispatch/src/reading_speed.rs
+++ b/crates/dispatch/src/reading_speed.rs
@@ -77,8 +77,8 @@
 
 impl State {
     /// Updates the mean speeds of the pools by what the fleet knows.
-    pub(crate) fn update_reading_speeds(&mut self, now: Time) {
-        if !self.knows_fleet_loads(now) {
+    pub(crate) fn update_reading_speeds(&mut self) {
+        if !self.knows_fleet_loads() {
             self.reading_speeds.pools.clear();
             return;
         }
@@ -94,9 +94,14 @@
         }
     }
 
+    /// Returns how many times longer than assumed the engines of a pool take to read.
+    pub(crate) fn reading_factor(&self, pool: PoolId) -> f64 {
+        PREFILL_TOKENS_PER_MS / self.reading_speeds.of_pool(pool)
+    }
+
     /// Returns the speed at which an engine reads prompts, in tokens per millisecond.
-    pub(crate) fn reading_speed(&self, now: Time, server: &Server) -> f64 {
-        if !self.knows_fleet_loads(now) {
+    pub(crate) fn reading_speed(&self, server: &Server) -> f64 {
+        if !self.knows_fleet_loads() {
             return PREFILL_TOKENS_PER_MS;
         }
         let evidence = self.fleet_loads.speed(server.id.into());
--- a/crates/dispatch/src/state.rs
+++ b/crates/dispatch/src/state.rs
@@ -58,6 +58,8 @@
     pub(crate) upstream: Upstream,
     pub(crate) loads: PeerLoads,
     pub(crate) fleet_loads: FleetLoads,
+    /// Whether the total of the fleet's loads is known.
+    pub(crate) knows_fleet_loads: bool,
     pub(crate) reading_speeds: ReadingSpeeds,
     pub(crate) account_shares: AccountShares,
     pub(crate) share: Share,
@@ -112,6 +114,7 @@
             members: Members::new(now, member, &setup.seeds, setup.seed).in_zone(setup.zone.into()),
             loads: PeerLoads::default(),
             fleet_loads: FleetLoads::new(now, setup.address, rng.random()),
+            knows_fleet_loads: false,
             reading_speeds: ReadingSpeeds::default(),
             account_shares: AccountShares::default(),
             share: Share::new(setup.address, setup.zones),
@@ -133,6 +136,7 @@
     /// Handles an event and returns the effects that the caller must carry out, in order. `now` is
     /// the time of a monotonic clock.
     pub fn step(&mut self, now: Time, event: Event) -> Vec<Effect> {
+        self.update_knowledge(now);
         match event {
             Event::Tick => self.tick(now),
             Event::Settings { bounds, seeds } => {
@@ -271,7 +275,7 @@
         self.remove_expired_servers(now);
         self.refuse_expired(now);
         self.record_survivals(now);
-        self.update_reading_speeds(now);
+        self.update_reading_speeds();
         self.update_live_engines(now);
         self.update_account_shares(now);
         self.dispatch_all(now);
--- a/crates/dispatch/src/withdrawal.rs
+++ b/crates/dispatch/src/withdrawal.rs
@@ -10,12 +10,9 @@
 
 /// Time between two decisions on a request that stays.
 const RECHECK_INTERVAL: Duration = Duration::from_millis(150);
-/// A request leaves a server that still sends to others only if another one is expected to begin in
-/// this share of the time for which it has waited: as long as it has waited already, it may have to
-/// wait again.
+/// A request leaves only if another server is expected to begin in this share of the time for which
+/// it has waited: as long as it has waited already, it may have to wait again.
 const MIN_GAIN: f64 = 0.5;
-/// A server that has sent nothing for this time beyond what is usual may have failed.
-const SUSPICIOUS_SILENCE: Duration = Duration::from_millis(250);
 
 impl State {
     /// Returns when the attempt of a request ends unless its response has begun by then: at its
@@ -31,7 +28,7 @@
     /// retry is allowed, or none is expected to begin earlier than the wait is worth: the
     /// position in the queue of an engine is lost by leaving, and what it has read is read again.
     pub(crate) fn first_byte_due(&mut self, now: Time, key: RequestKey) {
-        let is_known = self.knows_fleet_loads(now);
+        let is_known = self.knows_fleet_loads();
         let stays = is_known && !(self.gains_by_leaving(now, key) && self.reserve_retry(now, key));
         let Some(req) = self.requests.get_mut(key) else { return };
         let end_by = req.end_by;
@@ -53,10 +50,8 @@
         let Some(best) = self.least_expected_elsewhere(now, req, running, pool) else {
             return false;
         };
-        let server = self.servers.get(running.server);
-        let silence = server.map_or(Duration::MAX, |it| it.health.excess_silence(now));
         let waited = now.since(running.started_at);
-        silence > SUSPICIOUS_SILENCE || best < waited.mul_f64(MIN_GAIN)
+        best.mul_f64(self.reading_factor(req.pool)) < waited.mul_f64(MIN_GAIN)
     }
 
     /// Returns the least time to first byte that is expected at a server that has not been tried and
