Let requests wait as long as they can still end before their deadline

Cause: a request was refused after 0.75 of its target although it could be served late. Change: it waits until 1.5 times the mean time of its tier is left; within a rank those that can meet their target go first.

--- a/crates/dispatch/src/admission.rs
+++ b/crates/dispatch/src/admission.rs
@@ -7,7 +7,7 @@
 use xxhash_rust::xxh3::xxh3_64;
 
 use crate::{
-    AttemptEnd, Command, Effect, LogEntry, NewRequest, RequestKey, Routed,
+    AttemptEnd, Command, Effect, LogEntry, NewRequest, RequestKey, Route, Routed,
     queue::QueueEntry,
     request::{Request, Stage},
     state::State,
@@ -92,9 +92,26 @@
         };
         self.budgets.entry(pool).or_default().request(now, &self.setup.bounds);
         let wait = route.target.mul_f64(QUEUE_TARGET_SHARE).max(MIN_QUEUE_TIME);
+        let wait = wait.max(self.longest_useful_wait(now, pool, &route, end_by));
         self.enqueue(now, key, wait);
     }
 
+    /// Returns how long a request that ends by `end_by` can wait and still be served by then. Where the
+    /// load of the fleet is not known, nobody can tell.
+    fn longest_useful_wait(
+        &self,
+        now: Time,
+        pool: PoolId,
+        route: &Route,
+        end_by: Time,
+    ) -> Duration {
+        let needed = self.service_times.needed(pool, route.tier);
+        let left = now.until(end_by);
+        needed
+            .filter(|_| self.knows_fleet_loads())
+            .map_or(Duration::ZERO, |needed| left.saturating_sub(needed))
+    }
+
     /// Puts a request into the queue of its pool. It is refused if it gets no server within `wait`.
     pub(crate) fn enqueue(&mut self, now: Time, key: RequestKey, wait: Duration) {
         if self.refuse_if_quarantined(now, key) || self.refuse_if_paused(now, key, now + wait) {
@@ -103,13 +120,24 @@
         let excess = self.requests.get(key).map(|req| self.excess(req)).unwrap_or_default();
         let Some(req) = self.requests.get_mut(key) else { return };
         let refuse_at = (now + wait).min(req.end_by);
-        let entry = QueueEntry { rank: req.rank(), excess, refuse_at, key };
+        let late_at = req.arrived + req.routed.route.target;
+        let is_late = now >= late_at;
+        let entry = QueueEntry { rank: req.rank(), is_late, excess, refuse_at, late_at, key };
         req.stage = Stage::Waiting(entry);
         let pool = req.pool;
         self.queue.insert(pool, entry);
         self.dispatch(now, pool);
     }
 
+    /// Lets the requests that can still meet their target go before those that cannot.
+    pub(crate) fn update_late(&mut self, now: Time) {
+        for entry in self.queue.update_late(now) {
+            if let Some(req) = self.requests.get_mut(entry.key) {
+                req.stage = Stage::Waiting(entry);
+            }
+        }
+    }
+
     pub(crate) fn caller_left(&mut self, now: Time, key: RequestKey) {
         let Some(req) = self.remove_request(key) else { return };
         if let Stage::Running(running) = req.stage {
--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -39,6 +39,7 @@
 mod server_ends;
 mod server_notices;
 mod servers;
+mod service_times;
 mod settings;
 mod share;
 mod state;
--- a/crates/dispatch/src/outcome.rs
+++ b/crates/dispatch/src/outcome.rs
@@ -110,6 +110,10 @@
         req.holds_server_error |= end == AttemptEnd::HeldBack;
         req.has_partial_response |= end.delivered() != Delivered::Nothing;
         let pool = req.pool;
+        if let (Some(sent_at), true) = (running.sent_at, req.first_byte_at.is_some()) {
+            let tier = req.routed.route.tier;
+            self.service_times.record(pool, tier, now.since(sent_at));
+        }
         self.record_possible_end(now, key, running, end);
         self.release_server(now, running, end, cold);
         match end {
--- a/crates/dispatch/src/queue.rs
+++ b/crates/dispatch/src/queue.rs
@@ -7,13 +7,17 @@
 
 use crate::{Rank, RequestKey};
 
-/// A request in the queue. Requests are ordered by rank, then by the excess of their accounts when
+/// A request in the queue. Requests are ordered by rank, those that can still meet their target
+/// before the others, then by the excess of their accounts when
 /// they came into the queue, then by the time at which they are refused.
 #[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Debug)]
 pub(crate) struct QueueEntry {
     pub(crate) rank: Rank,
+    /// Whether it cannot meet its target any more.
+    pub(crate) is_late: bool,
     pub(crate) excess: Excess,
     pub(crate) refuse_at: Time,
+    pub(crate) late_at: Time,
     pub(crate) key: RequestKey,
 }
 
@@ -41,6 +45,22 @@
         self.by_refusal.remove(&(entry.refuse_at, entry.key));
     }
 
+    /// Moves the requests that cannot meet their target any more behind the others of their rank, and
+    /// returns them with their new entries.
+    pub(crate) fn update_late(&mut self, now: Time) -> Vec<QueueEntry> {
+        let mut moved = Vec::new();
+        for entries in self.pools.values_mut() {
+            let late = entries.iter().filter(|it| !it.is_late && it.late_at <= now);
+            for entry in late.copied().collect::<Vec<_>>() {
+                entries.remove(&entry);
+                let entry = QueueEntry { is_late: true, ..entry };
+                entries.insert(entry);
+                moved.push(entry);
+            }
+        }
+        moved
+    }
+
     /// Returns up to `count` requests at the head of a pool's queue.
     pub(crate) fn first(&self, pool: PoolId, count: usize) -> Vec<RequestKey> {
         let entries = self.pools.get(&pool).into_iter().flatten();
--- a/crates/dispatch/src/state.rs
+++ b/crates/dispatch/src/state.rs
@@ -12,6 +12,7 @@
     Catalog, Effect, EngineDemand, Event, Freshness, HeldPart, LiveEngines, LogEntry, Quarantine,
     RequestKey, RetryBudget, ServerKey, Setup, Share, account_shares::AccountShares, queue::Queue,
     reading_speed::ReadingSpeeds, request::Request, server_ends::PossibleEnd, servers::Servers,
+    service_times::ServiceTimes,
 };
 
 /// The longest time between two ticks. A tick tries to start waiting requests, since gossip may
@@ -19,6 +20,8 @@
 const MAX_TICK: Duration = Duration::from_millis(100);
 /// The longest time between two ticks while requests wait for a server.
 const BUSY_TICK: Duration = Duration::from_millis(10);
+/// The same where the load of the whole fleet is known.
+const KNOWN_BUSY_TICK: Duration = Duration::from_millis(30);
 /// How long connections are accepted after the request to stop. The load balancer checks readiness
 /// once a second and acts on the second response in a row, so it sends callers for about two
 /// seconds more. A request that arrives later than 3 s after the request to stop must not be cut
@@ -71,6 +74,7 @@
     pub(crate) possible_ends: SecondaryMap<ServerKey, PossibleEnd>,
     pub(crate) requests: SecondaryMap<RequestKey, Request>,
     pub(crate) queue: Queue,
+    pub(crate) service_times: ServiceTimes,
     is_ready: bool,
     next_tick: Time,
     effects: Vec<Effect>,
@@ -125,6 +129,7 @@
             possible_ends: SecondaryMap::new(),
             requests: SecondaryMap::new(),
             queue: Queue::default(),
+            service_times: ServiceTimes::default(),
             is_ready: false,
             next_tick: now,
             effects: Vec::new(),
@@ -192,7 +197,9 @@
 
     /// Returns when the next [`Event::Tick`] is due.
     pub fn next_wake(&self, now: Time) -> Time {
-        let busy = self.queue.next_refusal().map(|time| time.min(now + BUSY_TICK));
+        // Where loads are told a few times a second, a request that waits is rarely taken between.
+        let pause = if self.knows_fleet_loads { KNOWN_BUSY_TICK } else { BUSY_TICK };
+        let busy = self.queue.next_refusal().map(|time| time.min(now + pause));
         let loads = self.members.is_large().then(|| self.fleet_loads.next_wake());
         let due = [self.members.next_wake(), self.next_tick].into_iter().chain(loads);
         due.chain(busy).min().unwrap_or(self.next_tick)
@@ -274,6 +281,7 @@
         self.tell_loads(now);
         self.remove_expired_servers(now);
         self.refuse_expired(now);
+        self.update_late(now);
         self.record_survivals(now);
         self.update_reading_speeds();
         self.update_live_engines(now);
