Derive the requests in an engine's own queue from how fast its slots turn over

Change: beyond 0.9 of the slots as many requests as slots become free in 400 ms, by the mean time of a request of that tier.

--- a/crates/dispatch/src/choice.rs
+++ b/crates/dispatch/src/choice.rs
@@ -64,11 +64,6 @@
 /// The same for a request whose work of equal and higher rank leaves slots: the engine admits it
 /// before the less urgent ones in its own queue, which is a few times as long as its slots.
 const URGENT_FILL_SHARE: f64 = 1.5;
-/// The same where the load of the whole fleet is known: a few requests in the engine's own queue take
-/// the slots that become free until the load is told again.
-const KNOWN_FILL_SHARE: f64 = 1.4;
-/// The same for a request whose work of equal and higher rank leaves slots.
-const KNOWN_URGENT_FILL_SHARE: f64 = 2.0;
 /// The longest expected time to first byte at which a request is sent, as a share of its target.
 /// Longer queues are kept at this instance, where they are ordered by rank.
 const MAX_FIRST_BYTE_SHARE: f64 = 0.6;
@@ -94,6 +89,9 @@
     pub has_fetch_source: bool,
     /// Prompt tokens that it reads in a millisecond.
     pub tokens_per_ms: f64,
+    /// The share of the slots that become free before the load of the fleet is told again. As many
+    /// requests in the engine's own queue keep them busy.
+    pub turnover: f64,
     /// Whether the load includes that of all other instances.
     pub is_load_known: bool,
     /// How much of the random addition to the cost applies, from 0 to 1.
@@ -245,9 +243,8 @@
             (uncached + f64::from(prompt.own_tokens())) / self.tokens_per_ms / 1e3,
         );
         let is_filled = |attempts: u32, share| f64::from(attempts) >= f64::from(slots) * share;
-        let fill = if self.is_load_known { KNOWN_FILL_SHARE } else { ENGINE_FILL_SHARE };
-        let urgent_fill =
-            if self.is_load_known { KNOWN_URGENT_FILL_SHARE } else { URGENT_FILL_SHARE };
+        let fill = ENGINE_FILL_SHARE + self.turnover;
+        let urgent_fill = URGENT_FILL_SHARE + self.turnover;
         let is_full = is_filled(ahead.attempts, fill) || is_filled(all.attempts, urgent_fill);
         let room = match is_filled(all.attempts, fill) {
             _ if is_full => Room::None,
--- a/crates/dispatch/src/placement.rs
+++ b/crates/dispatch/src/placement.rs
@@ -31,6 +31,11 @@
 /// any of them is told.
 const SAMPLED_SERVERS: f64 = 4.0;
 
+/// The age of the load of the fleet, and the time until it is told again.
+const LOAD_AGE: Duration = Duration::from_millis(400);
+/// The greatest share of the slots that are taken to become free in that time.
+const MAX_TURNOVER: f64 = 0.7;
+
 /// The oldest view whose entries still tell that a server is cold. From an older one only the time that
 /// the entry gave counts, as nobody would learn that it is over.
 const MAX_COLD_VIEW_AGE: Duration = Duration::from_secs(4);
@@ -197,12 +202,24 @@
             affinity: Affinity::Other,
             cached_tokens: server.prefixes.cached_tokens(&req.prompt),
             has_fetch_source: false,
+            turnover: self.slot_turnover(req),
             is_load_known: self.knows_fleet_loads(),
             tokens_per_ms: self.reading_speed(server),
             spread: if req.is_live_stream() { spread(&req.id, server) } else { 0.0 },
         }
     }
 
+    /// Returns the share of the slots of an engine that become free before the load of the fleet is
+    /// told again; 0 if it is not told.
+    fn slot_turnover(&self, req: &Request) -> f64 {
+        if !self.knows_fleet_loads() {
+            return 0.0;
+        }
+        let mean = self.service_times.mean(req.pool, req.routed.route.tier);
+        let mean = mean.map_or(MAX_TURNOVER, |it| LOAD_AGE.as_secs_f64() / it.as_secs_f64());
+        mean.min(MAX_TURNOVER)
+    }
+
     /// Returns what a request finds at the servers of its pool.
     pub(crate) fn survey(&self, now: Time, key: RequestKey) -> ServerSurvey {
         let mut survey = ServerSurvey::default();
--- a/crates/dispatch/src/service_times.rs
+++ b/crates/dispatch/src/service_times.rs
@@ -23,6 +23,11 @@
         *mean = mean.mul_f64(1.0 - WEIGHT) + took.mul_f64(WEIGHT);
     }
 
+    /// Returns the mean time; `None` if there was no response yet.
+    pub(crate) fn mean(&self, pool: PoolId, tier: Tier) -> Option<Duration> {
+        self.means.get(&(pool, tier)).copied()
+    }
+
     /// Returns the time that a request needs to end, for most requests; `None` if there was no
     /// response yet.
     pub(crate) fn needed(&self, pool: PoolId, tier: Tier) -> Option<Duration> {
