--- a/crates/dispatch/src/placement.rs
+++ b/crates/dispatch/src/placement.rs
@@ -128,6 +128,7 @@
         let sampled_share = |servers| if is_sampled { sampled_share(servers) } else { 1.0 };
         let sampled = sampled_share(suited);
         let sampled_mixed = sampled_share(servers.len() - suited);
+        let shared_part = req.prompt.last_shared_part();
         let mut best: Option<Choice> = None;
         let mut second: Option<Choice> = None;
         for &key in servers {
@@ -143,7 +144,9 @@
             let affinity = preferred.affinity(key);
             let is_mixed = !suits_kind(server);
             let sampled = if is_mixed { sampled_mixed } else { sampled };
-            if affinity == Affinity::Other && spread(&req.id, server) > sampled {
+            let has_prefix = shared_part.is_some_and(|part| server.prefixes.contains(part.id));
+            let is_special = affinity != Affinity::Other || has_prefix;
+            if !is_special && spread(&req.id, server) > sampled {
                 continue;
             }
             if is_mixed && !may_mix {
--- a/crates/dispatch/src/prefix.rs
+++ b/crates/dispatch/src/prefix.rs
@@ -38,6 +38,11 @@
         }
     }
 
+    /// Returns whether the server probably has a part cached.
+    pub fn contains(&self, part: u64) -> bool {
+        self.last_uses.contains_key(&part)
+    }
+
     /// Returns how many tokens at the start of a prompt the server probably has cached.
     pub fn cached_tokens(&self, prompt: &Prompt) -> u32 {
         let shared = prompt.parts.len().saturating_sub(1);
