Retry a rejected request without waiting for the rejection's body

Cause: an attempt whose response said that the request did not run ended only once the body of the response had been discarded, so that its connection could be reused. If the body never came, the request's deadline ended the attempt and the caller got 504 with an unknown outcome, although the head had proved that another server might run it.

Change: the head ends the attempt.

--- a/crates/edge/src/attempt.rs
+++ b/crates/edge/src/attempt.rs
@@ -14,6 +14,7 @@
     connection_pool::Connection,
     memory::{MemoryUse, Reservation},
     outgoing::OutgoingRequest,
+    rejected_body::RejectedBody,
     relay::{self, Ending, Relayed},
     response::{Response, WriteError},
     sending::{Sending, write},
@@ -26,8 +27,8 @@
 const UNACKNOWLEDGED_TIMEOUT_MS: u32 = 3_000;
 /// Size limit of the head of a backend server's response; a larger one fails the attempt.
 const MAX_RESPONSE_HEAD_BYTES: usize = 16 << 10;
-/// Size limit of a response body that is read whole without being relayed: a body that is
-/// discarded so that the connection can be reused, or one of a server error that is held back.
+/// Size limit of a response body that is read whole without being relayed: one of a server error that
+/// is held back, or of a response to another request.
 const MAX_BUFFERED_BODY_BYTES: usize = 64 << 10;
 /// Responses to other requests that are skipped on a connection before the expected one; the
 /// attempt fails if more arrive.
@@ -188,7 +189,14 @@
         head: ResponseHead,
         is_reusable: bool,
     ) -> Result<relay::StartedResponse, Fault> {
-        self.check_response(&head, &mut connection, is_reusable).await?;
+        self.trace.framing = Some(head.framing().name());
+        if let Some(rejection) = self.find_rejection(&head) {
+            if is_reusable && rejection == (Fault::Rejected { is_misdirected: false }) {
+                self.discard_body(&head, connection);
+            }
+            return Err(rejection);
+        }
+        self.check_response(&head, &mut connection).await?;
         let started = relay::StartedResponse::read(connection, head, is_reusable).await?;
         self.instance.handle_event(Event::FirstByte { key: self.key });
         Ok(started)
@@ -267,22 +275,20 @@
         }
     }
 
-    /// Checks whether the response comes from the intended server and may go to the caller.
+    /// Returns the fault of a response whose head proves that the request did not run.
+    fn find_rejection(&self, head: &ResponseHead) -> Option<Fault> {
+        let is_misdirected = head.status() == 421;
+        let did_not_run = self.instance.header_codec.read_backend(head).did_not_run;
+        (did_not_run || is_misdirected).then_some(Fault::Rejected { is_misdirected })
+    }
+
+    /// Checks whether the response, which is no rejection, may go to the caller.
     async fn check_response(
         &mut self,
         head: &ResponseHead,
         connection: &mut Connection,
-        is_reusable: bool,
     ) -> Result<(), Fault> {
-        self.trace.framing = Some(head.framing().name());
         let fields = self.instance.header_codec.read_backend(head);
-        let is_misdirected = head.status() == 421;
-        if fields.did_not_run || is_misdirected {
-            if is_reusable && !is_misdirected {
-                self.discard_body(head, connection).await;
-            }
-            return Err(Fault::Rejected { is_misdirected });
-        }
         // Callers read these statuses as a promise that the request did not run, but the server did
         // not confirm that by its field.
         let promises_not_run = matches!(head.status(), 408 | 429 | 503);
@@ -314,16 +320,12 @@
         Ok(())
     }
 
-    /// Reads and discards the body of a response, then keeps the connection for reuse if the body
-    /// ended cleanly.
-    async fn discard_body(&self, head: &ResponseHead, connection: &mut Connection) {
-        let input = &mut connection.input;
-        let discarded = discard(input, head.framing(), MAX_BUFFERED_BODY_BYTES).await;
-        if discarded.is_ok() && connection.input.data().is_empty() {
-            let earlier = std::mem::take(&mut connection.earlier);
-            let kept = Connection { earlier, ..Connection::new(connection.stream.clone()) };
-            self.keep_connection(head, kept);
-        }
+    /// Discards the body of a rejection, without waiting for it, so that its connection can be reused.
+    fn discard_body(&self, head: &ResponseHead, mut connection: Connection) {
+        connection.add_carried(self.id);
+        let keep_alive = self.instance.header_codec.read_backend(head).keep_alive;
+        let (framing, address) = (head.framing(), self.attempt.address);
+        RejectedBody { framing, connection, address, keep_alive }.discard(self.instance);
     }
 
     /// Returns a connection to the pool for later attempts.
--- a/crates/edge/src/instance.rs
+++ b/crates/edge/src/instance.rs
@@ -32,7 +32,7 @@
     pub(crate) settings: Settings,
     pub(crate) header_codec: Box<dyn HeaderCodec>,
     pub(crate) metrics: Metrics,
-    pub(crate) connections: ConnectionPool,
+    pub(crate) connections: Rc<ConnectionPool>,
     pub(crate) executor: Rc<LocalExecutor<'static>>,
     /// Set when the process stops accepting callers' connections.
     pub(crate) stopped_listening: Latch,
@@ -80,7 +80,7 @@
     pub(crate) fn new(parts: Parts) -> Self {
         Self {
             metrics: Metrics::default(),
-            connections: ConnectionPool::default(),
+            connections: Rc::default(),
             stopped_listening: Latch::default(),
             exit: Latch::default(),
             is_draining: Cell::new(false),
--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -22,6 +22,7 @@
 mod peers;
 mod problem;
 mod process;
+mod rejected_body;
 mod rejection;
 mod relay;
 mod response;
