Reject events in which a CR stands alone beside CR LF

Cause: since lines may end in CR, a stream that is cut between the CR and the LF of a line and goes on with events of another stream passed as one event that no server sent, as in `id: 1`, CR LF, `data: a`, CR, `id: 9`, CR LF.

Change: an event that has a CR LF has no CR alone. A CR alone in an event with LF or CR line ends stays content, as servers that end lines in LF send it within values. What still cannot be told (a cut in the first line, LF behind it) is stated.

Changed checks: the example `data: a`, CR, `data: b` is rejected again with CR LF; with LF it stays an event.

--- a/crates/http1/src/event_grammar.rs
+++ b/crates/http1/src/event_grammar.rs
@@ -1,6 +1,6 @@
 //! The grammar of server-sent events.
 
-use memchr::{memchr, memchr2};
+use memchr::{memchr, memchr_iter, memchr2};
 
 use crate::status_line::contains_status_line;
 
@@ -16,7 +16,9 @@
 /// as those of a second response of a server.
 ///
 /// * Each line ends in LF, CR LF or CR, as in the standard. Behind a line that ends otherwise, a CR
-///   alone does not end the blank line: it is the beginning of a CR LF.
+///   alone does not end the blank line: it is the beginning of a CR LF. No line ends in a CR alone if
+///   another one ends in CR LF: the CR may be where the server's bytes were cut off, and the lines
+///   behind it those of another stream.
 /// * Each line before the blank one is a comment, a field whose name is a token (RFC 9110, section
 ///   5.6.2), or consists of spaces and tabs. A name that the standard does not define needs a colon,
 ///   so that the size of a chunk is not a field.
@@ -32,9 +34,10 @@
 /// event without fields.
 ///
 /// A foreign response remains undetected if it begins within a line and its head has no field, or
-/// only fields with names of events in lower case.
+/// only fields with names of events in lower case. So does a CR LF that is cut in the first line of an
+/// event, if lines that end in LF or CR follow.
 pub fn is_event(bytes: &[u8]) -> bool {
-    if !is_text(bytes) {
+    if !is_text(bytes) || mixes_cr_and_cr_lf(bytes) {
         return false;
     }
     let mut rest = bytes.strip_prefix(BYTE_ORDER_MARK).unwrap_or(bytes);
@@ -73,6 +76,13 @@
     })
 }
 
+/// Returns whether both a CR alone and a CR LF stand in the bytes.
+fn mixes_cr_and_cr_lf(bytes: &[u8]) -> bool {
+    let is_cr_lf = |index: usize| bytes.get(index + 1) == Some(&b'\n');
+    let has_cr_lf = memchr_iter(b'\r', bytes).any(is_cr_lf);
+    has_cr_lf && memchr_iter(b'\r', bytes).any(|index| !is_cr_lf(index))
+}
+
 /// Returns whether the bytes are UTF-8, or whole characters and parts of such without control
 /// characters.
 fn is_text(bytes: &[u8]) -> bool {
--- a/crates/http1/tests/event_grammar.rs
+++ b/crates/http1/tests/event_grammar.rs
@@ -112,6 +112,7 @@
         "data: a\n \n\n",
         " \t\r\n\r\n",
         "data: a\rdata: b\n\n",
+        "data: 10%\rdata\n\n",
         "id: 1\rdata: a\r\r",
     ];
 
@@ -154,6 +155,24 @@
     }
 }
 
+/// Guards against a stream that is cut between the CR and the LF of a line and goes on with events of
+/// another one, which together look like one event.
+#[test]
+fn a_cr_alone_in_an_event_with_cr_lf_is_rejected() {
+    let others = [
+        "data: a\rdata: b\r\n\r\n",
+        "id: 1\r\ndata: a\rid: 9\r\ndata: b\r\n\r\n",
+        "data: a\rdata: [DONE]\r\n\r\n",
+        "id: 1\r\ndata: a\rdata: b\n\n",
+        "data: a\rdata: b\n\r\n",
+        "data: a\r\r\n",
+    ];
+
+    for other in others {
+        assert!(!is_event(other.as_bytes()), "{other:?}");
+    }
+}
+
 /// Guards against a relay that breaks off the answer of a model which explains HTTP.
 #[test]
 fn a_quoted_response_is_content() {
