Allow parts of characters only in data and comments

Cause: an event that is not UTF-8 passed if it had neither control characters nor bytes that are in no character, wherever the parts of characters stood. Servers cut generated text, which stands in data; an id or an event type with half a character is a sign of foreign bytes, and an id decides from where a stream is continued.

Change: lines other than data and comments are UTF-8. The check for control characters still covers the whole event.

--- a/crates/http1/src/event_grammar.rs
+++ b/crates/http1/src/event_grammar.rs
@@ -23,8 +23,8 @@
 ///   5.6.2), or consists of spaces and tabs. A name that the standard does not define needs a colon,
 ///   so that the size of a chunk is not a field.
 /// * The event is UTF-8, except that a server may cut text between any two bytes: parts of characters
-///   may stand in it if it has no control characters. Binary data mostly has some, or bytes that are
-///   in no character.
+///   may stand in its data and comments if it has no control characters. Binary data mostly has some,
+///   or bytes that are in no character.
 /// * No status line of an HTTP/1 response stands in the event with a header field behind it. The
 ///   status line may begin within a line and ends in CR LF; any line behind it that is a field with
 ///   a name that the standard of events does not define is a header field. A response that is quoted
@@ -97,11 +97,12 @@
 
 fn is_line(line: &[u8]) -> bool {
     let (name, has_colon) = split_name(line);
-    if name.is_empty() || is_event_field(name) {
+    if name.is_empty() || name == b"data" {
         return true;
     }
     let is_named = has_colon && name.iter().all(|byte| is_token_byte(*byte));
-    is_named || line.iter().all(|byte| b" \t".contains(byte))
+    let is_blank = line.iter().all(|byte| b" \t".contains(byte));
+    (is_named || is_event_field(name) || is_blank) && std::str::from_utf8(line).is_ok()
 }
 
 fn is_event_field(name: &[u8]) -> bool {
--- a/crates/http1/tests/event_grammar.rs
+++ b/crates/http1/tests/event_grammar.rs
@@ -125,12 +125,13 @@
 /// character.
 #[test]
 fn parts_of_characters_in_text_are_content() {
-    let events: [&[u8]; 5] = [
+    let events: [&[u8]; 6] = [
         b"data: a\xe2\x82\n\n",
         b"data: \xac\n\n",
         b"id: 1\r\ndata: \x9f\x98\x80 b\t\xf0\r\n\r\n",
         b"data: {\"text\":\"\xc3\"}\n\n",
         b": \xe2\x82\n\n",
+        b"id: \xc3\xa9\nevent: \xe2\x82\xac\ndata: \xac\n\n",
     ];
 
     for event in events {
@@ -138,6 +139,24 @@
     }
 }
 
+/// Guards against foreign bytes in an id or an event type, which servers write whole, that are taken
+/// for text that was cut.
+#[test]
+fn parts_of_characters_outside_data_and_comments_are_rejected() {
+    let others: [&[u8]; 6] = [
+        b"id: 1\xe2\x82\ndata: a\n\n",
+        b"data: a\nid: \x9f\n\n",
+        b"event: \xf0\x9f\r\ndata: a\r\n\r\n",
+        b"retry: 5\xc3\n\n",
+        b"x-weight-versions: \xe2\x82\ndata: a\n\n",
+        b"id: \xe2\x82\ndata: \xac\n\n",
+    ];
+
+    for other in others {
+        assert!(!is_event(other), "{:?}", String::from_utf8_lossy(other));
+    }
+}
+
 /// Guards against binary data within a value that is taken for parts of characters.
 #[test]
 fn binary_data_within_a_value_is_rejected() {
