Bound the connections on which the bodies of rejections are due

Cause: an attempt that is rejected ends at the head, but its connection stayed open for up to 100 ms until the body had come. Such a connection counts neither as an attempt nor as idle, so a server that rejects a burst of requests got as many connections again, beyond the bound. A body that came too slowly or was too large closed its connection without a word.

Change: what has arrived of the body is discarded at once, which suffices for a whole rejection. For the rest, one connection to a server may wait; a further one is closed.

Evidence: a_burst_of_rejections_without_bodies_keeps_one_connection_at_most failed before (4 open connections) and passes; whole_rejections_keep_their_connections_while_another_body_is_due fails without the discarding at once (trial: 1 open) and passes.

--- a/crates/edge/src/attempt.rs
+++ b/crates/edge/src/attempt.rs
@@ -192,7 +192,7 @@
         self.trace.framing = Some(head.framing().name());
         if let Some(rejection) = self.find_rejection(&head) {
             if is_reusable && rejection == (Fault::Rejected { is_misdirected: false }) {
-                self.discard_body(&head, connection);
+                self.discard_body(&head, connection).await;
             }
             return Err(rejection);
         }
@@ -321,11 +321,11 @@
     }
 
     /// Discards the body of a rejection, without waiting for it, so that its connection can be reused.
-    fn discard_body(&self, head: &ResponseHead, mut connection: Connection) {
+    async fn discard_body(&self, head: &ResponseHead, mut connection: Connection) {
         connection.add_carried(self.id);
         let keep_alive = self.instance.header_codec.read_backend(head).keep_alive;
         let (framing, address) = (head.framing(), self.attempt.address);
-        RejectedBody { framing, connection, address, keep_alive }.discard(self.instance);
+        RejectedBody { framing, connection, address, keep_alive }.discard(self.instance).await;
     }
 
     /// Returns a connection to the pool for later attempts.
--- a/crates/edge/src/connection_pool.rs
+++ b/crates/edge/src/connection_pool.rs
@@ -1,6 +1,12 @@
 //! Idle connections to backend servers.
 
-use std::{cell::RefCell, collections::HashMap, net::SocketAddrV4, sync::Arc, time::Duration};
+use std::{
+    cell::RefCell,
+    collections::{HashMap, HashSet},
+    net::SocketAddrV4,
+    sync::Arc,
+    time::Duration,
+};
 
 use async_net::TcpStream;
 use http1::Buffered;
@@ -53,6 +59,8 @@
 #[derive(Debug, Default)]
 pub(crate) struct ConnectionPool {
     idle: RefCell<HashMap<SocketAddrV4, Vec<Idle>>>,
+    /// The servers with a connection that carries the rest of a body which nobody reads.
+    discarding: RefCell<HashSet<SocketAddrV4>>,
 }
 
 impl ConnectionPool {
@@ -93,6 +101,18 @@
         }
     }
 
+    /// Counts a connection to the server that carries only the rest of a body which nobody reads,
+    /// until [`ConnectionPool::end_discarding`]. Returns `false` if there is one already: a further
+    /// one must be closed.
+    pub(crate) fn start_discarding(&self, address: SocketAddrV4) -> bool {
+        self.discarding.borrow_mut().insert(address)
+    }
+
+    /// Ends the count of the connection that carried the rest of a body.
+    pub(crate) fn end_discarding(&self, address: SocketAddrV4) {
+        self.discarding.borrow_mut().remove(&address);
+    }
+
     /// Closes the idle connections to a server.
     pub(crate) fn close_idle(&self, address: SocketAddrV4) {
         self.idle.borrow_mut().remove(&address);
