Scale uses of accounts to the alive members, and cut those of a child

Cause: loads of the fleet are scaled to the members that are alive, uses of accounts were not, so members that change their parent counted twice for a second and could give accounts an excess; and a child could tell any use.

--- a/crates/gossip/src/fleet_loads.rs
+++ b/crates/gossip/src/fleet_loads.rs
@@ -147,7 +147,8 @@
         self.total.servers.get(&server).map(|it| it.speed).unwrap_or_default()
     }
 
-    /// Returns what accounts ask for in the whole fleet, the one with the most first.
+    /// Returns what accounts ask for in the whole fleet, the one with the most first. Like loads, it
+    /// is scaled to the members that are alive.
     pub fn accounts(&self) -> &[AccountUse] {
         &self.total.accounts
     }
@@ -266,7 +267,8 @@
         child.members = message.members.min(MAX_MEMBERS);
         child.servers.retain(|server, _| !message.covers(*server));
         if message.slice == 0 {
-            child.accounts = message.accounts;
+            let accounts = message.accounts.into_iter();
+            child.accounts = accounts.map(|it| it.limited(child.members)).collect();
             child.pools = message.pools;
         }
         let room = MAX_SERVERS.saturating_sub(child.servers.len());
@@ -298,7 +300,7 @@
             total.servers.insert(server.server, Seen { others, speed: server.speed });
         }
         if message.slice == 0 {
-            total.accounts.clone_from(&message.accounts);
+            total.accounts = message.accounts.iter().map(|it| it.scaled(scale)).collect();
             total.pools.clone_from(&message.pools);
         }
         let children = round.map(|it| it.children.as_slice()).unwrap_or_default();
@@ -312,8 +314,8 @@
     }
 }
 
-/// Returns the factor by which the load of the other members has to be multiplied if `members` of
-/// the `alive` ones are counted.
+/// Returns the factor by which what the other members tell has to be multiplied if `members` of the
+/// `alive` ones are counted.
 fn scale(members: u32, alive: usize) -> f64 {
     let others = f64::from(members.saturating_sub(1)).max(1.0);
     let factor = alive.saturating_sub(1) as f64 / others;
