Ignore messages of loads whose slice cannot exist

Cause: the slice 255 of a message overflowed an addition in FleetLoads (a panic in checked builds), and servers outside the slice of a message stayed in a total for good, as no later slice of the same number replaces them. Change: messages with a slice that is not below the number of slices, or with servers of another slice, are ignored as a whole. Evidence: slices_that_cannot_exist_are_ignored panics without the change and passes with it.

--- a/crates/gossip/src/fleet_loads.rs
+++ b/crates/gossip/src/fleet_loads.rs
@@ -199,6 +199,9 @@
         parent: Option<SocketAddrV4>,
         alive: usize,
     ) -> Vec<OutgoingLoadMessage> {
+        if !message.is_sound() {
+            return Vec::new();
+        }
         match message.direction {
             Direction::Up => {
                 self.child_told(now, message);
--- a/crates/gossip/src/load_message.rs
+++ b/crates/gossip/src/load_message.rs
@@ -90,6 +90,11 @@
         (0..slices).map(message).collect()
     }
 
+    /// Returns whether there can be such a slice, and all servers are of it.
+    pub(crate) fn is_sound(&self) -> bool {
+        self.slice < self.slices && self.servers.iter().all(|it| self.covers(it.server))
+    }
+
     /// Returns whether a server belongs to the slice of this message.
     pub(crate) fn covers(&self, server: ServerTag) -> bool {
         is_in_slice(server, self.slice, self.slices)
@@ -102,7 +107,7 @@
 }
 
 fn is_in_slice(server: ServerTag, slice: u8, slices: u8) -> bool {
-    server.0 % u32::from(slices.max(1)) == u32::from(slice)
+    server.0.checked_rem(slices.into()) == Some(slice.into())
 }
 
 /// Returns upper bounds on the bytes of the servers in each slice.
--- a/crates/gossip/tests/fleet_loads.rs
+++ b/crates/gossip/tests/fleet_loads.rs
@@ -237,6 +237,22 @@
     tree.pass_with(MAX_AGE, |tree| assert_eq!(tree.error(), 0.0));
 }
 
+#[test]
+fn slices_that_cannot_exist_are_ignored() {
+    for (slice, slices) in [(255, 255), (255, 0), (0, 0), (1, 1), (7, 3)] {
+        let mut tree = Tree::new(20, 10, 7);
+        tree.pass(JOIN_TIME);
+        let mut message = message(15, Direction::Up, 1, 500);
+        (message.slice, message.slices) = (slice, slices);
+
+        tree.receive(1, message);
+
+        tree.pass_with(Duration::from_millis(400), |tree| {
+            assert_eq!(tree.error(), 0.0, "slice {slice} of {slices}");
+        });
+    }
+}
+
 /// Instances of a build that knows only packets must not take a sum of loads for one.
 #[test]
 fn messages_of_loads_are_of_an_unsupported_format_for_builds_that_know_only_packets() {
