Take a child to count no more members than are alive

Cause: the loads of a child are cut to what its members can send, but it could claim 1,024 members in any fleet. Evidence: a_child_is_not_taken_to_count_more_members_than_are_alive sees 1,024 members in a fleet of 20 without the change, and passes with it.

--- a/crates/gossip/src/fleet_loads.rs
+++ b/crates/gossip/src/fleet_loads.rs
@@ -30,8 +30,6 @@
 const MAX_ROUNDS: usize = 16;
 /// Upper bound on children, as in the tree.
 const MAX_CHILDREN: usize = 64;
-/// Upper bound on the members in a sum: three times the size that fleets are designed for.
-const MAX_MEMBERS: u32 = 1_024;
 /// Upper bound on the servers of which a child tells: three times as many as fleets are designed for.
 const MAX_SERVERS: usize = 2_500;
 /// The range of the factor by which totals are scaled to the members that are alive. Members that
@@ -204,7 +202,7 @@
         }
         match message.direction {
             Direction::Up => {
-                self.child_told(now, message);
+                self.child_told(now, message, alive);
                 if self.children.values().all(|it| it.is_new) {
                     // All that this round waits for is here.
                     self.next_round = self.next_round.min(self.earliest_round.max(now));
@@ -239,7 +237,7 @@
     fn sum(&self, own: LoadSum) -> LoadSum {
         let mut sum = own;
         for child in self.children.values() {
-            sum.members = sum.members.saturating_add(child.members).min(MAX_MEMBERS);
+            sum.members = sum.members.saturating_add(child.members);
             for server in child.servers.values() {
                 sum.add_server(server);
             }
@@ -249,7 +247,7 @@
         sum
     }
 
-    fn child_told(&mut self, now: Time, message: LoadMessage) {
+    fn child_told(&mut self, now: Time, message: LoadMessage, alive: usize) {
         let Some(round) = message.round else { return };
         let is_full = self.children.len() >= MAX_CHILDREN;
         if is_full && !self.children.contains_key(&message.sender) {
@@ -267,7 +265,7 @@
         child.heard_at = now;
         child.round = round;
         child.is_new |= message.slice + 1 == message.slices;
-        child.members = message.members.min(MAX_MEMBERS);
+        child.members = message.members.min(u32::try_from(alive).unwrap_or(u32::MAX));
         child.servers.retain(|server, _| !message.covers(*server));
         if message.slice == 0 {
             let accounts = message.accounts.into_iter();
--- a/crates/gossip/tests/fleet_loads.rs
+++ b/crates/gossip/tests/fleet_loads.rs
@@ -207,6 +207,28 @@
     }
 }
 
+/// A member that claims to count many others must not get room for their loads.
+#[test]
+fn a_child_is_not_taken_to_count_more_members_than_are_alive() {
+    let mut tree = Tree::new(20, 10, 5);
+    tree.edit = |no, message| {
+        if no != 15 {
+            return Some(message);
+        }
+        let mut message = with_enormous_loads(message);
+        message.members = u32::MAX;
+        Some(message)
+    };
+
+    tree.pass(JOIN_TIME);
+
+    for no in 0..15 {
+        let loads = &tree.nodes[&no].loads;
+        assert!(loads.members() < 2 * 20, "{} members", loads.members());
+        assert!(tree.told(no, 3).attempts <= tree.others(no, 3) + 20 * 1_024);
+    }
+}
+
 /// Returns a message with this many attempts at one server.
 fn message(sender: usize, direction: Direction, round: u32, attempts: u32) -> LoadMessage {
     let now = Time::from_millis(3_600_000);
