Reject damaged messages of loads

Cause: messages of loads had no checksum, so a flipped bit gave another slice, server or load, and the total of the whole fleet would have contained it. Change: a checksum of four bytes follows the message, as it follows the lists of packets; bytes after it are ignored as before. Evidence: damaged_and_truncated_messages_are_rejected finds bit 0 of byte 1 without the change and passes with it; the tests of notices and of the tree pass.

--- a/crates/gossip/src/load_message.rs
+++ b/crates/gossip/src/load_message.rs
@@ -4,7 +4,9 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::{AccountUse, LoadSum, MAX_PACKET_BYTES, PoolUse, ServerSum, ServerTag};
+use crate::{
+    AccountUse, DecodeError, LoadSum, MAX_PACKET_BYTES, PoolUse, ServerSum, ServerTag, checked,
+};
 
 /// The version of the format, and the first byte of each message. Instances that do not know it
 /// ignore these messages.
@@ -100,9 +102,15 @@
         is_in_slice(server, self.slice, self.slices)
     }
 
-    /// Encodes the message.
+    /// Encodes the message, with a checksum.
     pub fn encode(&self) -> Result<Vec<u8>, postcard::Error> {
-        postcard::to_stdvec(self)
+        checked::encode_value(self)
+    }
+
+    /// Decodes a message. Bytes after its checksum are ignored.
+    pub(crate) fn decode(bytes: &[u8]) -> Result<Self, DecodeError> {
+        let (message, _) = checked::take(bytes)?.ok_or(DecodeError::DamagedLoads)?;
+        Ok(message)
     }
 }
 
--- a/crates/gossip/src/packet.rs
+++ b/crates/gossip/src/packet.rs
@@ -97,6 +97,9 @@
     /// The evidence, the notices or the zones in the packet do not match their checksum.
     #[error("the evidence against prompt parts, the notices of servers or the zones are damaged")]
     DamagedList,
+    /// The sum of loads does not match its checksum.
+    #[error("the sum of loads is damaged")]
+    DamagedLoads,
     /// The sender uses another version of the packet format.
     #[error("unsupported packet format {0}, expected {FORMAT_VERSION}")]
     UnsupportedFormat(u8),
--- a/crates/gossip/src/tree.rs
+++ b/crates/gossip/src/tree.rs
@@ -90,7 +90,7 @@
     pub fn decode(bytes: &[u8]) -> Result<Self, DecodeError> {
         match bytes.first() {
             Some(&FORMAT_VERSION) => Ok(Self::Tree(postcard::from_bytes(bytes)?)),
-            Some(&load_message::FORMAT_VERSION) => Ok(Self::Loads(postcard::from_bytes(bytes)?)),
+            Some(&load_message::FORMAT_VERSION) => LoadMessage::decode(bytes).map(Self::Loads),
             _ => Packet::decode(bytes).map(Self::Packet),
         }
     }
--- a/crates/gossip/tests/fleet_loads.rs
+++ b/crates/gossip/tests/fleet_loads.rs
@@ -5,8 +5,8 @@
 mod load_tree;
 
 use gossip::{
-    AccountUse, DecodeError, Direction, FleetLoads, LoadMessage, LoadSum, Packet, ServerSum,
-    SpeedEvidence, TotalLoad,
+    AccountUse, Datagram, DecodeError, Direction, FleetLoads, LoadMessage, LoadSum, Packet,
+    ServerSum, SpeedEvidence, TotalLoad,
 };
 use model::prelude::*;
 use rand::RngExt as _;
@@ -275,6 +275,23 @@
     }
 }
 
+#[test]
+fn damaged_and_truncated_messages_are_rejected() {
+    let message = message(15, Direction::Up, 1, 500);
+    let bytes = message.encode().unwrap();
+    assert_eq!(Datagram::decode(&bytes).unwrap(), Datagram::Loads(message));
+
+    for no in 0..bytes.len() {
+        for bit in 0..8 {
+            let mut damaged = bytes.clone();
+            damaged[no] ^= 1 << bit;
+            let is_loads = matches!(Datagram::decode(&damaged), Ok(Datagram::Loads(_)));
+            assert!(!is_loads, "bit {bit} of byte {no} is damaged");
+        }
+        assert!(Datagram::decode(&bytes[..no]).is_err(), "{no} bytes");
+    }
+}
+
 /// Instances of a build that knows only packets must not take a sum of loads for one.
 #[test]
 fn messages_of_loads_are_of_an_unsupported_format_for_builds_that_know_only_packets() {
