Forget the accounts with the least use in batches

Cause: with 1,024 accounts, each request of a further one searched all of them for the one that asks for the least. Change: 128 are forgotten at a time, exactly that many also where all ask for the same, so most requests of new accounts need no search. Evidence: cargo test -p fair passes the new test of 10,000 accounts with the same use beside five larger ones, and the one of the largest account among 3,000.

--- a/crates/fair/src/use_meter.rs
+++ b/crates/fair/src/use_meter.rs
@@ -10,8 +10,10 @@
 const MEMORY: Duration = Duration::from_secs(2);
 /// An account that asks for fewer tokens in a second is forgotten.
 const MIN_TOKENS_PER_S: f64 = 1.0;
-/// Accounts that are kept at most; beyond that, the one that asks for the least is forgotten.
+/// Accounts that are kept at most; beyond that, those that ask for the least are forgotten.
 const MAX_ACCOUNTS: usize = 1_024;
+/// Accounts that are forgotten at a time, so that most requests of new accounts need no search.
+const FORGOTTEN_ACCOUNTS: usize = 128;
 /// Accounts that are told at most, as many as a sum of the fleet holds.
 const MAX_TOLD: usize = 32;
 
@@ -37,7 +39,7 @@
 }
 
 impl UseMeter {
-    /// Records a request of this many tokens, of prompt and response. Each request counts when it
+    /// Records a request of which engines have to read this many tokens. Each request counts when it
     /// arrives, so the retries of a caller count as well.
     pub fn record(&mut self, now: Time, account: AccountTag, tokens: u64) {
         if self.accounts.len() >= MAX_ACCOUNTS && !self.accounts.contains_key(&account) {
@@ -71,9 +73,11 @@
         if self.accounts.len() < MAX_ACCOUNTS {
             return;
         }
-        let least = self.accounts.iter().min_by(|a, b| a.1.at(now).total_cmp(&b.1.at(now)));
-        if let Some(account) = least.map(|it| *it.0) {
-            self.accounts.remove(&account);
+        let accounts = self.accounts.iter();
+        let mut accounts: Vec<_> = accounts.map(|(tag, it)| (it.at(now), *tag)).collect();
+        accounts.select_nth_unstable_by(FORGOTTEN_ACCOUNTS, |a, b| a.0.total_cmp(&b.0));
+        for (_, tag) in &accounts[..FORGOTTEN_ACCOUNTS] {
+            self.accounts.remove(tag);
         }
     }
 }
--- a/crates/fair/tests/use_meter.rs
+++ b/crates/fair/tests/use_meter.rs
@@ -84,6 +84,23 @@
     assert_eq!(uses.first().map(|it| it.account), Some(AccountTag(7_000_000)));
 }
 
+/// Accounts with the same use must not all be forgotten at once.
+#[test]
+fn most_accounts_are_kept_when_more_with_the_same_use_come_than_are_remembered() {
+    let mut meter = UseMeter::default();
+    for account in 0..5 {
+        meter.record(START, AccountTag(8_000_000 + account), 1_000);
+    }
+
+    for account in 0..10_000 {
+        meter.record(START, AccountTag(account), 100);
+    }
+
+    let uses = meter.uses(START);
+    assert_eq!(uses.len(), 32);
+    assert!(uses[..5].iter().all(|it| it.account.0 >= 8_000_000), "{uses:?}");
+}
+
 #[test]
 fn numbers_of_tokens_that_callers_invent_do_not_overflow() {
     let mut meter = UseMeter::default();
