Count what engines have to read for accounts, and only while engines are short

Cause: uses counted cached prompt tokens and the largest output of a class, the capacity only reading, so large accounts could have an excess at ordinary load; small fleets recorded uses that nobody reads. Change: uses count the tokens that an engine is expected to read, as the demand of pools does; an excess needs requests that wait for engines here, or engines of a pool with more to read in the whole fleet than they can in the least target of its routes, within the last 2 s; uses are recorded with more than 12 peers only. In tests of the order a request that waits shows the shortage first, and its place is checked too.

--- a/crates/dispatch/src/catalog.rs
+++ b/crates/dispatch/src/catalog.rs
@@ -70,6 +70,11 @@
         above.map(|it| *it.1).min()
     }
 
+    /// Returns the least target among the routes to a pool; `None` if there are none.
+    pub fn least_target(&self, pool: PoolId) -> Option<Duration> {
+        self.tiers.get(&pool)?.values().copied().min()
+    }
+
     /// Returns the number of routes.
     pub fn route_count(&self) -> usize {
         self.hosts.values().map(Vec::len).sum()
--- a/crates/dispatch/src/effect.rs
+++ b/crates/dispatch/src/effect.rs
@@ -183,9 +183,9 @@
         /// Whether it asks for more from now on. Its requests then wait behind others of their
         /// rank.
         is_above: bool,
-        /// The tokens a second for which it asks in the whole fleet.
+        /// The prompt tokens a second that engines have to read for it in the whole fleet.
         tokens_per_s: u32,
-        /// The tokens a second that any account may use; `None` if there is enough for all.
+        /// The same that any account may use; `None` if there is enough for all.
         share: Option<u32>,
         /// The number of accounts that ask for more than their share now.
         accounts: usize,
--- a/crates/dispatch/src/live_engines.rs
+++ b/crates/dispatch/src/live_engines.rs
@@ -4,10 +4,7 @@
 use model::prelude::*;
 
 use crate::{
-    LogEntry, Pool, Server,
-    choice::{FIRST_CHOICE_UNCACHED, PREFILL_TOKENS_PER_MS},
-    request::Request,
-    state::State,
+    LogEntry, Pool, Server, choice::PREFILL_TOKENS_PER_MS, request::Request, state::State,
 };
 
 /// The share of slots that live streams fill at the engines that are set apart for them, if the
@@ -39,9 +36,6 @@
 const MIN_SPARE_SHARE: f64 = 0.8;
 /// A pool with fewer engines is not divided: the loss of one would stop all streams.
 const MIN_ENGINES: usize = 3;
-/// Tokens of a prompt that are counted at most: callers state the number, and a wrong one must not
-/// change what the whole fleet does. Long prompts have some ten thousand.
-const MAX_COUNTED_TOKENS: f64 = 100_000.0;
 /// Half of the engines in excess are given back to other requests when fewer have been enough for
 /// this time. Each change moves the prefixes that are cached at an engine, so short lulls between
 /// bursts change little.
@@ -188,15 +182,11 @@
         if req.prompt.tokens == 0 {
             return;
         }
-        let own = f64::from(req.prompt.own_tokens());
-        let shared = f64::from(req.prompt.tokens) - own;
         let demand = self.demand.entry(pool).or_default();
         if req.is_live_stream() {
-            // Streams do not go to the engines that have their prefix.
-            demand.stream_arrived(now, (own + shared).min(MAX_COUNTED_TOKENS));
+            demand.stream_arrived(now, req.tokens_to_read());
         } else {
-            let tokens = (own + shared * FIRST_CHOICE_UNCACHED).min(MAX_COUNTED_TOKENS);
-            demand.prompt_arrived(now, tokens);
+            demand.prompt_arrived(now, req.tokens_to_read());
         }
     }
 
--- a/crates/dispatch/src/queue.rs
+++ b/crates/dispatch/src/queue.rs
@@ -52,6 +52,11 @@
         self.pools.keys().copied().collect()
     }
 
+    /// Returns whether requests wait for a pool.
+    pub(crate) fn has_waiting(&self, pool: PoolId) -> bool {
+        self.pools.contains_key(&pool)
+    }
+
     /// Returns the waiting requests of all pools.
     pub(crate) fn keys(&self) -> Vec<RequestKey> {
         self.by_refusal.iter().map(|entry| entry.1).collect()
--- a/crates/dispatch/src/request.rs
+++ b/crates/dispatch/src/request.rs
@@ -5,7 +5,10 @@
 use gossip::TotalLoad;
 use model::prelude::*;
 
-use crate::{Prompt, Rank, Routed, ServerKey, queue::QueueEntry, route::Repeat};
+use crate::{
+    Prompt, Rank, Routed, ServerKey, choice::FIRST_CHOICE_UNCACHED, queue::QueueEntry,
+    route::Repeat,
+};
 
 slotmap::new_key_type! {
     /// Identifies a request that this process serves.
@@ -52,6 +55,10 @@
 /// response. Up to this ratio the loss from a crash outweighs the cost of a KV cache copy.
 const MAX_LIVE_PROMPT_RATIO: u32 = 6;
 
+/// Tokens of a prompt that are counted at most: callers state the number, and a wrong one must not
+/// change what the whole fleet does. Long prompts have some ten thousand.
+const MAX_COUNTED_TOKENS: f64 = 100_000.0;
+
 /// The stage of a request.
 #[derive(Clone, Copy, Debug)]
 pub(crate) enum Stage {
@@ -120,6 +127,16 @@
             && self.prompt.tokens <= self.prompt.max_output.saturating_mul(MAX_LIVE_PROMPT_RATIO)
     }
 
+    /// Returns how many tokens of the prompt the engine is expected to read: the request's own part,
+    /// and what is not cached of the shared ones.
+    pub(crate) fn tokens_to_read(&self) -> f64 {
+        let own = f64::from(self.prompt.own_tokens());
+        let shared = f64::from(self.prompt.tokens) - own;
+        // Live streams do not go to the engines that have their prefix.
+        let uncached = if self.is_live_stream() { 1.0 } else { FIRST_CHOICE_UNCACHED };
+        (own + shared * uncached).min(MAX_COUNTED_TOKENS)
+    }
+
     /// Returns whether a copy of the KV cache is kept at a second engine: the stream must not be
     /// repeated, and its KV cache is small relative to the tokens that a crash would lose.
     pub(crate) fn is_backed_up(&self) -> bool {
--- a/crates/dispatch/tests/decisions/account_shares.rs
+++ b/crates/dispatch/tests/decisions/account_shares.rs
@@ -4,8 +4,8 @@
 use std::{collections::BTreeMap, net::SocketAddrV4, sync::Arc};
 
 use dispatch::{
-    Account, AttemptEnd, Catalog, Effect, Engine, Event, LogEntry, Pool, RequestKey, ServerEntry,
-    Setup, State,
+    Account, AttemptEnd, Catalog, Effect, Engine, Event, LogEntry, Pool, Prompt, RequestKey,
+    ServerEntry, Setup, State,
 };
 use model::prelude::*;
 
@@ -44,6 +44,8 @@
     by_address: BTreeMap<SocketAddrV4, usize>,
     /// The accounts that the first member logged, and whether they are above their share.
     logged: Vec<(Box<str>, bool)>,
+    /// How many messages with sums of loads were sent.
+    sums: usize,
 }
 
 impl Fleet {
@@ -65,6 +67,7 @@
             members: (0..size).map(member).collect(),
             by_address: by_address.collect(),
             logged: Vec::new(),
+            sums: 0,
         };
         fleet.pass(JOIN_TIME);
         fleet
@@ -104,6 +107,7 @@
                 }
                 _ => continue,
             };
+            self.sums += usize::from(matches!(event, Event::Loads(_)));
             sent.extend(self.by_address.get(&to).map(|to| (*to, event)));
         }
         sent
@@ -115,19 +119,29 @@
         let mut fleet = Self::new(size);
         let engine = ServerEntry { slots: SLOTS, ..server("e1", "engines", 11) };
         fleet.members[0].list(engine);
-        let started = fleet.now;
+        fleet.burst();
+        fleet
+    }
+
+    /// Sends all instances but the first one a burst of one account and a little of another one.
+    fn burst(&mut self) {
+        self.burst_of(|topic| prompt(6_000, 3_000, topic));
+    }
+
+    /// Does the same with these prompts of the one account.
+    fn burst_of(&mut self, large: impl Fn(u64) -> Prompt) {
+        let started = self.now;
         for no in 0.. {
-            if fleet.now.since(started) >= BURST {
+            if self.now.since(started) >= BURST {
                 break;
             }
-            let member = 1 + no % (fleet.members.len() - 1);
-            fleet.members[member].request_of(LARGE, "batch", prompt(6_000, 3_000, no as u64));
+            let member = 1 + no % (self.members.len() - 1);
+            self.members[member].request_of(LARGE, "batch", large(no as u64));
             if no.is_multiple_of(10) {
-                fleet.members[member].request_of(SMALL, "batch", prompt(300, 200, no as u64));
+                self.members[member].request_of(SMALL, "batch", prompt(300, 200, no as u64));
             }
-            fleet.pass(STEP);
+            self.pass(STEP);
         }
-        fleet
     }
 }
 
@@ -145,6 +159,17 @@
     panic!("the engine has more slots than expected");
 }
 
+/// Fills the engine that the first member knows and lets a request wait for it. Returns the requests
+/// that run, and the one that waits.
+fn show_shortage(fleet: &mut Fleet) -> (Vec<RequestKey>, RequestKey) {
+    let bench = &mut fleet.members[0];
+    let running = fill(bench);
+    let (first, effects) = bench.request_of(SMALL, "batch", prompt(300, 200, 0));
+    assert!(attempts(&effects).is_empty(), "the engine has room");
+    fleet.pass(STEP);
+    (running, first)
+}
+
 /// Ends requests one after the other, and returns those that start instead.
 fn started_in_their_place(bench: &mut Bench, running: &[RequestKey]) -> Vec<RequestKey> {
     let ended = AttemptEnd::Completed { is_success: true };
@@ -156,8 +181,8 @@
 #[test]
 fn with_engines_full_requests_of_a_rank_start_in_the_order_of_excess() {
     let mut fleet = Fleet::with_burst(FLEET);
+    let (running, first) = show_shortage(&mut fleet);
     let bench = &mut fleet.members[0];
-    let running = fill(bench);
     let mut wait = |key: &[u8], route: &str, topic: u64| {
         let (key, effects) = bench.request_of(key, route, prompt(300, 200, topic));
         assert!(attempts(&effects).is_empty(), "the engine has room");
@@ -170,7 +195,7 @@
 
     let started = started_in_their_place(bench, &running);
 
-    assert_eq!(started, [urgent, small[0], small[1], large[0], large[1]]);
+    assert_eq!(started, [urgent, first, small[0], small[1], large[0], large[1]]);
 }
 
 #[test]
@@ -191,15 +216,40 @@
 #[test]
 fn a_request_of_an_account_above_its_share_starts_at_once_if_an_engine_has_room() {
     let mut fleet = Fleet::with_burst(FLEET);
+    let (running, first) = show_shortage(&mut fleet);
+    let bench = &mut fleet.members[0];
+    assert_eq!(started_in_their_place(bench, &running), [first]);
 
-    let (_, effects) = fleet.members[0].request_of(LARGE, "batch", prompt(300, 200, 1));
+    let (_, effects) = bench.request_of(LARGE, "batch", prompt(300, 200, 1));
 
     assert_eq!(attempts(&effects).len(), 1);
+    assert_eq!(fleet.logged, [("large".into(), true)]);
+}
+
+/// A capacity that is taken to be too low must not put an account behind others.
+#[test]
+fn no_account_has_an_excess_while_no_request_waits_and_engines_have_little_to_read() {
+    let fleet = Fleet::with_burst(FLEET);
+
+    assert!(fleet.logged.is_empty(), "{:?}", fleet.logged);
+}
+
+#[test]
+fn an_account_has_an_excess_if_engines_have_more_to_read_than_in_the_least_target() {
+    let mut fleet = Fleet::new(FLEET);
+    for member in &mut fleet.members {
+        member.list(ServerEntry { slots: SLOTS, ..server("e1", "engines", 11) });
+    }
+
+    fleet.burst();
+
+    assert_eq!(fleet.logged, [("large".into(), true)]);
 }
 
 #[test]
 fn an_excess_is_logged_when_it_begins_and_when_it_ends() {
     let mut fleet = Fleet::with_burst(FLEET);
+    show_shortage(&mut fleet);
     let during = fleet.logged.clone();
 
     fleet.pass(Duration::from_secs(12));
@@ -207,3 +257,31 @@
     assert_eq!(during, [("large".into(), true)]);
     assert_eq!(fleet.logged, [("large".into(), true), ("large".into(), false)]);
 }
+
+/// Prompts that are cached and responses that are not read must not count as reading.
+#[test]
+fn an_account_with_long_cached_prompts_and_responses_has_no_excess_if_engines_can_read_the_rest() {
+    let mut fleet = Fleet::new(FLEET);
+    let engine = ServerEntry { slots: SLOTS, ..server("e1", "engines", 11) };
+    fleet.members[0].list(engine);
+    let prompt = |topic| Prompt { max_output: 500, ..prompt(5_000, 100, topic) };
+
+    // 100 requests a second of 600 tokens to be read each, of 100,000 that the engine reads.
+    fleet.burst_of(prompt);
+    show_shortage(&mut fleet);
+
+    assert!(fleet.logged.is_empty(), "{:?}", fleet.logged);
+}
+
+/// Guards against a change of small fleets, where packets tell everybody everything.
+#[test]
+fn loads_are_added_up_with_13_peers_and_not_with_12() {
+    for (size, is_large) in [(13, false), (14, true)] {
+        let mut fleet = Fleet::with_burst(size);
+
+        show_shortage(&mut fleet);
+
+        assert_eq!(fleet.sums > 0, is_large, "{size} members");
+        assert_eq!(!fleet.logged.is_empty(), is_large, "{size} members: {:?}", fleet.logged);
+    }
+}
