Give log lines about shares of accounts a limit of their own

Cause: when engines get short, many accounts may get an excess at once, and their lines counted with those of failures, 120 a second, which are needed in just that second. Change: 20 lines a second about shares, counted apart, also in the line about omitted ones.

--- a/crates/edge/src/journal.rs
+++ b/crates/edge/src/journal.rs
@@ -10,9 +10,12 @@
 /// Lines per [`WINDOW`] about attempts and responses without a failure; further ones are only
 /// counted. At about 200 bytes each this stays below 20 KB/s.
 const MAX_ROUTINE_LINES: u32 = 80;
-/// Lines per [`WINDOW`] about failures, rejections, shares of accounts and callers that left;
-/// further ones are only counted.
+/// Lines per [`WINDOW`] about failures, rejections and callers that left; further ones are only
+/// counted.
 const MAX_FAILURE_LINES: u32 = 120;
+/// Lines per [`WINDOW`] about shares of accounts; further ones are only counted. Many accounts may
+/// change at once while engines are short, which is when failures must be seen.
+const MAX_EXCESS_LINES: u32 = 20;
 /// Prompt parts in a line; further ones are left out.
 const MAX_LOGGED_PARTS: usize = 16;
 /// The window in which lines are counted.
@@ -20,20 +23,22 @@
 
 /// Logs decisions, at a bounded rate.
 #[derive(Debug)]
-pub(crate) struct Journal {
+pub struct Journal {
     window_start: Time,
     routine: u32,
     failures: u32,
+    excesses: u32,
 }
 
 impl Journal {
-    pub(crate) fn new(now: Time) -> Self {
-        Self { window_start: now, routine: 0, failures: 0 }
+    /// Starts with no line in the present window.
+    pub fn new(now: Time) -> Self {
+        Self { window_start: now, routine: 0, failures: 0, excesses: 0 }
     }
 
     /// Logs a decision, unless the limit for its kind is reached in this window. Rare decisions,
     /// such as those about servers and members, have no limit.
-    pub(crate) fn write(&mut self, now: Time, entry: &LogEntry) {
+    pub fn write(&mut self, now: Time, entry: &LogEntry) {
         if now.since(self.window_start) >= WINDOW {
             self.report_omitted();
             *self = Self::new(now);
@@ -42,6 +47,7 @@
             LogEntry::Attempt { .. } | LogEntry::Answered { .. } => {
                 (&mut self.routine, MAX_ROUTINE_LINES)
             }
+            LogEntry::AccountExcess { .. } => (&mut self.excesses, MAX_EXCESS_LINES),
             LogEntry::AttemptFailed { .. }
             | LogEntry::Refused { .. }
             | LogEntry::Malformed { .. }
@@ -50,7 +56,6 @@
             | LogEntry::ServerPaused { .. }
             | LogEntry::Rejected { .. }
             | LogEntry::SentLate { .. }
-            | LogEntry::AccountExcess { .. }
             | LogEntry::CallerLeft { .. } => (&mut self.failures, MAX_FAILURE_LINES),
             _ => return write(entry),
         };
@@ -64,8 +69,9 @@
     fn report_omitted(&self) {
         let routine = self.routine.saturating_sub(MAX_ROUTINE_LINES);
         let failures = self.failures.saturating_sub(MAX_FAILURE_LINES);
-        if routine + failures > 0 {
-            log::info!(routine, failures; "omitted log lines beyond the rate limit");
+        let excesses = self.excesses.saturating_sub(MAX_EXCESS_LINES);
+        if routine + failures + excesses > 0 {
+            log::info!(routine, failures, excesses; "omitted log lines beyond the rate limit");
         }
     }
 }
--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -37,6 +37,7 @@
 pub use events::{EventSplitter, StreamEvent};
 pub use headers::{AttemptFields, BackendFields, CallerFields, FieldError, HeaderCodec};
 pub use instance::Instance;
+pub use journal::Journal;
 pub use process::{RunError, run};
 pub use resume_point::ResumePoint;
 pub use settings::{MetricsAddress, Settings};
