--- a/crates/gossip/src/fleet_loads.rs
+++ b/crates/gossip/src/fleet_loads.rs
@@ -9,7 +9,10 @@
 
 use crate::{
     AccountUse, LoadByRank, LoadMessage, LoadSum, OutgoingLoadMessage, PoolTag, PoolUse, ServerSum,
-    ServerTag, SpeedEvidence, load_message::Direction, load_sum::RankSum,
+    ServerTag, SpeedEvidence,
+    fleet_total::{FleetTotal, MAX_SERVERS},
+    load_message::Direction,
+    load_sum::RankSum,
 };
 
 /// Time between rounds if the loads fit into a few datagrams: a fraction of the time for which the
@@ -37,11 +40,6 @@
 const MAX_ROUNDS: usize = 16;
 /// Upper bound on children, as in the tree.
 const MAX_CHILDREN: usize = 64;
-/// Upper bound on the servers of which a child tells: three times as many as fleets are designed for.
-const MAX_SERVERS: usize = 2_500;
-/// The range of the factor by which totals are scaled to the members that are alive. Members that
-/// have just changed their parent may be counted twice, and those of a parent that died not at all.
-const SCALE_RANGE: (f64, f64) = (0.5, 2.0);
 
 /// The load of each backend server, added up over the whole fleet.
 ///
@@ -61,21 +59,21 @@
     rounds: VecDeque<Round>,
     last_number: u32,
     children: BTreeMap<SocketAddrV4, Child>,
-    total: Total,
+    total: FleetTotal,
 }
 
 /// What this instance told its parent in a round.
 #[derive(Debug)]
-struct Round {
+pub(crate) struct Round {
     number: u32,
-    at: Time,
-    own: HashMap<ServerTag, Vec<RankSum>>,
+    pub(crate) at: Time,
+    pub(crate) own: HashMap<ServerTag, Vec<RankSum>>,
     /// The rounds of the children that are in it.
     children: Vec<(SocketAddrV4, u32)>,
 }
 
 /// What a child told last.
-#[derive(Debug)]
+#[derive(Debug, Default)]
 struct Child {
     heard_at: Time,
     round: u32,
@@ -87,27 +85,6 @@
     pools: Vec<PoolUse>,
 }
 
-/// The total of the fleet.
-#[derive(Debug, Default)]
-struct Total {
-    /// When it was received last.
-    received_at: Option<Time>,
-    /// When this instance began the latest of its rounds that is in the total.
-    as_of: Option<Time>,
-    members: u32,
-    servers: HashMap<ServerTag, Seen>,
-    accounts: Vec<AccountUse>,
-    pools: Vec<PoolUse>,
-}
-
-/// What is known of a server.
-#[derive(Debug)]
-struct Seen {
-    /// The load of all other members.
-    others: LoadByRank,
-    speed: SpeedEvidence,
-}
-
 impl FleetLoads {
     /// Starts without a total. `first_number` is random: a total with a round of a former run of
     /// this process must not match a round of this one.
@@ -120,7 +97,7 @@
             rounds: VecDeque::new(),
             last_number: first_number,
             children: BTreeMap::new(),
-            total: Total::default(),
+            total: FleetTotal::default(),
         }
     }
 
@@ -278,15 +255,7 @@
         if is_full && !self.children.contains_key(&message.sender) {
             return;
         }
-        let child = self.children.entry(message.sender).or_insert_with(|| Child {
-            heard_at: now,
-            round,
-            is_new: false,
-            members: 0,
-            servers: BTreeMap::new(),
-            accounts: Vec::new(),
-            pools: Vec::new(),
-        });
+        let child = self.children.entry(message.sender).or_default();
         child.heard_at = now;
         child.round = round;
         child.is_new |= message.slice + 1 == message.slices;
@@ -314,21 +283,7 @@
         if message.round.is_some() && round.is_none() {
             return Vec::new();
         }
-        let total = &mut self.total;
-        total.received_at = Some(now);
-        total.as_of = round.map(|it| it.at).or(total.as_of);
-        total.members = message.members;
-        total.servers.retain(|server, _| !message.covers(*server));
-        let scale = scale(message.members, alive);
-        for server in &message.servers {
-            let own = round.and_then(|it| it.own.get(&server.server));
-            let others = without_own(server, own.map(Vec::as_slice).unwrap_or_default(), scale);
-            total.servers.insert(server.server, Seen { others, speed: server.speed });
-        }
-        if message.slice == 0 {
-            total.accounts = message.accounts.iter().map(|it| it.scaled(scale)).collect();
-            total.pools.clone_from(&message.pools);
-        }
+        self.total.take_over(now, message, alive, round);
         let children = round.map(|it| it.children.as_slice()).unwrap_or_default();
         let own = self.own;
         let to_child = |child: &SocketAddrV4| {
@@ -339,22 +294,3 @@
         self.children.keys().map(to_child).collect()
     }
 }
-
-/// Returns the factor by which what the other members tell has to be multiplied if `members` of the
-/// `alive` ones are counted.
-fn scale(members: u32, alive: usize) -> f64 {
-    let others = f64::from(members.saturating_sub(1)).max(1.0);
-    let factor = alive.saturating_sub(1) as f64 / others;
-    factor.clamp(SCALE_RANGE.0, SCALE_RANGE.1)
-}
-
-/// Returns the load at a server without the part that this instance told.
-fn without_own(server: &ServerSum, own: &[RankSum], scale: f64) -> LoadByRank {
-    let mut others = LoadByRank::default();
-    for sum in &server.ranks {
-        let own = own.iter().find(|it| it.rank() == sum.rank());
-        let rest = own.map_or(*sum, |own| sum.without(*own));
-        others.add(sum.rank(), rest.load().scaled(scale));
-    }
-    others
-}
--- a/crates/gossip/src/lib.rs
+++ b/crates/gossip/src/lib.rs
@@ -25,6 +25,7 @@
 mod demand;
 mod evidence;
 mod fleet_loads;
+mod fleet_total;
 mod load_message;
 mod load_sum;
 mod loads;
