--- a/crates/gossip/src/fleet_loads.rs
+++ b/crates/gossip/src/fleet_loads.rs
@@ -9,7 +9,10 @@
 
 use crate::{
     AccountUse, LoadByRank, LoadMessage, LoadSum, OutgoingLoadMessage, PoolTag, PoolUse, ServerSum,
-    ServerTag, SpeedEvidence, load_message::Direction, load_sum::RankSum,
+    ServerTag, SpeedEvidence,
+    fleet_total::{FleetTotal, MAX_SERVERS},
+    load_message::Direction,
+    load_sum::RankSum,
 };
 
 /// Time between rounds if the loads fit into a few datagrams: a fraction of the time for which the
@@ -21,6 +24,13 @@
 const TOTAL_BYTES_PER_S: f64 = 5_000.0;
 /// Typical bytes of a server in a message.
 const SERVER_BYTES: f64 = 18.0;
+/// The share of the time between rounds after which a member without children begins a round when it
+/// has got a total. All of them do so at about the same time, so no member waits long for the last of
+/// its children.
+const LEAF_SHARE: f64 = 0.8;
+/// How long a member waits for its other children once one has told its load, for each level of
+/// members below it: several times the time that a message is under way.
+const GATHER_TIME: Duration = Duration::from_millis(40);
 /// A child that has told nothing for this time has another parent, or ended.
 const CHILD_TIMEOUT: Duration = Duration::from_millis(1_000);
 /// A total that was received longer ago is not used.
@@ -30,13 +40,6 @@
 const MAX_ROUNDS: usize = 16;
 /// Upper bound on children, as in the tree.
 const MAX_CHILDREN: usize = 64;
-/// Upper bound on the members in a sum: three times the size that fleets are designed for.
-const MAX_MEMBERS: u32 = 1_024;
-/// Upper bound on the servers of which a child tells: three times as many as fleets are designed for.
-const MAX_SERVERS: usize = 2_500;
-/// The range of the factor by which totals are scaled to the members that are alive. Members that
-/// have just changed their parent may be counted twice, and those of a parent that died not at all.
-const SCALE_RANGE: (f64, f64) = (0.5, 2.0);
 
 /// The load of each backend server, added up over the whole fleet.
 ///
@@ -48,27 +51,29 @@
 pub struct FleetLoads {
     own: SocketAddrV4,
     next_round: Time,
+    /// The longest time between rounds at present.
+    interval: Duration,
     /// Before this time no round begins, even if all children have told their loads.
     earliest_round: Time,
     /// The latest rounds, the oldest first.
     rounds: VecDeque<Round>,
     last_number: u32,
     children: BTreeMap<SocketAddrV4, Child>,
-    total: Total,
+    total: FleetTotal,
 }
 
 /// What this instance told its parent in a round.
 #[derive(Debug)]
-struct Round {
+pub(crate) struct Round {
     number: u32,
-    at: Time,
-    own: HashMap<ServerTag, Vec<RankSum>>,
+    pub(crate) at: Time,
+    pub(crate) own: HashMap<ServerTag, Vec<RankSum>>,
     /// The rounds of the children that are in it.
     children: Vec<(SocketAddrV4, u32)>,
 }
 
 /// What a child told last.
-#[derive(Debug)]
+#[derive(Debug, Default)]
 struct Child {
     heard_at: Time,
     round: u32,
@@ -80,27 +85,6 @@
     pools: Vec<PoolUse>,
 }
 
-/// The total of the fleet.
-#[derive(Debug, Default)]
-struct Total {
-    /// When it was received last.
-    received_at: Option<Time>,
-    /// When this instance began the latest of its rounds that is in the total.
-    as_of: Option<Time>,
-    members: u32,
-    servers: HashMap<ServerTag, Seen>,
-    accounts: Vec<AccountUse>,
-    pools: Vec<PoolUse>,
-}
-
-/// What is known of a server.
-#[derive(Debug)]
-struct Seen {
-    /// The load of all other members.
-    others: LoadByRank,
-    speed: SpeedEvidence,
-}
-
 impl FleetLoads {
     /// Starts without a total. `first_number` is random: a total with a round of a former run of
     /// this process must not match a round of this one.
@@ -108,11 +92,12 @@
         Self {
             own,
             next_round: now,
+            interval: MIN_INTERVAL,
             earliest_round: now,
             rounds: VecDeque::new(),
             last_number: first_number,
             children: BTreeMap::new(),
-            total: Total::default(),
+            total: FleetTotal::default(),
         }
     }
 
@@ -147,7 +132,8 @@
         self.total.servers.get(&server).map(|it| it.speed).unwrap_or_default()
     }
 
-    /// Returns what accounts ask for in the whole fleet, the one with the most first.
+    /// Returns what accounts ask for in the whole fleet, the one with the most first. Like loads, it
+    /// is scaled to the members that are alive.
     pub fn accounts(&self) -> &[AccountUse] {
         &self.total.accounts
     }
@@ -172,6 +158,7 @@
         let bytes = self.total.servers.len().max(own.servers.len()) as f64 * SERVER_BYTES;
         let interval = Duration::from_secs_f64(bytes / TOTAL_BYTES_PER_S);
         let interval = interval.clamp(MIN_INTERVAL, MAX_INTERVAL);
+        self.interval = interval;
         self.next_round = now + interval;
         self.earliest_round = now + interval / 2;
         self.children.retain(|_, it| now.since(it.heard_at) <= CHILD_TIMEOUT);
@@ -198,22 +185,39 @@
         parent: Option<SocketAddrV4>,
         alive: usize,
     ) -> Vec<OutgoingLoadMessage> {
+        if !message.is_sound() {
+            return Vec::new();
+        }
         match message.direction {
             Direction::Up => {
-                self.child_told(now, message);
-                if self.children.values().all(|it| it.is_new) {
-                    // All that this round waits for is here.
-                    self.next_round = self.next_round.min(self.earliest_round.max(now));
-                }
+                self.child_told(now, message, alive);
+                let next = if self.children.values().all(|it| it.is_new) {
+                    now
+                } else {
+                    // A child whose message is lost must not delay the others by a round.
+                    now + GATHER_TIME * self.levels_below()
+                };
+                self.next_round = self.next_round.min(self.earliest_round.max(next));
                 Vec::new()
             }
             Direction::Down if Some(message.sender) == parent => {
+                if self.children.is_empty() {
+                    let next = now + self.interval.mul_f64(LEAF_SHARE);
+                    self.next_round = self.next_round.min(next);
+                }
                 self.total_received(now, &message, alive)
             }
             Direction::Down => Vec::new(),
         }
     }
 
+    /// Returns an upper bound on the levels of members below this one, if members have four children
+    /// or more.
+    fn levels_below(&self) -> u32 {
+        let most = self.children.values().map(|it| it.members.max(1).ilog2() / 2).max();
+        1 + most.unwrap_or_default()
+    }
+
     fn record_round(&mut self, now: Time, own: &LoadSum) {
         let loads = own.servers.values().map(|it| (it.server, it.ranks.clone()));
         for child in self.children.values_mut() {
@@ -235,7 +239,7 @@
     fn sum(&self, own: LoadSum) -> LoadSum {
         let mut sum = own;
         for child in self.children.values() {
-            sum.members = sum.members.saturating_add(child.members).min(MAX_MEMBERS);
+            sum.members = sum.members.saturating_add(child.members);
             for server in child.servers.values() {
                 sum.add_server(server);
             }
@@ -245,28 +249,21 @@
         sum
     }
 
-    fn child_told(&mut self, now: Time, message: LoadMessage) {
+    fn child_told(&mut self, now: Time, message: LoadMessage, alive: usize) {
         let Some(round) = message.round else { return };
         let is_full = self.children.len() >= MAX_CHILDREN;
         if is_full && !self.children.contains_key(&message.sender) {
             return;
         }
-        let child = self.children.entry(message.sender).or_insert_with(|| Child {
-            heard_at: now,
-            round,
-            is_new: false,
-            members: 0,
-            servers: BTreeMap::new(),
-            accounts: Vec::new(),
-            pools: Vec::new(),
-        });
+        let child = self.children.entry(message.sender).or_default();
         child.heard_at = now;
         child.round = round;
         child.is_new |= message.slice + 1 == message.slices;
-        child.members = message.members.min(MAX_MEMBERS);
+        child.members = message.members.min(u32::try_from(alive).unwrap_or(u32::MAX));
         child.servers.retain(|server, _| !message.covers(*server));
         if message.slice == 0 {
-            child.accounts = message.accounts;
+            let accounts = message.accounts.into_iter();
+            child.accounts = accounts.map(|it| it.limited(child.members)).collect();
             child.pools = message.pools;
         }
         let room = MAX_SERVERS.saturating_sub(child.servers.len());
@@ -286,21 +283,7 @@
         if message.round.is_some() && round.is_none() {
             return Vec::new();
         }
-        let total = &mut self.total;
-        total.received_at = Some(now);
-        total.as_of = round.map(|it| it.at).or(total.as_of);
-        total.members = message.members;
-        total.servers.retain(|server, _| !message.covers(*server));
-        let scale = scale(message.members, alive);
-        for server in &message.servers {
-            let own = round.and_then(|it| it.own.get(&server.server));
-            let others = without_own(server, own.map(Vec::as_slice).unwrap_or_default(), scale);
-            total.servers.insert(server.server, Seen { others, speed: server.speed });
-        }
-        if message.slice == 0 {
-            total.accounts.clone_from(&message.accounts);
-            total.pools.clone_from(&message.pools);
-        }
+        self.total.take_over(now, message, alive, round);
         let children = round.map(|it| it.children.as_slice()).unwrap_or_default();
         let own = self.own;
         let to_child = |child: &SocketAddrV4| {
@@ -311,22 +294,3 @@
         self.children.keys().map(to_child).collect()
     }
 }
-
-/// Returns the factor by which the load of the other members has to be multiplied if `members` of
-/// the `alive` ones are counted.
-fn scale(members: u32, alive: usize) -> f64 {
-    let others = f64::from(members.saturating_sub(1)).max(1.0);
-    let factor = alive.saturating_sub(1) as f64 / others;
-    factor.clamp(SCALE_RANGE.0, SCALE_RANGE.1)
-}
-
-/// Returns the load at a server without the part that this instance told.
-fn without_own(server: &ServerSum, own: &[RankSum], scale: f64) -> LoadByRank {
-    let mut others = LoadByRank::default();
-    for sum in &server.ranks {
-        let own = own.iter().find(|it| it.rank() == sum.rank());
-        let rest = own.map_or(*sum, |own| sum.without(*own));
-        others.add(sum.rank(), rest.load().scaled(scale));
-    }
-    others
-}
--- a/crates/gossip/src/load_message.rs
+++ b/crates/gossip/src/load_message.rs
@@ -4,7 +4,9 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::{AccountUse, LoadSum, MAX_PACKET_BYTES, PoolUse, ServerSum, ServerTag};
+use crate::{
+    AccountUse, DecodeError, LoadSum, MAX_PACKET_BYTES, PoolUse, ServerSum, ServerTag, checked,
+};
 
 /// The version of the format, and the first byte of each message. Instances that do not know it
 /// ignore these messages.
@@ -90,19 +92,30 @@
         (0..slices).map(message).collect()
     }
 
+    /// Returns whether there can be such a slice, and all servers are of it.
+    pub(crate) fn is_sound(&self) -> bool {
+        self.slice < self.slices && self.servers.iter().all(|it| self.covers(it.server))
+    }
+
     /// Returns whether a server belongs to the slice of this message.
     pub(crate) fn covers(&self, server: ServerTag) -> bool {
         is_in_slice(server, self.slice, self.slices)
     }
 
-    /// Encodes the message.
+    /// Encodes the message, with a checksum.
     pub fn encode(&self) -> Result<Vec<u8>, postcard::Error> {
-        postcard::to_stdvec(self)
+        checked::encode_value(self)
+    }
+
+    /// Decodes a message. Bytes after its checksum are ignored.
+    pub(crate) fn decode(bytes: &[u8]) -> Result<Self, DecodeError> {
+        let (message, _) = checked::take(bytes)?.ok_or(DecodeError::DamagedLoads)?;
+        Ok(message)
     }
 }
 
 fn is_in_slice(server: ServerTag, slice: u8, slices: u8) -> bool {
-    server.0 % u32::from(slices.max(1)) == u32::from(slice)
+    server.0.checked_rem(slices.into()) == Some(slice.into())
 }
 
 /// Returns upper bounds on the bytes of the servers in each slice.
