Learn the speed of reading by regression over the pool

Cause: the mean of tokens over time counted latency as reading: 21 tokens a ms were learned where engines read 112, and requests waited at the instance for nothing. Change: the slope of a linear regression, one for each pool, summed over the fleet.

--- a/crates/dispatch/src/choice.rs
+++ b/crates/dispatch/src/choice.rs
@@ -10,7 +10,7 @@
 pub(crate) const PREFILL_TOKENS_PER_MS: f64 = 100.0;
 /// Expected time to the first event at an engine without other work: the 26 to 31 ms that engines
 /// are specified for, and some generation steps.
-pub(crate) const ENGINE_BASE_LATENCY: Duration = Duration::from_millis(55);
+const ENGINE_BASE_LATENCY: Duration = Duration::from_millis(55);
 /// Added to the expected time to the first event for each request that runs at the engine. Engines
 /// are specified to take 0.05 to 0.1 ms longer for each generation step, and a first event takes
 /// several steps.
@@ -87,8 +87,6 @@
     pub cached_tokens: u32,
     /// Whether it can fetch the shared prefix from another server.
     pub has_fetch_source: bool,
-    /// Prompt tokens that it reads in a millisecond.
-    pub tokens_per_ms: f64,
     /// The share of the slots that become free before the load of the fleet is told again. As many
     /// requests in the engine's own queue keep them busy.
     pub turnover: f64,
@@ -219,8 +217,8 @@
         let cost = wait + spread + reading + zone + failures + leaving + silence;
         let prefill_tokens = prompt.own_tokens().saturating_add(uncached as u32);
         let is_idle = self.load.all.attempts == 0;
-        let reading_ahead = self.reading_time(self.load.ahead.prefill_tokens);
-        let urgent_reading = self.reading_time(self.load.more_urgent.prefill_tokens);
+        let reading_ahead = Self::reading_time(self.load.ahead.prefill_tokens);
+        let urgent_reading = Self::reading_time(self.load.more_urgent.prefill_tokens);
         Estimate {
             first_byte,
             first_byte_by_rank,
@@ -240,7 +238,7 @@
     fn at_engine(&self, slots: u32, prompt: &Prompt, uncached: f64) -> (Duration, Room) {
         let SeenLoad { all, ahead, .. } = self.load;
         let own = Duration::from_secs_f64(
-            (uncached + f64::from(prompt.own_tokens())) / self.tokens_per_ms / 1e3,
+            (uncached + f64::from(prompt.own_tokens())) / PREFILL_TOKENS_PER_MS / 1e3,
         );
         let is_filled = |attempts: u32, share| f64::from(attempts) >= f64::from(slots) * share;
         let fill = ENGINE_FILL_SHARE + self.turnover;
@@ -252,18 +250,18 @@
             false => Room::Free,
         };
         let latency = ENGINE_BASE_LATENCY + ENGINE_LATENCY_PER_REQUEST * all.attempts;
-        (latency + self.reading_time(all.prefill_tokens) + own, room)
+        (latency + Self::reading_time(all.prefill_tokens) + own, room)
     }
 
     /// Returns the time that an engine still reads for less urgent requests.
     fn less_urgent_reading(&self) -> Duration {
         let SeenLoad { all, ahead, .. } = self.load;
-        self.reading_time(all.prefill_tokens.saturating_sub(ahead.prefill_tokens))
+        Self::reading_time(all.prefill_tokens.saturating_sub(ahead.prefill_tokens))
     }
 
-    /// Returns the time in which the engine reads prompt tokens.
-    fn reading_time(&self, tokens: u64) -> Duration {
-        Duration::from_secs_f64(tokens as f64 / self.tokens_per_ms / 1e3)
+    /// Returns the time in which an engine is assumed to read prompt tokens.
+    fn reading_time(tokens: u64) -> Duration {
+        Duration::from_secs_f64(tokens as f64 / PREFILL_TOKENS_PER_MS / 1e3)
     }
 
     /// Returns how many tokens of the shared prefix the server is expected not to have cached.
--- a/crates/dispatch/src/demand.rs
+++ b/crates/dispatch/src/demand.rs
@@ -3,6 +3,8 @@
 use gossip::{PoolTag, PoolUse};
 use model::prelude::*;
 
+use crate::reading_speed::ReadingSamples;
+
 /// The time constant of the exponential moving average of running streams, which covers some ten
 /// streams of an instance.
 const STREAM_AVERAGING_TIME: Duration = Duration::from_secs(8);
@@ -30,6 +32,8 @@
     /// The average of prompt tokens a second at `updated_at`.
     prompt_tokens_per_s: f64,
     updated_at: Time,
+    /// What attempts showed of the speed at which the engines read.
+    pub(crate) reading: ReadingSamples,
 }
 
 impl EngineDemand {
@@ -63,6 +67,7 @@
         it.live_streams = self.running_streams;
         it.live_tokens_per_s = (self.live_tokens_per_s * starts) as u32;
         it.prompt_tokens_per_s = self.prompt_tokens_per_s(now) as u32;
+        it.reading = self.reading.fit(now);
         it
     }
 
--- a/crates/dispatch/src/fleet_load.rs
+++ b/crates/dispatch/src/fleet_load.rs
@@ -1,8 +1,6 @@
 //! The load of the whole fleet at each server.
 
-use gossip::{
-    LoadByRank, LoadMessage, LoadSum, PoolTag, ServerSum, ServerTag, SpeedEvidence, TotalLoad,
-};
+use gossip::{LoadByRank, LoadMessage, LoadSum, PoolTag, ServerSum, ServerTag, TotalLoad};
 use model::prelude::*;
 
 use crate::{Effect, Server, state::State};
@@ -52,17 +50,13 @@
         }
     }
 
-    /// Returns what this instance puts on the servers, what it knows of their speed, and what its
+    /// Returns what this instance puts on the servers, what it asks of pools, and what its
     /// accounts ask for.
     fn own_load_sum(&mut self, now: Time) -> LoadSum {
         let uses = self.account_shares.uses(now);
         let servers = self.servers.iter().map(|it| it.1);
-        let sums = servers.filter_map(|server| {
-            let speed = server.reading.evidence(now);
-            let is_idle = server.load.total() == TotalLoad::default();
-            let is_told = !is_idle || speed != SpeedEvidence::default();
-            is_told.then(|| ServerSum::new(server.id.into(), server.load.iter(), speed))
-        });
+        let busy = servers.filter(|server| server.load.total() != TotalLoad::default());
+        let sums = busy.map(|it| ServerSum::new(it.id.into(), it.load.iter()));
         let pools = self.demand.iter().map(|it| it.1.pool_use(now, PoolTag::from(*it.0)));
         let pools = pools.filter(|it| !it.is_idle());
         LoadSum::of_member(sums, uses.into_iter(), pools)
--- a/crates/dispatch/src/outcome.rs
+++ b/crates/dispatch/src/outcome.rs
@@ -8,7 +8,6 @@
 
 use crate::{
     AttemptEnd, Command, Delivered, Effect, LogEntry, RequestKey, ResponseTrace, Room, ServerKey,
-    choice::ENGINE_BASE_LATENCY,
     placement::Choice,
     request::{MIN_REMAINING, Request, RunningAttempt, Stage},
     route::Repeat,
@@ -70,8 +69,10 @@
         if let Some(sent_at) = sent_at {
             let took = now.since(sent_at);
             server.health.record_first_byte(took, expected);
-            let reading = took.saturating_sub(ENGINE_BASE_LATENCY);
-            server.reading.record(now, tokens_ahead, reading);
+            if tokens_ahead > 0.0 {
+                let demand = self.demand.entry(pool).or_default();
+                demand.reading.record(now, tokens_ahead, took);
+            }
         }
         self.bytes_received(now, key);
         self.dispatch(now, pool);
--- a/crates/dispatch/src/placement.rs
+++ b/crates/dispatch/src/placement.rs
@@ -159,7 +159,7 @@
             let candidate = Candidate {
                 has_fetch_source: fetch_source.is_some(),
                 affinity,
-                ..self.candidate(now, req, server)
+                ..self.candidate(req, server)
             };
             let estimate = candidate.estimate(now, pool, &req.prompt, target);
             let is_acceptable = estimate.is_acceptable(&demand);
@@ -192,12 +192,7 @@
 
     /// Returns a server as a candidate for a request, without what the preferred servers for its
     /// prefix add.
-    pub(crate) fn candidate<'a>(
-        &self,
-        now: Time,
-        req: &Request,
-        server: &'a Server,
-    ) -> Candidate<'a> {
+    pub(crate) fn candidate<'a>(&self, req: &Request, server: &'a Server) -> Candidate<'a> {
         Candidate {
             server,
             load: SeenLoad::new(&server.load, self.others_load(server), req.rank()),
@@ -207,7 +202,6 @@
             has_fetch_source: false,
             turnover: self.slot_turnover(req),
             is_load_known: self.knows_fleet_loads(),
-            tokens_per_ms: self.reading_speed(server),
             spread: if req.is_live_stream() { spread(&req.id, server) } else { 0.0 },
         }
     }
@@ -236,8 +230,7 @@
             }
             survey.usable += 1;
             let target = req.routed.route.target;
-            let estimate =
-                self.candidate(now, req, server).estimate(now, pool, &req.prompt, target);
+            let estimate = self.candidate(req, server).estimate(now, pool, &req.prompt, target);
             if estimate.is_full() {
                 survey.full += 1;
                 continue;
--- a/crates/dispatch/src/server.rs
+++ b/crates/dispatch/src/server.rs
@@ -5,7 +5,7 @@
 use gossip::LoadByRank;
 use model::prelude::*;
 
-use crate::{PrefixCache, RequestWindow, health::Health, reading_speed::ReadingSamples};
+use crate::{PrefixCache, RequestWindow, health::Health};
 
 slotmap::new_key_type! {
     /// Identifies a server that this process knows.
@@ -66,8 +66,6 @@
     /// The shared prefixes that it probably has cached.
     pub(crate) prefixes: PrefixCache,
     pub(crate) health: Health,
-    /// What attempts of this instance showed of its speed.
-    pub(crate) reading: ReadingSamples,
 }
 
 impl Server {
@@ -85,7 +83,6 @@
             recent_requests: RequestWindow::default(),
             prefixes: PrefixCache::default(),
             health: Health::new(now),
-            reading: ReadingSamples::default(),
         }
     }
 
@@ -126,7 +123,6 @@
     pub(crate) fn restarted(&mut self, now: Time, cold: Duration) {
         self.paused_until = Time::default();
         self.prefixes.clear();
-        self.reading = ReadingSamples::default();
         self.health = Health::new(now);
         self.health.set_attempts(now, self.attempts());
         self.mark_cold(now, cold);
--- a/crates/dispatch/src/withdrawal.rs
+++ b/crates/dispatch/src/withdrawal.rs
@@ -68,9 +68,8 @@
         let others = others.filter(|it| **it != running.server && !req.tried.contains(it));
         let others = others.filter_map(|it| self.servers.get(*it));
         let usable = others.filter(|server| self.may_send(now, server, pool));
-        let estimates = usable.map(|server| {
-            self.candidate(now, req, server).estimate(now, pool, &req.prompt, target)
-        });
+        let estimates = usable
+            .map(|server| self.candidate(req, server).estimate(now, pool, &req.prompt, target));
         estimates.filter(|it| it.room == Room::Free).map(|it| it.first_byte).min()
     }
 }
--- a/crates/gossip/src/fleet_loads.rs
+++ b/crates/gossip/src/fleet_loads.rs
@@ -9,7 +9,7 @@
 
 use crate::{
     AccountUse, LoadByRank, LoadMessage, LoadSum, OutgoingLoadMessage, PoolTag, PoolUse, ServerSum,
-    ServerTag, SpeedEvidence,
+    ServerTag,
     fleet_total::{FleetTotal, MAX_SERVERS},
     load_message::Direction,
     load_sum::RankSum,
@@ -127,11 +127,6 @@
         self.total.servers.get(&server).map(|it| &it.others)
     }
 
-    /// Returns what the fleet knows of the speed of a server.
-    pub fn speed(&self, server: ServerTag) -> SpeedEvidence {
-        self.total.servers.get(&server).map(|it| it.speed).unwrap_or_default()
-    }
-
     /// Returns what accounts ask for in the whole fleet, the one with the most first. Like loads, it
     /// is scaled to the members that are alive.
     pub fn accounts(&self) -> &[AccountUse] {
--- a/crates/gossip/src/fleet_total.rs
+++ b/crates/gossip/src/fleet_total.rs
@@ -5,8 +5,8 @@
 use model::prelude::*;
 
 use crate::{
-    AccountUse, LoadByRank, LoadMessage, PoolUse, ServerSum, ServerTag, SpeedEvidence,
-    fleet_loads::Round, load_sum::RankSum,
+    AccountUse, LoadByRank, LoadMessage, PoolUse, ServerSum, ServerTag, fleet_loads::Round,
+    load_sum::RankSum,
 };
 
 /// The range of the factor by which totals are scaled to the members that are alive. Members that
@@ -34,7 +34,6 @@
 pub(crate) struct Seen {
     /// The load of all other members.
     pub(crate) others: LoadByRank,
-    pub(crate) speed: SpeedEvidence,
 }
 
 impl FleetTotal {
@@ -56,7 +55,7 @@
         for server in message.servers.iter().take(room) {
             let own = round.and_then(|it| it.own.get(&server.server));
             let others = without_own(server, own.map(Vec::as_slice).unwrap_or_default(), scale);
-            self.servers.insert(server.server, Seen { others, speed: server.speed });
+            self.servers.insert(server.server, Seen { others });
         }
         if message.slice == 0 {
             self.accounts = message.accounts.iter().map(|it| it.scaled(scale)).collect();
--- a/crates/gossip/src/load_message.rs
+++ b/crates/gossip/src/load_message.rs
@@ -27,7 +27,7 @@
 
 /// A slice of a sum of loads: the servers whose tags have the same remainder. The order of the
 /// fields, here and in the types of the fields, is the format; their names are not part of it.
-#[derive(Clone, PartialEq, Eq, Debug, Serialize, Deserialize)]
+#[derive(Clone, PartialEq, Debug, Serialize, Deserialize)]
 pub struct LoadMessage {
     pub(crate) format: u8,
     /// Where the sender receives messages.
@@ -52,7 +52,7 @@
 }
 
 /// A message with loads to be sent.
-#[derive(Clone, PartialEq, Eq, Debug)]
+#[derive(Clone, PartialEq, Debug)]
 pub struct OutgoingLoadMessage {
     /// The receiver's address.
     pub to: SocketAddrV4,
--- a/crates/gossip/src/load_sum.rs
+++ b/crates/gossip/src/load_sum.rs
@@ -10,10 +10,6 @@
 const UNREAD_UNIT: u64 = 64;
 /// Tokens in a unit of [`RankSum::held`].
 const HELD_UNIT: u64 = 256;
-/// Tokens in a unit of [`SpeedEvidence::tokens`].
-const SPEED_TOKENS_UNIT: f64 = 256.0;
-/// Milliseconds in a unit of [`SpeedEvidence::time`].
-const SPEED_TIME_UNIT_MS: f64 = 8.0;
 /// Attempts that a member is taken to run at a server at most. More is an error of the sender.
 const MAX_MEMBER_ATTEMPTS: u32 = 1_024;
 /// Units of tokens that an attempt is taken to have at most.
@@ -23,42 +19,6 @@
 /// Pools in a sum.
 const MAX_POOLS: usize = 16;
 
-/// How many prompt tokens a backend server read in how much time, as attempts showed lately. The
-/// order of the fields is the message format.
-#[derive(Clone, Copy, PartialEq, Eq, Default, Debug, Serialize, Deserialize)]
-pub struct SpeedEvidence {
-    tokens: u32,
-    time: u32,
-}
-
-impl SpeedEvidence {
-    /// Creates evidence from the number of tokens and the time in milliseconds.
-    pub fn new(tokens: f64, millis: f64) -> Self {
-        Self {
-            tokens: (tokens / SPEED_TOKENS_UNIT).round() as u32,
-            time: (millis / SPEED_TIME_UNIT_MS).round() as u32,
-        }
-    }
-
-    /// Returns the number of tokens.
-    pub fn tokens(self) -> f64 {
-        f64::from(self.tokens) * SPEED_TOKENS_UNIT
-    }
-
-    /// Returns the time in milliseconds.
-    pub fn millis(self) -> f64 {
-        f64::from(self.time) * SPEED_TIME_UNIT_MS
-    }
-
-    /// Returns the evidence of both together.
-    pub fn and(self, other: Self) -> Self {
-        Self {
-            tokens: self.tokens.saturating_add(other.tokens),
-            time: self.time.saturating_add(other.time),
-        }
-    }
-}
-
 /// The load of one rank at a server. The order of the fields is the message format.
 #[derive(Clone, Copy, PartialEq, Eq, Debug, Serialize, Deserialize)]
 pub struct RankSum {
@@ -110,26 +70,19 @@
     }
 }
 
-/// What some members put on a server, and what they know of its speed. The order of the fields is
-/// the message format.
+/// What some members put on a server. The order of the fields is the message format.
 #[derive(Clone, PartialEq, Eq, Debug, Serialize, Deserialize)]
 pub struct ServerSum {
     /// The tag of the server, which another server may share.
     pub server: ServerTag,
     /// The loads, by rank.
     pub ranks: Vec<RankSum>,
-    /// What is known of its speed.
-    pub speed: SpeedEvidence,
 }
 
 impl ServerSum {
     /// Creates the load of one member.
-    pub fn new(
-        server: ServerTag,
-        loads: impl Iterator<Item = (RankTag, TotalLoad)>,
-        speed: SpeedEvidence,
-    ) -> Self {
-        Self { server, ranks: loads.map(|it| RankSum::new(it.0, it.1)).collect(), speed }
+    pub fn new(server: ServerTag, loads: impl Iterator<Item = (RankTag, TotalLoad)>) -> Self {
+        Self { server, ranks: loads.map(|it| RankSum::new(it.0, it.1)).collect() }
     }
 
     /// Returns the sum with no more than what this many members can send to a server.
@@ -150,7 +103,6 @@
                 None => self.ranks.push(*rank),
             }
         }
-        self.speed = self.speed.and(other.speed);
     }
 }
 
--- a/crates/gossip/src/pool_use.rs
+++ b/crates/gossip/src/pool_use.rs
@@ -2,14 +2,14 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::PoolTag;
+use crate::{PoolTag, ReadingFit};
 
 /// Units of fractions in messages: a sixteenth.
 const UNIT: f64 = 16.0;
 
 /// What live streams and prompts ask of a pool of engines, at one or more members. The order of the
 /// fields is the message format.
-#[derive(Clone, Copy, PartialEq, Eq, Debug, Serialize, Deserialize)]
+#[derive(Clone, Copy, PartialEq, Debug, Serialize, Deserialize)]
 pub struct PoolUse {
     /// The tag of the pool.
     pub pool: PoolTag,
@@ -22,6 +22,8 @@
     pub live_tokens_per_s: u32,
     /// Prompt tokens of other requests that arrive in a second.
     pub prompt_tokens_per_s: u32,
+    /// How fast its engines read prompts.
+    pub reading: ReadingFit,
 }
 
 impl PoolUse {
@@ -35,6 +37,7 @@
             ends_time: 0,
             live_tokens_per_s: 0,
             prompt_tokens_per_s: 0,
+            reading: ReadingFit::default(),
         }
     }
 
@@ -73,5 +76,6 @@
         add(&mut self.ends_time, other.ends_time);
         add(&mut self.live_tokens_per_s, other.live_tokens_per_s);
         add(&mut self.prompt_tokens_per_s, other.prompt_tokens_per_s);
+        self.reading = self.reading.and(other.reading);
     }
 }
--- a/crates/gossip/src/tree.rs
+++ b/crates/gossip/src/tree.rs
@@ -75,7 +75,7 @@
 }
 
 /// Everything that instances send each other in a datagram.
-#[derive(Clone, PartialEq, Eq, Debug)]
+#[derive(Clone, PartialEq, Debug)]
 pub enum Datagram {
     /// Membership and loads.
     Packet(Packet),
--- a/crates/gossip/tests/fleet_loads.rs
+++ b/crates/gossip/tests/fleet_loads.rs
@@ -4,7 +4,7 @@
 
 mod load_tree;
 
-use gossip::{AccountUse, FleetLoads, LoadMessage, ServerSum, SpeedEvidence, TotalLoad};
+use gossip::{AccountUse, FleetLoads, LoadMessage, ServerSum, TotalLoad};
 use model::prelude::*;
 use rand::RngExt as _;
 
@@ -198,8 +198,7 @@
 /// Returns a message of a member that tells much more than any member can have.
 fn with_enormous_loads(mut message: LoadMessage) -> LoadMessage {
     let most = TotalLoad { attempts: u32::MAX, prefill_tokens: u64::MAX, held_tokens: u64::MAX };
-    let speed = SpeedEvidence::default();
-    let server = |it: &ServerSum| ServerSum::new(it.server, [(RANK, most)].into_iter(), speed);
+    let server = |it: &ServerSum| ServerSum::new(it.server, [(RANK, most)].into_iter());
     message.servers = message.servers.iter().map(server).collect();
     message.accounts = vec![AccountUse { account: ACCOUNT, tokens_per_s: u32::MAX }];
     message
--- a/crates/gossip/tests/load_messages.rs
+++ b/crates/gossip/tests/load_messages.rs
@@ -6,7 +6,7 @@
 
 use gossip::{
     Datagram, DecodeError, Direction, FleetLoads, LoadMessage, LoadSum, Packet, ServerSum,
-    SpeedEvidence, TotalLoad,
+    TotalLoad,
 };
 use model::prelude::*;
 
@@ -19,7 +19,7 @@
 fn message(sender: usize, direction: Direction, round: u32, attempts: u32) -> LoadMessage {
     let now = Time::from_millis(3_600_000);
     let load = TotalLoad { attempts, prefill_tokens: 0, held_tokens: 0 };
-    let servers = [ServerSum::new(server(3), [(RANK, load)].into_iter(), SpeedEvidence::default())];
+    let servers = [ServerSum::new(server(3), [(RANK, load)].into_iter())];
     let sum = LoadSum::of_member(servers.into_iter(), [].into_iter(), [].into_iter());
     let mut loads = FleetLoads::new(now, address(sender), 0);
     let mut message = loads.tick(now, Some(address(0)), 2, sum).remove(0).message;
--- a/crates/gossip/tests/load_tree/mod.rs
+++ b/crates/gossip/tests/load_tree/mod.rs
@@ -7,8 +7,7 @@
 
 use gossip::{
     AccountTag, AccountUse, Datagram, FleetLoads, LoadByRank, LoadMessage, LoadSum,
-    MAX_PACKET_BYTES, OutgoingLoadMessage, PoolUse, RankTag, ServerSum, ServerTag, SpeedEvidence,
-    TotalLoad,
+    MAX_PACKET_BYTES, OutgoingLoadMessage, PoolUse, RankTag, ServerSum, ServerTag, TotalLoad,
 };
 use model::prelude::*;
 use rand::{RngExt as _, SeedableRng as _};
@@ -193,7 +192,7 @@
             prefill_tokens: u64::from(*attempts) * UNREAD,
             held_tokens: u64::from(*attempts) * HELD,
         };
-        ServerSum::new(server(*at), [(RANK, load)].into_iter(), SpeedEvidence::new(2_560.0, 32.0))
+        ServerSum::new(server(*at), [(RANK, load)].into_iter())
     });
     let uses = [AccountUse { account: ACCOUNT, tokens_per_s: USE_PER_MEMBER }];
     LoadSum::of_member(servers, uses.into_iter(), std::iter::empty::<PoolUse>())
