--- a/crates/zones/src/may_leave.rs
+++ b/crates/zones/src/may_leave.rs
@@ -9,7 +9,7 @@
 }
 
 /// Returns the position of a hash among all hashes, from 0 to less than 1.
-fn position(hash: u64) -> f64 {
+pub(crate) fn position(hash: u64) -> f64 {
     // The 53 bits that a double keeps: rounding up to 1 would leave requests out of the share 1.
     (hash >> 11) as f64 / (1_u64 << 53) as f64
 }
