--- a/crates/dispatch/src/choice.rs
+++ b/crates/dispatch/src/choice.rs
@@ -24,7 +24,7 @@
 const CROSS_ZONE_COST: Duration = Duration::from_millis(10);
 /// Added to the cost of a server, in milliseconds, for each token of the shared prefix that it has
 /// to read: prefill takes the engine's time from all its other requests.
-const UNCACHED_TOKEN_COST_MS: f64 = 0.25;
+const UNCACHED_TOKEN_COST_MS: f64 = 0.4;
 /// The share of a request's target up to which each millisecond of the expected time to first byte
 /// adds one millisecond to the cost. Beyond it the target is at risk.
 const SAFE_TARGET_SHARE: f64 = 0.5;
@@ -65,7 +65,7 @@
 /// Longer queues are kept at this instance, where they are ordered by rank.
 const MAX_FIRST_BYTE_SHARE: f64 = 0.6;
 /// The same for an overdue request, which will hardly meet its target any more.
-const OVERDUE_MAX_FIRST_BYTE_SHARE: f64 = 1.5;
+const OVERDUE_MAX_FIRST_BYTE_SHARE: f64 = 0.8;
 
 /// A server that could take a request.
 #[derive(Clone, Copy, Debug)]
@@ -168,8 +168,6 @@
     pub room: Room,
     /// Whether the server runs nothing, so that waiting changes nothing.
     pub is_idle: bool,
-    /// The time that the server still reads for other requests.
-    pub reading: Duration,
     /// The time that the server still reads for more urgent requests.
     pub urgent_reading: Duration,
 }
@@ -200,8 +198,7 @@
         let leaving = if is_leaving { REPORTED_LEAVING_COST } else { Duration::ZERO };
         let safe = target.mul_f64(SAFE_TARGET_SHARE);
         let late = first_byte.saturating_sub(safe).mul_f64(LATE_COST_FACTOR);
-        let slower = PREFILL_TOKENS_PER_MS / self.tokens_per_ms;
-        let reading = Duration::from_secs_f64(uncached * UNCACHED_TOKEN_COST_MS * slower / 1e3);
+        let reading = Duration::from_secs_f64(uncached * UNCACHED_TOKEN_COST_MS / 1e3);
         let wait = first_byte.min(safe) + late;
         let spread = SPREAD_COST.mul_f64(self.spread);
         let silence = 2 * health.excess_silence(now);
@@ -217,7 +214,6 @@
             tokens_ahead: self.load.all.prefill_tokens as f64 + f64::from(prefill_tokens),
             room,
             is_idle,
-            reading: self.reading_time(self.load.all.prefill_tokens),
             urgent_reading,
         }
     }
@@ -289,10 +285,11 @@
             if demand.is_overdue { OVERDUE_MAX_FIRST_BYTE_SHARE } else { MAX_FIRST_BYTE_SHARE };
         let limit = |target: Duration, share| target.mul_f64(share).max(2 * ENGINE_BASE_LATENCY);
         let Some(least_target_above) = demand.least_target_above else { return !self.is_full() };
-        let reading = if demand.keeps_engines_open { self.reading } else { self.urgent_reading };
-        let leaves_room =
-            ENGINE_BASE_LATENCY + reading <= limit(least_target_above, MAX_FIRST_BYTE_SHARE);
-        let is_soon = self.first_byte_by_rank <= limit(demand.target, share);
+        let leaves_room = ENGINE_BASE_LATENCY + self.urgent_reading
+            <= limit(least_target_above, MAX_FIRST_BYTE_SHARE);
+        let reading = self.first_byte_by_rank.saturating_sub(ENGINE_BASE_LATENCY);
+        let first_byte = ENGINE_BASE_LATENCY + reading.mul_f64(demand.reading_factor);
+        let is_soon = first_byte <= limit(demand.target, share);
         !self.is_full() && leaves_room && (self.is_idle || is_soon)
     }
 }
@@ -305,9 +302,8 @@
     /// The least target among the routes to the pool that have a higher tier; `None` if the request
     /// has the highest one.
     pub least_target_above: Option<Duration>,
-    /// Whether the load of the whole fleet is known, so that each engine is kept open for requests of
-    /// higher tiers.
-    pub keeps_engines_open: bool,
+    /// How many times longer than assumed the engines of the pool take to read.
+    pub reading_factor: f64,
     /// Whether the request has waited so long that it will hardly meet its target.
     pub is_overdue: bool,
 }
--- a/crates/dispatch/src/fleet_load.rs
+++ b/crates/dispatch/src/fleet_load.rs
@@ -1,6 +1,8 @@
 //! The load of the whole fleet at each server.
 
-use gossip::{LoadByRank, LoadMessage, LoadSum, ServerSum, ServerTag, SpeedEvidence, TotalLoad};
+use gossip::{
+    LoadByRank, LoadMessage, LoadSum, PoolTag, ServerSum, ServerTag, SpeedEvidence, TotalLoad,
+};
 use model::prelude::*;
 
 use crate::{Effect, Server, state::State};
@@ -44,8 +46,10 @@
         }
     }
 
-    /// Returns what this instance puts on the servers, and what it knows of their speed.
-    fn own_load_sum(&self, now: Time) -> LoadSum {
+    /// Returns what this instance puts on the servers, what it knows of their speed, and what its
+    /// accounts ask for.
+    fn own_load_sum(&mut self, now: Time) -> LoadSum {
+        let uses = self.account_shares.uses(now);
         let servers = self.servers.iter().map(|it| it.1);
         let sums = servers.filter_map(|server| {
             let speed = server.reading.evidence(now);
@@ -53,6 +57,8 @@
             let is_told = !is_idle || speed != SpeedEvidence::default();
             is_told.then(|| ServerSum::new(server.id.into(), server.load.iter(), speed))
         });
-        LoadSum::of_member(sums, std::iter::empty())
+        let pools = self.demand.iter().map(|it| it.1.pool_use(now, PoolTag::from(*it.0)));
+        let pools = pools.filter(|it| !it.is_idle());
+        LoadSum::of_member(sums, uses.into_iter(), pools)
     }
 }
--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -6,6 +6,7 @@
 //! fleet are divided into shares that add up to no more than the limit, whatever the other
 //! instances do: see [`Share`], [`RetryBudget`] and [`RequestWindow`].
 
+mod account_shares;
 mod admission;
 mod attempt;
 mod awaited_servers;
@@ -42,6 +43,7 @@
 mod share;
 mod state;
 mod suspect;
+mod withdrawal;
 
 pub use attempt::{Attempt, AttemptEnd, Delivered};
 pub use budget::RetryBudget;
--- a/crates/dispatch/src/placement.rs
+++ b/crates/dispatch/src/placement.rs
@@ -9,6 +9,7 @@
     Affinity, Attempt, Candidate, Command, Demand, Effect, LogEntry, Pool, RequestKey, Room,
     SeenLoad, Server, ServerKey, ServerSurvey, Verdict,
     awaited_servers::AwaitedServers,
+    choice::PREFILL_TOKENS_PER_MS,
     preferred_servers::PreferredServers,
     request::{Request, RunningAttempt, Stage},
     state::State,
@@ -71,8 +72,8 @@
         let is_overdue = now.since(req.arrived) > target.mul_f64(OVERDUE_SHARE);
         let tier = req.routed.route.tier;
         let least_target_above = catalog.least_target_above(req.pool, tier);
-        let keeps_engines_open = false;
-        let demand = Demand { target, least_target_above, keeps_engines_open, is_overdue };
+        let reading_factor = PREFILL_TOKENS_PER_MS / self.reading_speeds.of_pool(req.pool);
+        let demand = Demand { target, least_target_above, reading_factor, is_overdue };
         let servers = self.servers.in_pool(req.pool);
         let is_live_stream = req.is_live_stream();
         let live_engines = self.live_engines(req.pool, pool);
@@ -83,12 +84,13 @@
         let preferred = self.preferred_servers(now, req, servers, suits_kind);
         let max_connections = self.max_connections(req.pool);
         // Long prompts go to the engines of live streams only when no other one takes them in time.
-        let may_mix = is_live_stream || is_overdue && !keeps_engines_open;
+        let may_mix = is_live_stream || is_overdue;
         let can_fetch = pool.engine.is_some_and(|engine| engine.fetch_per_token.is_some());
         let is_backed_up =
             req.is_backed_up() && pool.engine.is_some_and(|engine| engine.has_backups);
         let suited = servers.iter().filter_map(|key| self.servers.get(*key));
         let suited = suited.filter(|server| suits_kind(server)).count();
+        let is_known = self.knows_fleet_loads(now);
         let sampled = self.sampled_share(now, suited);
         let sampled_mixed = self.sampled_share(now, servers.len() - suited);
         let mut best: Option<Choice> = None;
@@ -123,13 +125,15 @@
                 ..self.candidate(now, req, server)
             };
             let estimate = candidate.estimate(now, pool, &req.prompt, target);
-            if !estimate.is_acceptable(&demand) {
+            let is_acceptable = estimate.is_acceptable(&demand);
+            if !is_acceptable && (estimate.is_full() || !is_known) {
                 unacceptable.push(key);
                 continue;
             }
             let choice = Choice {
                 server: key,
                 room: estimate.room,
+                is_acceptable,
                 is_mixed,
                 cost: estimate.cost,
                 expected: estimate.first_byte,
@@ -145,6 +149,10 @@
                 second = Some(choice);
             }
         }
+        if let Some(awaited) = best.filter(|it| !it.is_acceptable) {
+            best = None;
+            unacceptable.push(awaited.server);
+        }
         if best.is_none() {
             awaited.add(rank, unacceptable);
         }
@@ -159,7 +167,12 @@
 
     /// Returns a server as a candidate for a request, without what the preferred servers for its
     /// prefix add.
-    fn candidate<'a>(&self, now: Time, req: &Request, server: &'a Server) -> Candidate<'a> {
+    pub(crate) fn candidate<'a>(
+        &self,
+        now: Time,
+        req: &Request,
+        server: &'a Server,
+    ) -> Candidate<'a> {
         Candidate {
             server,
             load: SeenLoad::new(&server.load, self.others_load(now, server), req.rank()),
@@ -296,6 +309,13 @@
         };
         let Some(server) = self.servers.get_mut(choice.server) else { return };
         req.attempts += 1;
+        let first_byte_timeout = req
+            .routed
+            .route
+            .target
+            .mul_f64(FIRST_BYTE_TARGET_SHARE)
+            .max(choice.expected * FIRST_BYTE_EXPECTED_FACTOR);
+        let leave_by = is_retryable.then(|| now + first_byte_timeout);
         let running = RunningAttempt {
             server: choice.server,
             rank: req.rank(),
@@ -304,6 +324,7 @@
             sent_at: None,
             begun_at: None,
             has_closed: false,
+            leave_by: leave_by.filter(|time| *time < req.end_by),
             expected: choice.expected,
             prefill_tokens: if resumes_from_backup { 0 } else { choice.prefill_tokens },
             tokens_ahead: choice.tokens_ahead,
@@ -319,11 +340,6 @@
         server.unsent += 1;
         server.prefixes.record(&req.prompt);
         server.health.set_attempts(now, server.attempts());
-        let route = &req.routed.route;
-        let first_byte_timeout = route
-            .target
-            .mul_f64(FIRST_BYTE_TARGET_SHARE)
-            .max(choice.expected * FIRST_BYTE_EXPECTED_FACTOR);
         let start_by = if req.routed.account.is_some() { keys_until } else { req.end_by };
         let attempt = Attempt {
             number: req.attempts,
@@ -332,9 +348,6 @@
             address: server.entry.address,
             rank: req.rank(),
             start_by: start_by.min(req.end_by),
-            first_byte_by: is_retryable
-                .then(|| now + first_byte_timeout)
-                .filter(|time| *time < req.end_by),
             end_by: req.end_by,
             holds_server_error: is_retryable,
             backup,
@@ -368,6 +381,8 @@
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct Choice {
     pub(crate) server: ServerKey,
+    /// Whether the request goes there now rather than waits for it.
+    pub(crate) is_acceptable: bool,
     /// The room that it has.
     pub(crate) room: Room,
     /// Whether it is an engine set apart for live streams and the request is none, or the reverse.
--- a/crates/dispatch/src/state.rs
+++ b/crates/dispatch/src/state.rs
@@ -10,8 +10,8 @@
 
 use crate::{
     Catalog, Effect, EngineDemand, Event, Freshness, HeldPart, LiveEngines, LogEntry, Quarantine,
-    RequestKey, RetryBudget, ServerKey, Setup, Share, queue::Queue, reading_speed::ReadingSpeeds,
-    request::Request, server_ends::PossibleEnd, servers::Servers,
+    RequestKey, RetryBudget, ServerKey, Setup, Share, account_shares::AccountShares, queue::Queue,
+    reading_speed::ReadingSpeeds, request::Request, server_ends::PossibleEnd, servers::Servers,
 };
 
 /// The longest time between two ticks. A tick tries to start waiting requests, since gossip may
@@ -59,6 +59,7 @@
     pub(crate) loads: PeerLoads,
     pub(crate) fleet_loads: FleetLoads,
     pub(crate) reading_speeds: ReadingSpeeds,
+    pub(crate) account_shares: AccountShares,
     pub(crate) share: Share,
     pub(crate) budgets: HashMap<PoolId, RetryBudget>,
     pub(crate) demand: HashMap<PoolId, EngineDemand>,
@@ -108,10 +109,11 @@
             failing_since: None,
             platform_seen_at: None,
             platform_back_at: None,
-            members: Members::new(now, member, &setup.seeds, setup.seed),
+            members: Members::new(now, member, &setup.seeds, setup.seed).in_zone(setup.zone.into()),
             loads: PeerLoads::default(),
             fleet_loads: FleetLoads::new(now, setup.address, rng.random()),
             reading_speeds: ReadingSpeeds::default(),
+            account_shares: AccountShares::default(),
             share: Share::new(setup.address, setup.zones),
             budgets: HashMap::new(),
             demand: HashMap::new(),
@@ -160,6 +162,7 @@
             Event::Request { key, new } => self.request(now, key, *new),
             Event::Sent { key } => self.sent(now, key),
             Event::FirstByte { key } => self.first_byte(now, key),
+            Event::FirstByteDue { key } => self.first_byte_due(now, key),
             Event::ServerLeaving { key } => self.server_leaves(now, key),
             Event::ServerPaused { key, span } => self.server_pauses(now, key, span),
             Event::ServerClosed { key } => self.server_closed(key),
@@ -211,6 +214,18 @@
         self.members.rank()
     }
 
+    /// Returns whether another instance runs in the zone of this one; `None` if that is not known.
+    /// The instances of a small fleet do not tell each other.
+    pub fn is_peer_in_own_zone(&self, address: SocketAddrV4) -> Option<bool> {
+        self.members.is_in_own_zone(address)
+    }
+
+    /// Returns whether a server runs in the zone of this instance; `None` if it is not listed any
+    /// more.
+    pub fn is_server_in_own_zone(&self, server: ServerKey) -> Option<bool> {
+        self.servers.get(server).map(|it| it.entry.zone == self.setup.zone)
+    }
+
     /// Returns the view of the platform that was read last.
     pub fn view(&self) -> ViewSummary {
         self.freshness.view()
@@ -258,6 +273,7 @@
         self.record_survivals(now);
         self.update_reading_speeds(now);
         self.update_live_engines(now);
+        self.update_account_shares(now);
         self.dispatch_all(now);
         self.update_phase(now);
     }
--- a/crates/edge/src/attempt.rs
+++ b/crates/edge/src/attempt.rs
@@ -1,12 +1,13 @@
 //! Attempts at backend servers.
 
-use std::{pin::pin, sync::Arc};
+use std::{future::Future, pin::pin, sync::Arc};
 
 use aio::deadline;
 use async_net::TcpStream;
 use dispatch::{Attempt, AttemptEnd, Event, LogEntry, RequestKey, ResponseTrace};
 use http1::{Buffered, ConnectionError, Framing, ResponseHead, discard, read_whole};
 use model::prelude::*;
+use prometheus_client::metrics::counter::Counter;
 use rustix::net::sockopt::set_tcp_user_timeout;
 
 use crate::{
@@ -17,6 +18,7 @@
     relay::{self, Ending, Relayed},
     response::{Response, WriteError},
     sending::{Sending, write},
+    traffic::{Cause, Zone},
 };
 
 /// Timeout for establishing a TCP connection: several round trips between zones, but less than the
@@ -136,20 +138,19 @@
     }
 
     async fn send_and_relay(&mut self, progress: &mut Progress) -> Result<Relayed, Fault> {
-        let clock = self.instance.clock;
-        let first_byte_by = self.attempt.first_byte_by.unwrap_or(self.attempt.end_by);
-        let preparing = self.prepare(progress);
-        let (mut connection, head) =
-            deadline::until(clock, first_byte_by, preparing).await.ok_or(Fault::TimedOut)??;
+        let (instance, key, end_by) = (self.instance, self.key, self.attempt.end_by);
+        let preparing = before_leaving(instance, key, end_by, self.prepare(progress));
+        let (mut connection, head) = preparing.await.ok_or(Fault::TimedOut)??;
         let outgoing = self.outgoing;
+        self.bytes(Cause::Requests).inc_by(outgoing.body.len() as u64);
         let writing = pin!(write(connection.stream.clone(), head, &outgoing.body));
         let mut sending = Sending::new(writing);
         let reading = self.read_head(&mut connection.input, progress);
-        let read = deadline::until(clock, first_byte_by, sending.alongside(reading)).await;
+        let read = before_leaving(instance, key, end_by, sending.alongside(reading)).await;
         let (head, is_clean) = read.ok_or(Fault::TimedOut)??;
         let is_reusable = sending.is_whole() && is_clean && !head.closes();
         let starting = self.start_response(connection, head, is_reusable);
-        let started = deadline::until(clock, first_byte_by, sending.alongside(starting)).await;
+        let started = before_leaving(instance, key, end_by, sending.alongside(starting)).await;
         let started = started.ok_or(Fault::TimedOut)??;
         // A server may read the rest of the request while it responds.
         sending.alongside(relay::run(self, started)).await
@@ -189,11 +190,19 @@
         is_reusable: bool,
     ) -> Result<relay::StartedResponse, Fault> {
         self.check_response(&head, &mut connection, is_reusable).await?;
-        let started = relay::StartedResponse::read(connection, head, is_reusable).await?;
+        let received = self.bytes(Cause::Responses);
+        let started = relay::StartedResponse::read(connection, head, is_reusable, received).await?;
         self.instance.handle_event(Event::FirstByte { key: self.key });
         Ok(started)
     }
 
+    /// Returns the counter of bytes that are exchanged with the server.
+    fn bytes(&self, cause: Cause) -> Counter {
+        let server = self.attempt.server;
+        let is_near = self.instance.read_state(|state| state.is_server_in_own_zone(server));
+        self.instance.metrics.traffic.bytes(cause, Zone::new(is_near))
+    }
+
     /// Takes an idle connection from the pool, or opens one.
     async fn connect(&self) -> Result<Connection, Fault> {
         let clock = self.instance.clock;
@@ -335,6 +344,30 @@
     }
 }
 
+/// Runs a part of an attempt before its first byte, until the request leaves the server for another
+/// one. Returns `None` if it leaves.
+async fn before_leaving<T>(
+    instance: &Instance,
+    key: RequestKey,
+    end_by: Time,
+    part: impl Future<Output = T>,
+) -> Option<T> {
+    let leave_by = || instance.read_state(|state| state.leave_by(key)).unwrap_or(end_by);
+    let mut part = pin!(part);
+    loop {
+        let due = leave_by();
+        if let Some(done) = deadline::until(instance.clock, due, part.as_mut()).await {
+            return Some(done);
+        }
+        if due < end_by {
+            instance.handle_event(Event::FirstByteDue { key });
+        }
+        if leave_by() <= instance.clock.now() {
+            return None;
+        }
+    }
+}
+
 /// Disables Nagle's algorithm, so that small writes go out at once, and sets the timeout for
 /// unacknowledged bytes.
 pub(crate) fn set_socket_options(stream: &TcpStream) {
--- a/crates/edge/src/metrics.rs
+++ b/crates/edge/src/metrics.rs
@@ -10,6 +10,8 @@
     registry::Registry,
 };
 
+use crate::traffic::Traffic;
+
 /// Upper bounds of the histogram buckets for durations, in seconds. They include the deployments'
 /// targets for the time to first byte.
 const TIME_BUCKETS: [f64; 12] = [0.02, 0.05, 0.1, 0.15, 0.2, 0.3, 0.4, 0.8, 1.2, 2.0, 4.0, 12.0];
@@ -35,6 +37,8 @@
     servers_leaving: Counter,
     server_pauses: Counter,
     quarantined_parts: Gauge,
+    pub(crate) traffic: Traffic,
+    accounts_above_share: Gauge,
 }
 
 #[derive(Clone, PartialEq, Eq, Hash, Debug, EncodeLabelSet)]
@@ -87,6 +91,8 @@
             servers_leaving: Counter::default(),
             server_pauses: Counter::default(),
             quarantined_parts: Gauge::default(),
+            traffic: Traffic::default(),
+            accounts_above_share: Gauge::default(),
         };
         metrics.register();
         metrics
@@ -174,6 +180,12 @@
             "Parts of prompts that are held back as they end servers",
             self.quarantined_parts.clone(),
         );
+        self.traffic.register(registry);
+        registry.register(
+            "accounts_above_share",
+            "Client accounts that ask for more than their share of the engines",
+            self.accounts_above_share.clone(),
+        );
     }
 
     /// Updates the metrics for a decision.
@@ -217,6 +229,9 @@
             LogEntry::Quarantine { held, .. } => {
                 self.quarantined_parts.set(i64::try_from(*held).unwrap_or(i64::MAX));
             }
+            LogEntry::AccountExcess { accounts, .. } => {
+                self.accounts_above_share.set(i64::try_from(*accounts).unwrap_or(i64::MAX));
+            }
             _ => {}
         }
     }
