Keep requests in their zone while its engines have room

In large fleets two of three long prompts left their zone without load, as the homes of their shared parts are chosen in the whole fleet, and a constant of 10 ms stood for any crossing. Each instance now keeps one ZonePlan for the live streams and one for the other requests of each pool of engines, fed from the totals of the fleet every 200 ms. A request goes to other zones as the plan allows; a retry, or one without a usable server in its zone, goes anywhere at once. First and second choice for a prefix are engines of the zone, which fetch from the fleet's first choice. Small fleets, and pools in one zone, are as before. The share is logged, and told by the metric leaving_share.

--- a/crates/dispatch/src/catalog.rs
+++ b/crates/dispatch/src/catalog.rs
@@ -63,6 +63,11 @@
         self.least_target_above(pool, tier).is_none()
     }
 
+    /// Returns the least target among the routes to a pool; `None` if there are none.
+    pub fn least_target(&self, pool: PoolId) -> Option<Duration> {
+        self.tiers.get(&pool)?.values().min().copied()
+    }
+
     /// Returns the least target among the routes to a pool that have a higher tier; `None` if there
     /// are none.
     pub fn least_target_above(&self, pool: PoolId, tier: Tier) -> Option<Duration> {
--- a/crates/dispatch/src/choice.rs
+++ b/crates/dispatch/src/choice.rs
@@ -20,8 +20,8 @@
 const PLAIN_SERVICE_TIME: Duration = Duration::from_millis(45);
 /// Added to the cost of a server in another availability zone: it is chosen only if it is expected
 /// to save more time than this. Bytes between zones are billed, at a few hundredths of what a
-/// request is worth.
-const CROSS_ZONE_COST: Duration = Duration::from_millis(10);
+/// request is worth. Where the loads of the fleet are known, [`zones::Crossing`] replaces it.
+pub(crate) const CROSS_ZONE_COST: Duration = Duration::from_millis(10);
 /// Added to the cost of a server, in milliseconds, for each token of the shared prefix that it has
 /// to read: prefill takes the engine's time from all its other requests.
 const UNCACHED_TOKEN_COST_MS: f64 = 0.4;
@@ -74,8 +74,8 @@
     pub server: &'a Server,
     /// The load at the server, as seen by the request.
     pub load: SeenLoad,
-    /// Whether it is in this instance's zone.
-    pub is_same_zone: bool,
+    /// What the request pays for going to its zone; nothing in this instance's zone.
+    pub crossing: Duration,
     /// Whether it is a preferred server for the shared prefix.
     pub affinity: Affinity,
     /// Tokens of the shared prefix that requests of this instance have made it read.
@@ -192,7 +192,6 @@
         let first_byte = first_byte.mul_f64(health.slowdown());
         let less_urgent = pool.engine.map_or(Duration::ZERO, |_| self.less_urgent_reading());
         let first_byte_by_rank = first_byte.saturating_sub(less_urgent.mul_f64(health.slowdown()));
-        let zone = if self.is_same_zone { Duration::ZERO } else { CROSS_ZONE_COST };
         let failures = FAILURE_COST.mul_f64(health.failure_rate(now));
         let is_leaving = self.server.is_reported_leaving(now);
         let leaving = if is_leaving { REPORTED_LEAVING_COST } else { Duration::ZERO };
@@ -202,7 +201,7 @@
         let wait = first_byte.min(safe) + late;
         let spread = SPREAD_COST.mul_f64(self.spread);
         let silence = 2 * health.excess_silence(now);
-        let cost = wait + spread + reading + zone + failures + leaving + silence;
+        let cost = wait + spread + reading + self.crossing + failures + leaving + silence;
         let prefill_tokens = prompt.own_tokens().saturating_add(uncached as u32);
         let is_idle = self.load.all.attempts == 0;
         let urgent_reading = self.reading_time(self.load.more_urgent.prefill_tokens);
--- a/crates/dispatch/src/placement.rs
+++ b/crates/dispatch/src/placement.rs
@@ -9,8 +9,9 @@
     Affinity, Attempt, Candidate, Command, Demand, Effect, LogEntry, Pool, RequestKey, Room,
     SeenLoad, Server, ServerKey, ServerSurvey, Verdict,
     awaited_servers::AwaitedServers,
-    choice::PREFILL_TOKENS_PER_MS,
+    choice::{CROSS_ZONE_COST, PREFILL_TOKENS_PER_MS},
     preferred_servers::PreferredServers,
+    reach::Reach,
     request::{Request, RunningAttempt, Stage},
     state::State,
 };
@@ -81,18 +82,20 @@
         let suits_kind = |server: &Server| {
             pool.engine.is_none() || live_engines.contains(server) == is_live_stream
         };
-        let preferred = self.preferred_servers(now, req, servers, suits_kind);
+        let reach = self.reach(now, req, pool);
+        let preferred = self.preferred_servers(now, req, servers, &reach, suits_kind);
         let max_connections = self.max_connections(req.pool);
         // Long prompts go to the engines of live streams only when no other one takes them in time.
         let may_mix = is_live_stream || is_overdue;
         let can_fetch = pool.engine.is_some_and(|engine| engine.fetch_per_token.is_some());
         let is_backed_up =
             req.is_backed_up() && pool.engine.is_some_and(|engine| engine.has_backups);
-        let suited = servers.iter().filter_map(|key| self.servers.get(*key));
-        let suited = suited.filter(|server| suits_kind(server)).count();
+        let reachable = servers.iter().filter_map(|key| self.servers.get(*key));
+        let reachable = reachable.filter(|server| reach.contains(server));
+        let (suited, mixed): (Vec<_>, Vec<_>) = reachable.partition(|server| suits_kind(server));
         let is_known = self.knows_fleet_loads(now);
-        let sampled = self.sampled_share(now, suited);
-        let sampled_mixed = self.sampled_share(now, servers.len() - suited);
+        let sampled = self.sampled_share(now, suited.len());
+        let sampled_mixed = self.sampled_share(now, mixed.len());
         let mut best: Option<Choice> = None;
         let mut second: Option<Choice> = None;
         let mut unacceptable = Vec::new();
@@ -101,6 +104,7 @@
             let is_untried = !req.tried.contains(&key);
             if !is_untried
                 || server.attempts() >= max_connections
+                || !reach.contains(server)
                 || awaited.is_awaited_above(key, rank)
                 || !self.may_send(now, server, pool)
             {
@@ -109,7 +113,8 @@
             let affinity = preferred.affinity(key);
             let is_mixed = !suits_kind(server);
             let sampled = if is_mixed { sampled_mixed } else { sampled };
-            if affinity == Affinity::Other && spread(&req.id, server) > sampled {
+            let is_sampled = reach.is_nearest(key) || spread(&req.id, server) <= sampled;
+            if affinity == Affinity::Other && !is_sampled {
                 continue;
             }
             if is_mixed && !may_mix {
@@ -120,6 +125,7 @@
             let fetch_source =
                 fetch_source.filter(|source| can_fetch && self.is_available(now, *source));
             let candidate = Candidate {
+                crossing: reach.crossing(server),
                 has_fetch_source: fetch_source.is_some(),
                 affinity,
                 ..self.candidate(now, req, server)
@@ -173,10 +179,11 @@
         req: &Request,
         server: &'a Server,
     ) -> Candidate<'a> {
+        let is_same_zone = server.entry.zone == self.setup.zone;
         Candidate {
             server,
             load: SeenLoad::new(&server.load, self.others_load(now, server), req.rank()),
-            is_same_zone: server.entry.zone == self.setup.zone,
+            crossing: if is_same_zone { Duration::ZERO } else { CROSS_ZONE_COST },
             affinity: Affinity::Other,
             cached_tokens: server.prefixes.cached_tokens(&req.prompt),
             has_fetch_source: false,
@@ -261,12 +268,14 @@
     }
 
     /// Returns the servers that rendezvous hashing prefers for the shared prefix of a request, among
-    /// those for which `suits_kind` holds, and the one that has most of it cached.
+    /// those for which `suits_kind` holds and which it may reach, and the one that has most of it
+    /// cached.
     fn preferred_servers(
         &self,
         now: Time,
         req: &Request,
         servers: &[ServerKey],
+        reach: &Reach<'_>,
         suits_kind: impl Fn(&Server) -> bool,
     ) -> PreferredServers {
         let mut preferred = PreferredServers::default();
@@ -282,7 +291,14 @@
                         key,
                     );
                 }
-                preferred.add(hash_rank, key);
+                if reach.is_limited() {
+                    preferred.add_of_fleet(hash_rank, key);
+                }
+                if !reach.is_limited() || reach.is_own_zone(server) {
+                    preferred.add(hash_rank, key);
+                } else if reach.contains(server) {
+                    preferred.add_abroad(hash_rank, key);
+                }
             }
         }
         preferred
@@ -411,6 +427,6 @@
 }
 
 /// Returns a number from 0 to 1 that is different for each pair of a request and a server.
-fn spread(id: &str, server: &Server) -> f64 {
+pub(crate) fn spread(id: &str, server: &Server) -> f64 {
     xxh3_64_with_seed(id.as_bytes(), server.id.0) as f64 / u64::MAX as f64
 }
--- a/crates/dispatch/src/settings.rs
+++ b/crates/dispatch/src/settings.rs
@@ -3,6 +3,7 @@
 use std::net::SocketAddrV4;
 
 use model::prelude::*;
+use zones::Crossing;
 
 /// What an instance needs to know at its start.
 #[derive(Clone, Debug)]
@@ -13,6 +14,8 @@
     pub zone: ZoneId,
     /// The number of availability zones.
     pub zones: u32,
+    /// What a request pays for going to another zone, in fleets whose loads are known.
+    pub crossing: Crossing,
     /// Addresses of other instances that may be running, to join the fleet.
     pub seeds: Vec<SocketAddrV4>,
     /// A random number that distinguishes its starts at the same address.
--- a/crates/dispatch/src/state.rs
+++ b/crates/dispatch/src/state.rs
@@ -12,6 +12,7 @@
     Catalog, Effect, EngineDemand, Event, Freshness, HeldPart, LiveEngines, LogEntry, Quarantine,
     RequestKey, RetryBudget, ServerKey, Setup, Share, account_shares::AccountShares, queue::Queue,
     reading_speed::ReadingSpeeds, request::Request, server_ends::PossibleEnd, servers::Servers,
+    zone_plans::ZonePlans,
 };
 
 /// The longest time between two ticks. A tick tries to start waiting requests, since gossip may
@@ -64,6 +65,7 @@
     pub(crate) budgets: HashMap<PoolId, RetryBudget>,
     pub(crate) demand: HashMap<PoolId, EngineDemand>,
     pub(crate) live_engines: HashMap<PoolId, LiveEngines>,
+    pub(crate) zone_plans: ZonePlans,
     pub(crate) quarantine: Quarantine,
     /// Servers that may have ended, until that is known.
     pub(crate) possible_ends: SecondaryMap<ServerKey, PossibleEnd>,
@@ -118,6 +120,7 @@
             budgets: HashMap::new(),
             demand: HashMap::new(),
             live_engines: HashMap::new(),
+            zone_plans: ZonePlans::default(),
             quarantine: Quarantine::default(),
             possible_ends: SecondaryMap::new(),
             requests: SecondaryMap::new(),
@@ -273,6 +276,7 @@
         self.record_survivals(now);
         self.update_reading_speeds(now);
         self.update_live_engines(now);
+        self.update_zone_plans(now);
         self.update_account_shares(now);
         self.dispatch_all(now);
         self.update_phase(now);
--- a/crates/dispatch/tests/decisions/support.rs
+++ b/crates/dispatch/tests/decisions/support.rs
@@ -3,14 +3,16 @@
 use std::{net::SocketAddrV4, sync::Arc};
 
 use dispatch::{
-    Account, Accounts, Attempt, AttemptEnd, Bounds, Catalog, Command, Effect, Engine, Event,
-    NewRequest, Part, Pool, Prompt, Repeat, RequestKey, ResponseTrace, Route, ServerChange,
+    Account, Accounts, Attempt, AttemptEnd, Bounds, Catalog, Command, Crossing, Effect, Engine,
+    Event, NewRequest, Part, Pool, Prompt, Repeat, RequestKey, ResponseTrace, Route, ServerChange,
     ServerEntry, Setup, State, Target,
 };
 use gossip::{Member, Members, ViewStatus, ViewSummary};
 use model::prelude::*;
 use slotmap::SlotMap;
 
+/// The zone of most instances and servers.
+pub(crate) const ZONE: &str = "zone-a";
 pub(crate) const KEY: &[u8] = b"a key of the account";
 /// The name of the account that has [`KEY`].
 pub(crate) const ACCOUNT: &str = "an account";
@@ -28,7 +30,7 @@
 }
 
 pub(crate) fn zone() -> ZoneId {
-    ZoneId::of("zone-a")
+    ZoneId::of(ZONE)
 }
 
 pub(crate) fn setup() -> Setup {
@@ -36,6 +38,7 @@
         address: address(1, 7000),
         zone: zone(),
         zones: 3,
+        crossing: Crossing::default(),
         seeds: Vec::new(),
         incarnation: 1,
         seed: 1,
@@ -135,7 +138,7 @@
     /// Returns an instance in the first zone that knows [`catalog`] and these servers, and has run
     /// long enough to know that it is alone.
     pub(crate) fn new(servers: Vec<ServerEntry>) -> Self {
-        Self::in_zone("zone-a", servers)
+        Self::in_zone(ZONE, servers)
     }
 
     /// Does the same as [`Self::new`] for an instance in this zone.
--- a/crates/edge/src/metrics.rs
+++ b/crates/edge/src/metrics.rs
@@ -1,6 +1,6 @@
 //! Metrics of the process, in the Prometheus text format.
 
-use std::fmt;
+use std::{fmt, sync::atomic::AtomicU64};
 
 use dispatch::LogEntry;
 use model::prelude::*;
@@ -39,6 +39,7 @@
     quarantined_parts: Gauge,
     pub(crate) traffic: Traffic,
     accounts_above_share: Gauge,
+    leaving_share: Family<LeavingLabels, Gauge<f64, AtomicU64>>,
 }
 
 #[derive(Clone, PartialEq, Eq, Hash, Debug, EncodeLabelSet)]
@@ -62,6 +63,12 @@
     fault: &'static str,
 }
 
+#[derive(Clone, PartialEq, Eq, Hash, Debug, EncodeLabelSet)]
+struct LeavingLabels {
+    pool: String,
+    kind: &'static str,
+}
+
 impl fmt::Debug for Metrics {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         f.debug_struct("Metrics").finish_non_exhaustive()
@@ -93,6 +100,7 @@
             quarantined_parts: Gauge::default(),
             traffic: Traffic::default(),
             accounts_above_share: Gauge::default(),
+            leaving_share: Family::default(),
         };
         metrics.register();
         metrics
@@ -186,6 +194,11 @@
             "Client accounts that ask for more than their share of the engines",
             self.accounts_above_share.clone(),
         );
+        registry.register(
+            "leaving_share",
+            "The share of requests that may leave the zone, as logged last",
+            self.leaving_share.clone(),
+        );
     }
 
     /// Updates the metrics for a decision.
@@ -232,6 +245,11 @@
             LogEntry::AccountExcess { accounts, .. } => {
                 self.accounts_above_share.set(i64::try_from(*accounts).unwrap_or(i64::MAX));
             }
+            LogEntry::LeavingShare { pool, is_live, share } => {
+                let kind = if *is_live { "live" } else { "other" };
+                let labels = LeavingLabels { pool: pool.to_string(), kind };
+                self.leaving_share.get_or_create(&labels).set(*share);
+            }
             _ => {}
         }
     }
--- a/crates/edge/src/process.rs
+++ b/crates/edge/src/process.rs
@@ -99,6 +99,7 @@
         address: settings.peer_listen,
         zone: settings.zone,
         zones: settings.zones,
+        crossing: settings.crossing,
         seeds: settings.seeds.clone(),
         incarnation: rand::random(),
         seed: rand::random(),
--- a/crates/edge/src/settings.rs
+++ b/crates/edge/src/settings.rs
@@ -2,7 +2,7 @@
 
 use std::{net::SocketAddrV4, str::FromStr};
 
-use dispatch::Bounds;
+use dispatch::{Bounds, Crossing};
 use model::prelude::*;
 
 /// The settings of a process.
@@ -14,6 +14,8 @@
     pub zone: ZoneId,
     /// The number of availability zones.
     pub zones: u32,
+    /// What a request pays for going to another zone, in fleets whose loads are known.
+    pub crossing: Crossing,
     /// The address for callers.
     pub listen: SocketAddrV4,
     /// The address for readiness checks of the load balancer.
