--- a/crates/dispatch/src/outcome.rs
+++ b/crates/dispatch/src/outcome.rs
@@ -110,6 +110,10 @@
         req.holds_server_error |= end == AttemptEnd::HeldBack;
         req.has_partial_response |= end.delivered() != Delivered::Nothing;
         let pool = req.pool;
+        if let (Some(sent_at), true) = (running.sent_at, req.first_byte_at.is_some()) {
+            let tier = req.routed.route.tier;
+            self.service_times.record(pool, tier, now.since(sent_at));
+        }
         self.record_possible_end(now, key, running, end);
         self.release_server(now, running, end, cold);
         match end {
@@ -221,7 +225,7 @@
         if !is_midway || is_late || is_doubtful || !self.may_send(now, server, pool) {
             return None;
         }
-        let others = self.others_load(now, server).map_or(0, |load| load.total().attempts);
+        let others = self.others_load(server).map_or(0, |load| load.total().attempts);
         let choice = Choice {
             server: running.backup?,
             room: Room::Free,
--- a/crates/dispatch/src/zone_plans.rs
+++ b/crates/dispatch/src/zone_plans.rs
@@ -63,7 +63,7 @@
         self.zone_plans.next_update = now + UPDATE_INTERVAL;
         let Some(catalog) = self.catalog.clone() else { return };
         let mut former = std::mem::take(&mut self.zone_plans.plans);
-        if self.knows_fleet_loads(now) {
+        if self.knows_fleet_loads() {
             for (id, _) in catalog.pools.iter().filter(|it| it.1.engine.is_some()) {
                 for is_live in [true, false] {
                     let plan = former.remove(&(*id, is_live));
@@ -116,17 +116,17 @@
             let sum = zones.entry(zone).or_insert_with(|| ZoneLoad::without_engines(zone));
             if live_engines.contains(server) == is_live && self.may_send(now, server, pool) {
                 sum.slots = sum.slots.saturating_add(server.entry.slots.max(slots));
-                self.add_load(now, server, sum);
+                self.add_load(server, sum);
             }
         }
         zones.into_values().collect()
     }
 
     /// Adds the load that this and all other instances put on an engine to that of its zone.
-    fn add_load(&self, now: Time, server: &Server, sum: &mut ZoneLoad) {
+    fn add_load(&self, server: &Server, sum: &mut ZoneLoad) {
         let own = server.load.total();
-        let others = self.others_load(now, server).map(LoadByRank::total).unwrap_or_default();
-        sum.tokens_per_ms += self.reading_speed(now, server);
+        let others = self.others_load(server).map(LoadByRank::total).unwrap_or_default();
+        sum.tokens_per_ms += self.reading_speed(server);
         sum.unread_tokens += own.prefill_tokens as f64 + others.prefill_tokens as f64;
         sum.attempts = sum.attempts.saturating_add(own.attempts).saturating_add(others.attempts);
     }
