--- a/crates/dispatch/src/placement.rs
+++ b/crates/dispatch/src/placement.rs
@@ -9,7 +9,9 @@
     Affinity, Attempt, Candidate, Command, Demand, Effect, LogEntry, Pool, RequestKey, Room,
     SeenLoad, Server, ServerKey, ServerSurvey, Verdict,
     awaited_servers::AwaitedServers,
+    choice::CROSS_ZONE_COST,
     preferred_servers::PreferredServers,
+    reach::Reach,
     request::{Request, RunningAttempt, Stage},
     state::State,
 };
@@ -115,19 +117,21 @@
         let suits_kind = |server: &Server| {
             pool.engine.is_none() || live_engines.contains(server) == is_live_stream
         };
-        let preferred = self.preferred_servers(now, req, servers, suits_kind);
+        let reach = self.reach(now, req, pool);
+        let preferred = self.preferred_servers(now, req, servers, &reach, suits_kind);
         let max_connections = self.max_connections(req.pool);
         // Long prompts go to the engines of live streams only when no other one takes them in time.
         let may_mix = is_live_stream || is_overdue;
         let can_fetch = pool.engine.is_some_and(|engine| engine.fetch_per_token.is_some());
         let is_backed_up =
             req.is_backed_up() && pool.engine.is_some_and(|engine| engine.has_backups);
-        let suited = servers.iter().filter_map(|key| self.servers.get(*key));
-        let suited = suited.filter(|server| suits_kind(server)).count();
+        let reachable = servers.iter().filter_map(|key| self.servers.get(*key));
+        let reachable = reachable.filter(|server| reach.contains(server));
+        let (suited, mixed): (Vec<_>, Vec<_>) = reachable.partition(|server| suits_kind(server));
         let is_known = self.knows_fleet_loads();
         let sampled_share = |servers| if is_sampled { sampled_share(servers) } else { 1.0 };
-        let sampled = sampled_share(suited);
-        let sampled_mixed = sampled_share(servers.len() - suited);
+        let sampled = sampled_share(suited.len());
+        let sampled_mixed = sampled_share(mixed.len());
         let shared_part = req.prompt.last_shared_part();
         let mut best: Option<Choice> = None;
         let mut second: Option<Choice> = None;
@@ -136,6 +140,7 @@
             let is_untried = !req.tried.contains(&key);
             if !is_untried
                 || server.attempts() >= max_connections
+                || !reach.contains(server)
                 || awaited.is_awaited_above(key, rank)
                 || !self.may_send(now, server, pool)
             {
@@ -145,7 +150,7 @@
             let is_mixed = !suits_kind(server);
             let sampled = if is_mixed { sampled_mixed } else { sampled };
             let has_prefix = shared_part.is_some_and(|part| server.prefixes.contains(part.id));
-            let is_special = affinity != Affinity::Other || has_prefix;
+            let is_special = affinity != Affinity::Other || has_prefix || reach.is_nearest(key);
             if !is_special && spread(&req.id, server) > sampled {
                 continue;
             }
@@ -157,6 +162,7 @@
             let fetch_source =
                 fetch_source.filter(|source| can_fetch && self.is_available(now, *source));
             let candidate = Candidate {
+                crossing: reach.crossing(server),
                 has_fetch_source: fetch_source.is_some(),
                 affinity,
                 ..self.candidate(req, server)
@@ -193,10 +199,11 @@
     /// Returns a server as a candidate for a request, without what the preferred servers for its
     /// prefix add.
     pub(crate) fn candidate<'a>(&self, req: &Request, server: &'a Server) -> Candidate<'a> {
+        let is_same_zone = server.entry.zone == self.setup.zone;
         Candidate {
             server,
             load: SeenLoad::new(&server.load, self.others_load(server), req.rank()),
-            is_same_zone: server.entry.zone == self.setup.zone,
+            crossing: if is_same_zone { Duration::ZERO } else { CROSS_ZONE_COST },
             affinity: Affinity::Other,
             cached_tokens: server.prefixes.cached_tokens(&req.prompt),
             has_fetch_source: false,
@@ -292,12 +299,14 @@
     }
 
     /// Returns the servers that rendezvous hashing prefers for the shared prefix of a request, among
-    /// those for which `suits_kind` holds, and the one that has most of it cached.
+    /// those for which `suits_kind` holds and which it may reach, and the one that has most of it
+    /// cached.
     fn preferred_servers(
         &self,
         now: Time,
         req: &Request,
         servers: &[ServerKey],
+        reach: &Reach<'_>,
         suits_kind: impl Fn(&Server) -> bool,
     ) -> PreferredServers {
         let mut preferred = PreferredServers::default();
@@ -313,7 +322,14 @@
                         key,
                     );
                 }
-                preferred.add(hash_rank, key);
+                if reach.is_limited() {
+                    preferred.add_of_fleet(hash_rank, key);
+                }
+                if !reach.is_limited() || reach.is_own_zone(server) {
+                    preferred.add(hash_rank, key);
+                } else if reach.contains(server) {
+                    preferred.add_abroad(hash_rank, key);
+                }
             }
         }
         preferred
@@ -449,6 +465,6 @@
 }
 
 /// Returns a number from 0 to 1 that is different for each pair of a request and a server.
-fn spread(id: &str, server: &Server) -> f64 {
+pub(crate) fn spread(id: &str, server: &Server) -> f64 {
     xxh3_64_with_seed(id.as_bytes(), server.id.0) as f64 / u64::MAX as f64
 }
