Let prompts leave the zone for the engine that has their prefix

Cause: a home of each prefix in each zone made engines read twice as much. Change: only live streams are limited by the plan.

--- a/crates/dispatch/src/reach.rs
+++ b/crates/dispatch/src/reach.rs
@@ -62,6 +62,10 @@
         let nearest = is_first.then(|| self.nearest_server(now, req, pool)).flatten();
         // Prompts have about one byte for each token here.
         let crossing = self.setup.crossing.cost(req.prompt.tokens);
+        if !req.is_live_stream() {
+            // To read a shared prefix anew costs the engines more than leaving the zone.
+            return Reach { own, plan: None, hash, nearest: None, crossing };
+        }
         Reach { own, plan: nearest.map(|_| plan), hash, nearest, crossing }
     }
 
