--- a/crates/dispatch/src/effect.rs
+++ b/crates/dispatch/src/effect.rs
@@ -204,13 +204,11 @@
         /// The demand of the whole fleet that decided it.
         demand: FleetDemand,
     },
-    /// The share of the requests to a pool of engines that may leave this instance's zone begins, ends
+    /// The share of the live streams to a pool of engines that may leave this instance's zone begins, ends
     /// or has changed by much.
     LeavingShare {
         /// The name of the pool.
         pool: Box<str>,
-        /// Whether it is the share of live streams rather than of other requests.
-        is_live: bool,
         /// The share, from 0 to 1.
         share: f64,
     },
--- a/crates/dispatch/src/placement.rs
+++ b/crates/dispatch/src/placement.rs
@@ -72,37 +72,38 @@
         awaited: &mut AwaitedServers,
     ) -> Option<Choice> {
         let rank = self.requests.get(key)?.rank();
-        let mut waits_for = Vec::new();
         let is_sampled = self.knows_fleet_loads();
-        let mut best = self.best_choice(now, key, pool, awaited, is_sampled, &mut waits_for);
-        if best.is_none() && waits_for.is_empty() && is_sampled {
-            best = self.best_choice(now, key, pool, awaited, false, &mut waits_for);
+        let mut found = self.find(now, key, pool, awaited, is_sampled);
+        if found.is_empty() && is_sampled {
+            found = self.find(now, key, pool, awaited, false);
         }
+        let Found { best, mut full } = found;
         if let Some(awaited) = best.filter(|it| !it.is_acceptable) {
-            best = None;
-            waits_for.push(awaited.server);
+            full.push(awaited.server);
         }
+        let best = best.filter(|it| it.is_acceptable);
         if best.is_none() {
-            awaited.add(rank, waits_for);
+            awaited.add(rank, full);
         }
         best
     }
 
-    /// Returns the server with the least cost for a request, with whether it is acceptable now. Servers
-    /// that are not considered since the request waits until they have room are added to `full`.
-    fn best_choice(
+    /// Finds the server with the least cost for a request. If `is_sampled`, only some of the servers are
+    /// considered beside the preferred ones.
+    fn find(
         &self,
         now: Time,
         key: RequestKey,
         pool: &Pool,
         awaited: &AwaitedServers,
         is_sampled: bool,
-        full: &mut Vec<ServerKey>,
-    ) -> Option<Choice> {
-        let req = self.requests.get(key)?;
+    ) -> Found {
+        let mut full = Vec::new();
+        let Some((req, catalog)) = self.requests.get(key).zip(self.catalog.as_ref()) else {
+            return Found { best: None, full };
+        };
         let rank = req.rank();
         let target = req.routed.route.target;
-        let catalog = self.catalog.as_ref()?;
         let is_overdue = now.since(req.arrived) > target.mul_f64(OVERDUE_SHARE);
         let tier = req.routed.route.tier;
         let least_target_above = catalog.least_target_above(req.pool, tier);
@@ -193,7 +194,7 @@
             }
         }
         let backup = second.filter(|_| is_backed_up).map(|second| second.server);
-        best.map(|best| Choice { backup, ..best })
+        Found { best: best.map(|best| Choice { backup, ..best }), full }
     }
 
     /// Returns a server as a candidate for a request, without what the preferred servers for its
@@ -322,13 +323,8 @@
                         key,
                     );
                 }
-                if reach.is_limited() {
-                    preferred.add_of_fleet(hash_rank, key);
-                }
-                if !reach.is_limited() || reach.is_own_zone(server) {
+                if reach.contains(server) {
                     preferred.add(hash_rank, key);
-                } else if reach.contains(server) {
-                    preferred.add_abroad(hash_rank, key);
                 }
             }
         }
@@ -426,6 +422,21 @@
     }
 }
 
+/// What a request finds among the servers of its pool.
+#[derive(Debug)]
+struct Found {
+    /// The server with the least cost, which may not be acceptable now.
+    best: Option<Choice>,
+    /// Servers without room, for which the request waits.
+    full: Vec<ServerKey>,
+}
+
+impl Found {
+    fn is_empty(&self) -> bool {
+        self.best.is_none() && self.full.is_empty()
+    }
+}
+
 /// The server chosen for a request.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct Choice {
--- a/crates/dispatch/src/preferred_servers.rs
+++ b/crates/dispatch/src/preferred_servers.rs
@@ -14,11 +14,6 @@
     first: Option<(u64, ServerKey)>,
     /// The server with the second highest hash rank, and the rank.
     second: Option<(u64, ServerKey)>,
-    /// The server with the highest hash rank in the zone to which the request may leave, if the others
-    /// are those of its own zone.
-    abroad: Option<(u64, ServerKey)>,
-    /// The server with the highest hash rank in all zones, if the others are those of one zone.
-    of_fleet: Option<(u64, ServerKey)>,
 }
 
 impl PreferredServers {
@@ -31,14 +26,6 @@
         }
     }
 
-    pub(crate) fn add_abroad(&mut self, hash_rank: u64, key: ServerKey) {
-        self.abroad = self.abroad.max(Some((hash_rank, key)));
-    }
-
-    pub(crate) fn add_of_fleet(&mut self, hash_rank: u64, key: ServerKey) {
-        self.of_fleet = self.of_fleet.max(Some((hash_rank, key)));
-    }
-
     pub(crate) fn add_holder(&mut self, tokens: u32, hash_rank: u64, key: ServerKey) {
         if tokens > 0 {
             self.holder = self.holder.max(Some((tokens, hash_rank, key)));
@@ -58,13 +45,13 @@
         }
         // This instance has sent the prefix to no server that is available, but others have
         // probably sent it to a preferred one.
-        let preferred = [self.first, self.of_fleet, self.second].into_iter().flatten();
+        let preferred = [self.first, self.second].into_iter().flatten();
         preferred.map(|choice| choice.1).find(|key| *key != server)
     }
 
     pub(crate) fn affinity(&self, key: ServerKey) -> Affinity {
         let is = |choice: Option<(u64, ServerKey)>| choice.is_some_and(|it| it.1 == key);
-        if is(self.first) || is(self.abroad) {
+        if is(self.first) {
             Affinity::First
         } else if is(self.second) {
             Affinity::Second
--- a/crates/dispatch/src/reach.rs
+++ b/crates/dispatch/src/reach.rs
@@ -28,11 +28,6 @@
         self.plan.is_none_or(|plan| plan.may_go(server.entry.zone, self.hash))
     }
 
-    /// Returns whether a plan limits the zones.
-    pub(crate) fn is_limited(&self) -> bool {
-        self.plan.is_some()
-    }
-
     /// Returns whether the server is in the own zone.
     pub(crate) fn is_own_zone(&self, server: &Server) -> bool {
         server.entry.zone == self.own
@@ -55,28 +50,28 @@
     pub(crate) fn reach(&self, now: Time, req: &Request, pool: &Pool) -> Reach<'_> {
         let own = self.setup.zone;
         let hash = xxh3_64(req.id.as_bytes());
-        let Some(plan) = self.zone_plans.get(req.pool, req.is_live_stream()) else {
-            return Reach { own, plan: None, hash, nearest: None, crossing: CROSS_ZONE_COST };
+        let crossing = CROSS_ZONE_COST;
+        let Some(price) = self.setup.crossing.filter(|_| self.knows_fleet_loads()) else {
+            return Reach { own, plan: None, hash, nearest: None, crossing };
+        };
+        // Prompts have about one byte for each token.
+        let crossing = price.cost(req.prompt.tokens);
+        // Other requests go to the engine that has their shared prefix: to read that anew costs more
+        // than leaving the zone.
+        let plan = self.zone_plans.get(req.pool).filter(|_| req.is_live_stream());
+        let Some(plan) = plan else {
+            return Reach { own, plan: None, hash, nearest: None, crossing };
         };
         let is_first = req.attempts == 0;
         let nearest = is_first.then(|| self.nearest_server(now, req, pool)).flatten();
-        // Prompts have about one byte for each token here.
-        let crossing = self.setup.crossing.cost(req.prompt.tokens);
-        if !req.is_live_stream() {
-            // To read a shared prefix anew costs the engines more than leaving the zone.
-            return Reach { own, plan: None, hash, nearest: None, crossing };
-        }
         Reach { own, plan: nearest.map(|_| plan), hash, nearest, crossing }
     }
 
     /// Returns the server in the own zone to which a request is sampled before all others there.
     fn nearest_server(&self, now: Time, req: &Request, pool: &Pool) -> Option<ServerKey> {
         let live_engines = self.live_engines(req.pool, pool);
-        let is_live_stream = req.is_live_stream();
-        let suits_kind = |server: &Server| {
-            let has_no_engines = is_live_stream && live_engines.count() == 0;
-            has_no_engines || live_engines.contains(server) == is_live_stream
-        };
+        let suits_kind =
+            |server: &Server| live_engines.count() == 0 || live_engines.contains(server);
         let servers = self.servers.in_pool(req.pool).iter();
         let servers = servers.filter_map(|key| Some((*key, self.servers.get(*key)?)));
         let usable = servers.filter(|(key, server)| {
--- a/crates/dispatch/src/settings.rs
+++ b/crates/dispatch/src/settings.rs
@@ -14,8 +14,9 @@
     pub zone: ZoneId,
     /// The number of availability zones.
     pub zones: u32,
-    /// What a request pays for going to another zone, in fleets whose loads are known.
-    pub crossing: Crossing,
+    /// What leaving the zone costs a request, in fleets whose loads are known; `None` if operators have
+    /// not said so, and live streams may leave it freely.
+    pub crossing: Option<Crossing>,
     /// Addresses of other instances that may be running, to join the fleet.
     pub seeds: Vec<SocketAddrV4>,
     /// A random number that distinguishes its starts at the same address.
--- a/crates/dispatch/src/zone_plans.rs
+++ b/crates/dispatch/src/zone_plans.rs
@@ -1,10 +1,10 @@
-//! How many requests to each pool of engines leave their availability zone.
+//! How many live streams to each pool of engines leave their availability zone.
 
 use std::collections::{BTreeMap, HashMap};
 
 use gossip::LoadByRank;
 use model::prelude::*;
-use zones::{PlanContext, ZoneLoad, ZonePlan};
+use zones::{Crossing, PlanContext, ZoneLoad, ZonePlan};
 
 use crate::{Catalog, LogEntry, Pool, Server, state::State};
 
@@ -20,14 +20,10 @@
 /// are not known.
 #[derive(Debug, Default)]
 pub(crate) struct ZonePlans {
-    plans: HashMap<PlanId, LoggedPlan>,
+    plans: HashMap<PoolId, LoggedPlan>,
     next_update: Time,
 }
 
-/// The pool of a plan, and whether it is for live streams rather than other requests: each kind has
-/// its own engines.
-type PlanId = (PoolId, bool);
-
 #[derive(Debug)]
 struct LoggedPlan {
     plan: ZonePlan,
@@ -36,8 +32,8 @@
 }
 
 impl ZonePlans {
-    pub(crate) fn get(&self, pool: PoolId, is_live: bool) -> Option<&ZonePlan> {
-        self.plans.get(&(pool, is_live)).map(|it| &it.plan)
+    pub(crate) fn get(&self, pool: PoolId) -> Option<&ZonePlan> {
+        self.plans.get(&pool).map(|it| &it.plan)
     }
 }
 
@@ -63,12 +59,10 @@
         self.zone_plans.next_update = now + UPDATE_INTERVAL;
         let Some(catalog) = self.catalog.clone() else { return };
         let mut former = std::mem::take(&mut self.zone_plans.plans);
-        if self.knows_fleet_loads() {
+        if let Some(crossing) = self.setup.crossing.filter(|_| self.knows_fleet_loads()) {
             for (id, _) in catalog.pools.iter().filter(|it| it.1.engine.is_some()) {
-                for is_live in [true, false] {
-                    let plan = former.remove(&(*id, is_live));
-                    self.update_zone_plan(now, &catalog, (*id, is_live), plan);
-                }
+                let plan = former.remove(id);
+                self.update_zone_plan(now, &catalog, crossing, *id, plan);
             }
         }
         for (id, plan) in former {
@@ -80,33 +74,31 @@
         &mut self,
         now: Time,
         catalog: &Catalog,
-        id: PlanId,
+        crossing: Crossing,
+        id: PoolId,
         former: Option<LoggedPlan>,
     ) {
-        let Some(pool) = catalog.pools.get(&id.0) else { return };
+        let Some(pool) = catalog.pools.get(&id) else { return };
         let loads = self.zone_loads(now, id, pool);
-        let target = catalog.least_target(id.0).filter(|_| loads.len() > 1);
+        let target = catalog.least_target(id).filter(|_| loads.len() > 1);
         let Some(target) = target else {
             former.iter().for_each(|plan| self.log_dropped_plan(catalog, id, plan));
             return;
         };
-        let cx = PlanContext {
-            margin: target.mul_f64(MARGIN_TARGET_SHARE),
-            crossing: self.setup.crossing.cost(0),
-        };
+        let cx =
+            PlanContext { margin: target.mul_f64(MARGIN_TARGET_SHARE), crossing: crossing.cost(0) };
         let new = || LoggedPlan { plan: ZonePlan::new(self.setup.zone), logged: 0.0 };
         let mut plan = former.unwrap_or_else(new);
         plan.plan.update(now, &loads, &cx);
         if let Some(share) = plan.share_to_log() {
-            let (pool, is_live) = (pool.name.clone(), id.1);
-            self.log(LogEntry::LeavingShare { pool, is_live, share });
+            let pool = pool.name.clone();
+            self.log(LogEntry::LeavingShare { pool, share });
         }
         self.zone_plans.plans.insert(id, plan);
     }
 
-    /// Returns the loads of the engines for a kind of requests in all zones that have engines of the
-    /// pool.
-    fn zone_loads(&self, now: Time, (id, is_live): PlanId, pool: &Pool) -> Vec<ZoneLoad> {
+    /// Returns the loads of the engines for live streams in all zones that have engines of the pool.
+    fn zone_loads(&self, now: Time, id: PoolId, pool: &Pool) -> Vec<ZoneLoad> {
         let live_engines = self.live_engines(id, pool);
         let slots = pool.engine.map_or(0, |engine| engine.slots);
         let mut zones = BTreeMap::new();
@@ -114,7 +106,7 @@
         for server in servers {
             let zone = server.entry.zone;
             let sum = zones.entry(zone).or_insert_with(|| ZoneLoad::without_engines(zone));
-            if live_engines.contains(server) == is_live && self.may_send(now, server, pool) {
+            if live_engines.contains(server) && self.may_send(now, server, pool) {
                 sum.slots = sum.slots.saturating_add(server.entry.slots.max(slots));
                 self.add_load(server, sum);
             }
@@ -132,9 +124,9 @@
     }
 
     /// Logs that no share leaves any more, as there is no plan.
-    fn log_dropped_plan(&mut self, catalog: &Catalog, id: PlanId, plan: &LoggedPlan) {
-        let Some(pool) = catalog.pools.get(&id.0).filter(|_| plan.logged > 0.0) else { return };
-        let (pool, is_live) = (pool.name.clone(), id.1);
-        self.log(LogEntry::LeavingShare { pool, is_live, share: 0.0 });
+    fn log_dropped_plan(&mut self, catalog: &Catalog, id: PoolId, plan: &LoggedPlan) {
+        let Some(pool) = catalog.pools.get(&id).filter(|_| plan.logged > 0.0) else { return };
+        let pool = pool.name.clone();
+        self.log(LogEntry::LeavingShare { pool, share: 0.0 });
     }
 }
--- a/crates/edge/src/journal.rs
+++ b/crates/edge/src/journal.rs
@@ -140,9 +140,9 @@
                 "share of an account in the engines"
             );
         }
-        LogEntry::LeavingShare { pool, is_live, share } => {
+        LogEntry::LeavingShare { pool, share } => {
             let percent = (share * 100.0).round() as u64;
-            log::info!(pool:%, live = is_live, percent; "share of requests that may leave the zone");
+            log::info!(pool:%, percent; "share of live streams that may leave the zone");
         }
         LogEntry::MemberFound { address, alive } => log::info!(address:%, alive; "instance joined"),
         LogEntry::MemberLost { address, alive } => log::warn!(address:%, alive; "instance lost"),
--- a/crates/edge/src/metrics.rs
+++ b/crates/edge/src/metrics.rs
@@ -66,7 +66,6 @@
 #[derive(Clone, PartialEq, Eq, Hash, Debug, EncodeLabelSet)]
 struct LeavingLabels {
     pool: String,
-    kind: &'static str,
 }
 
 impl fmt::Debug for Metrics {
@@ -245,9 +244,8 @@
             LogEntry::AccountExcess { accounts, .. } => {
                 self.accounts_above_share.set(i64::try_from(*accounts).unwrap_or(i64::MAX));
             }
-            LogEntry::LeavingShare { pool, is_live, share } => {
-                let kind = if *is_live { "live" } else { "other" };
-                let labels = LeavingLabels { pool: pool.to_string(), kind };
+            LogEntry::LeavingShare { pool, share } => {
+                let labels = LeavingLabels { pool: pool.to_string() };
                 self.leaving_share.get_or_create(&labels).set(*share);
             }
             _ => {}
--- a/crates/edge/src/settings.rs
+++ b/crates/edge/src/settings.rs
@@ -15,7 +15,7 @@
     /// The number of availability zones.
     pub zones: u32,
     /// What a request pays for going to another zone, in fleets whose loads are known.
-    pub crossing: Crossing,
+    pub crossing: Option<Crossing>,
     /// The address for callers.
     pub listen: SocketAddrV4,
     /// The address for readiness checks of the load balancer.
--- a/crates/zones/src/crossing.rs
+++ b/crates/zones/src/crossing.rs
@@ -12,13 +12,6 @@
     pub per_kib: Duration,
 }
 
-impl Default for Crossing {
-    /// 5 ms and 0.5 ms for each KiB: 10 ms for a prompt of 10 KiB.
-    fn default() -> Self {
-        Self { round_trip: Duration::from_millis(5), per_kib: Duration::from_micros(500) }
-    }
-}
-
 impl Crossing {
     /// Returns the cost for a prompt of this many bytes.
     pub fn cost(&self, bytes: u32) -> Duration {
