Split the choice of servers from sending; test decisions with known loads

New tests drive fleets of 14 reducers: prompts that wait when others have filled the engines, a sampled request whose engines leave, attempts that stay or leave, late requests behind timely ones; and the regression and the engines for bursts of live streams.

--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -36,6 +36,7 @@
 mod request;
 mod response_trace;
 mod route;
+mod selection;
 mod server;
 mod server_ends;
 mod server_notices;
--- a/crates/dispatch/src/outcome.rs
+++ b/crates/dispatch/src/outcome.rs
@@ -8,9 +8,9 @@
 
 use crate::{
     AttemptEnd, Command, Delivered, Effect, LogEntry, RequestKey, ResponseTrace, Room, ServerKey,
-    placement::Choice,
     request::{MIN_REMAINING, Request, RunningAttempt, Stage},
     route::Repeat,
+    selection::Choice,
     state::State,
 };
 
--- a/crates/dispatch/src/reach.rs
+++ b/crates/dispatch/src/reach.rs
@@ -5,7 +5,7 @@
 use zones::ZonePlan;
 
 use crate::{
-    Pool, Server, ServerKey, choice::CROSS_ZONE_COST, placement::spread, request::Request,
+    Pool, Server, ServerKey, choice::CROSS_ZONE_COST, request::Request, selection::spread,
     state::State,
 };
 
--- a/crates/dispatch/tests/decisions/main.rs
+++ b/crates/dispatch/tests/decisions/main.rs
@@ -10,6 +10,7 @@
 mod fleet;
 mod held_errors;
 mod keys;
+mod known_loads;
 mod lapses;
 mod leaving;
 mod leaving_reports;
--- a/crates/dispatch/tests/decisions/support.rs
+++ b/crates/dispatch/tests/decisions/support.rs
@@ -3,8 +3,8 @@
 use std::{net::SocketAddrV4, sync::Arc};
 
 use dispatch::{
-    Account, Accounts, Attempt, AttemptEnd, Bounds, Catalog, Command, Crossing, Effect, Engine,
-    Event, NewRequest, Part, Pool, Prompt, Repeat, RequestKey, ResponseTrace, Route, ServerChange,
+    Account, Accounts, Attempt, AttemptEnd, Bounds, Catalog, Command, Effect, Engine, Event,
+    NewRequest, Part, Pool, Prompt, Repeat, RequestKey, ResponseTrace, Route, ServerChange,
     ServerEntry, Setup, State, Target,
 };
 use gossip::{Member, Members, ViewStatus, ViewSummary};
--- a/crates/dispatch/tests/live_engines.rs
+++ b/crates/dispatch/tests/live_engines.rs
@@ -138,3 +138,37 @@
     assert!(in_burst < in_calm, "{in_burst} engines in a burst, {in_calm} without");
     assert!(in_burst * SLOTS as usize >= 240, "{in_burst} engines cannot hold the streams");
 }
+
+/// Answers a burst of live streams at several times the usual: they fill the slots of their engines
+/// seconds later, but their prompts are read at once.
+#[test]
+fn a_burst_of_short_prompts_gets_engines_to_read_them_before_its_streams_run() {
+    let (mut live, engines) = (LiveEngines::default(), engines(90));
+    let burst = FleetDemand {
+        live_streams: 40.0,
+        live_tokens_per_s: 300_000.0,
+        tokens_per_ms: 30.0,
+        ..FleetDemand::default()
+    };
+
+    let count = update_for(&mut live, Time::from_millis(1_000), burst, &engines);
+
+    let reading_share = burst.live_tokens_per_s / (count as f64 * burst.tokens_per_ms * 1e3);
+    assert!(reading_share <= 0.75, "{count} engines read {reading_share} of their time");
+}
+
+/// Answers live streams that need more than two fifths of the engines while prompts leave them idle.
+#[test]
+fn live_streams_get_the_engines_that_prompts_do_not_need() {
+    let (mut live, engines) = (LiveEngines::default(), engines(60));
+    let few_prompts = FleetDemand {
+        live_streams: 60.0 * f64::from(SLOTS),
+        prompt_tokens_per_s: 200_000.0,
+        tokens_per_ms: 50.0,
+        ..FleetDemand::default()
+    };
+
+    let count = update_for(&mut live, Time::from_millis(1_000), few_prompts, &engines);
+
+    assert!((30..=36).contains(&count), "{count} engines");
+}
