--- a/crates/dispatch/src/queue.rs
+++ b/crates/dispatch/src/queue.rs
@@ -61,6 +61,11 @@
         moved
     }
 
+    /// Returns how many requests wait.
+    pub(crate) fn len(&self) -> usize {
+        self.by_refusal.len()
+    }
+
     /// Returns up to `count` requests at the head of a pool's queue.
     pub(crate) fn first(&self, pool: PoolId, count: usize) -> Vec<RequestKey> {
         let entries = self.pools.get(&pool).into_iter().flatten();
--- a/crates/dispatch/src/state.rs
+++ b/crates/dispatch/src/state.rs
@@ -217,6 +217,18 @@
         self.requests.len()
     }
 
+    /// Returns the number of requests that wait for a server.
+    pub fn waiting_count(&self) -> usize {
+        self.queue.len()
+    }
+
+    /// Returns how many members the known load of the fleet counts and how old it is at most; `None` if
+    /// it is not known, as in a small fleet.
+    pub fn fleet_load(&self, now: Time) -> Option<(u32, Duration)> {
+        let age = self.fleet_loads.age(now).filter(|_| self.knows_fleet_loads)?;
+        Some((self.fleet_loads.members(), age))
+    }
+
     /// Returns the number of instances that are alive, including this one.
     pub fn alive(&self) -> usize {
         self.members.alive_count()
--- a/crates/edge/src/metrics.rs
+++ b/crates/edge/src/metrics.rs
@@ -2,7 +2,7 @@
 
 use std::{fmt, sync::atomic::AtomicU64};
 
-use dispatch::LogEntry;
+use dispatch::{LogEntry, State};
 use model::prelude::*;
 use prometheus_client::{
     encoding::{EncodeLabelSet, text::encode},
@@ -39,6 +39,9 @@
     quarantined_parts: Gauge,
     pub(crate) traffic: Traffic,
     accounts_above_share: Gauge,
+    requests_waiting: Gauge,
+    fleet_load_members: Gauge,
+    fleet_load_age: Gauge<f64, AtomicU64>,
     leaving_share: Family<LeavingLabels, Gauge<f64, AtomicU64>>,
 }
 
@@ -99,6 +102,9 @@
             quarantined_parts: Gauge::default(),
             traffic: Traffic::default(),
             accounts_above_share: Gauge::default(),
+            requests_waiting: Gauge::default(),
+            fleet_load_members: Gauge::default(),
+            fleet_load_age: Gauge::default(),
             leaving_share: Family::default(),
         };
         metrics.register();
@@ -188,6 +194,21 @@
             self.quarantined_parts.clone(),
         );
         self.traffic.register(registry);
+        registry.register(
+            "requests_waiting",
+            "Requests that wait at this instance for a server",
+            self.requests_waiting.clone(),
+        );
+        registry.register(
+            "fleet_load_members",
+            "Instances whose load is in the total that this one knows; 0 if it knows none",
+            self.fleet_load_members.clone(),
+        );
+        registry.register(
+            "fleet_load_age_seconds",
+            "Upper bound on the age of that total",
+            self.fleet_load_age.clone(),
+        );
         registry.register(
             "accounts_above_share",
             "Client accounts that ask for more than their share of the engines",
@@ -258,6 +279,15 @@
         self.refused.get_or_create(&RefusalLabels { reason, execution }).inc();
     }
 
+    /// Updates the metrics of what the reducer knows now.
+    pub(crate) fn observe(&self, now: Time, state: &State) {
+        let waiting = i64::try_from(state.waiting_count()).unwrap_or(i64::MAX);
+        self.requests_waiting.set(waiting);
+        let (members, age) = state.fleet_load(now).unwrap_or_default();
+        self.fleet_load_members.set(members.into());
+        self.fleet_load_age.set(age.as_secs_f64());
+    }
+
     /// Encodes all metrics.
     pub(crate) fn text(&self) -> Result<String, fmt::Error> {
         let mut text = String::new();
--- a/crates/edge/src/status.rs
+++ b/crates/edge/src/status.rs
@@ -89,6 +89,8 @@
         };
     }
     if settings.metrics.as_ref().is_some_and(|metrics| metrics.path == path) {
+        let now = instance.clock.now();
+        instance.read_state(|state| instance.metrics.observe(now, state));
         return match instance.metrics.text() {
             Ok(text) => ("200 OK", text),
             Err(err) => ("500 Internal Server Error", format!("{err}\n")),
