--- a/crates/dispatch/src/choice.rs
+++ b/crates/dispatch/src/choice.rs
@@ -5,8 +5,9 @@
 
 use crate::{Pool, Prompt, Rank, Server};
 
-/// Rate at which an engine is assumed to read uncached prompt tokens until that is known: rounded down from the 112 and
-/// 157 tokens per ms that engines are specified for.
+/// Rate at which an engine is assumed to read uncached prompt tokens: rounded down from the 112 and
+/// 157 tokens per ms that engines are specified for. Costs count in its time; where the load of the
+/// fleet is known, waits are converted to the learned rate.
 pub(crate) const PREFILL_TOKENS_PER_MS: f64 = 100.0;
 /// Expected time to the first event at an engine without other work: the 26 to 31 ms that engines
 /// are specified for, and some generation steps.
@@ -20,7 +21,7 @@
 const PLAIN_SERVICE_TIME: Duration = Duration::from_millis(45);
 /// Added to the cost of a server in another availability zone: it is chosen only if it is expected
 /// to save more time than this. Bytes between zones are billed, at a few hundredths of what a
-/// request is worth. Where the loads of the fleet are known, [`zones::Crossing`] replaces it.
+/// request is worth. Where operators state a price, [`zones::Crossing`] replaces it.
 pub(crate) const CROSS_ZONE_COST: Duration = Duration::from_millis(10);
 /// Added to the cost of a server, in milliseconds, for each token of the shared prefix that it has
 /// to read: prefill takes the engine's time from all its other requests.
--- a/crates/dispatch/src/queue.rs
+++ b/crates/dispatch/src/queue.rs
@@ -7,9 +7,9 @@
 
 use crate::{Rank, RequestKey};
 
-/// A request in the queue. Requests are ordered by rank, those that can still meet their target
-/// before the others, then by the excess of their accounts when
-/// they came into the queue, then by the time at which they are refused.
+/// A request in the queue. Requests are ordered by rank, then those that can still meet their target
+/// before the others, then by the excess of their accounts when they came into the queue, then by the
+/// time at which they are refused.
 #[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Debug)]
 pub(crate) struct QueueEntry {
     pub(crate) rank: Rank,
