Log how the retry budget is used, how old changed views are and what ended late

No decision changes: the budget computes the slack that a retry needs instead of a yes or no, and compares as before.

--- a/crates/dispatch/src/budget.rs
+++ b/crates/dispatch/src/budget.rs
@@ -4,7 +4,7 @@
 
 use model::prelude::*;
 
-use crate::{Bounds, Share};
+use crate::{Bounds, RetryUse, Share};
 
 /// The number of steps into which a window is divided. A window can begin within a step. The steps
 /// at both its ends then count in full for the retries and not at all for the requests, which
@@ -27,6 +27,8 @@
     /// Retries that are reserved and not sent yet. They count in every window, as it is unknown
     /// when they will be sent.
     reserved: u32,
+    /// What was done since [`RetryBudget::take_use`].
+    used: RetryUse,
 }
 
 #[derive(Clone, Copy, Default, Debug)]
@@ -44,14 +46,27 @@
     /// Reserves a retry. Returns `false` if the budget has none left. Each reserved retry must be
     /// spent or released.
     pub fn reserve(&mut self, now: Time, bounds: &Bounds, share: &Share) -> bool {
-        self.step(now, bounds);
         let slack = share.fraction(bounds.retry_slack);
+        let needed = self.slack_needed(now, bounds);
+        if needed > slack {
+            self.used.denied += 1;
+            return false;
+        }
+        self.used.from_slack += u32::from(needed > 0.0);
+        self.reserved += 1;
+        true
+    }
+    /// Returns how much of the slack one more retry takes in the window that has the least left, 0
+    /// if the requests pay for all of its retries.
+    fn slack_needed(&mut self, now: Time, bounds: &Bounds) -> f64 {
+        self.step(now, bounds);
         // For each step, the number of requests in all steps before it.
         let mut before = [0; KEPT_STEPS + 1];
         for (no, step) in self.steps.iter().enumerate() {
             before[no + 1] = before[no] + step.requests;
         }
         let mut retries = self.reserved + 1;
+        let mut needed: f64 = 0.0;
         // Check each window in which the retry may lie, by the step in which it begins.
         for first in (KEPT_STEPS - 1 - STEPS..KEPT_STEPS).rev() {
             retries += self.steps[first].retries;
@@ -59,20 +74,23 @@
             let requests = [0, STEPS / 2, STEPS]
                 .map(|back| before[(end - back).min(KEPT_STEPS)] - before[start - back]);
             let most = requests.into_iter().max().unwrap_or_default();
-            if f64::from(retries) > f64::from(most) * bounds.retry_ratio + slack {
-                return false;
-            }
+            needed = needed.max(f64::from(retries) - f64::from(most) * bounds.retry_ratio);
         }
-        self.reserved += 1;
-        true
+        needed
     }
 
     /// Counts a reserved retry as sent now.
     pub fn spend(&mut self, now: Time, bounds: &Bounds) {
         self.release();
+        self.used.sent += 1;
         self.step(now, bounds).retries += 1;
     }
 
+    /// Returns what was done since the last call.
+    pub fn take_use(&mut self) -> RetryUse {
+        std::mem::take(&mut self.used)
+    }
+
     /// Returns a reserved retry to the budget, as it is not sent.
     pub fn release(&mut self) {
         self.reserved = self.reserved.saturating_sub(1);
--- a/crates/dispatch/src/effect.rs
+++ b/crates/dispatch/src/effect.rs
@@ -6,7 +6,8 @@
 use model::prelude::*;
 
 use crate::{
-    Attempt, AttemptEnd, FleetDemand, QuarantineChange, RequestKey, ResponseTrace, ServerKey,
+    Attempt, AttemptEnd, FleetDemand, QuarantineChange, RequestKey, ResponseTrace, RetryUse,
+    ServerKey,
 };
 
 /// An effect of a decision, which the instance carries out.
@@ -82,6 +83,18 @@
         version: Version,
         /// The number of its routes.
         routes: usize,
+        /// Time since the view before this change was confirmed; `None` before the first read.
+        view_age: Option<Duration>,
+    },
+    /// Another instance has the same view of the platform by its digest, and yet another
+    /// configuration.
+    ViewsDiffer {
+        /// The address at which it receives packets.
+        peer: SocketAddrV4,
+        /// The version of its configuration.
+        peer_version: u64,
+        /// The version of this instance's.
+        version: u64,
     },
     /// A server was listed.
     ServerFound {
@@ -226,6 +239,22 @@
         /// The number of instances that are alive now, including this one.
         alive: usize,
     },
+    /// The number of instances by which limits of the fleet are divided changed.
+    LimitDivisor {
+        /// The number, with spares and instances that are assumed until gossip has found all.
+        divisor: u32,
+        /// The number of known instances that may run, including this one.
+        members: usize,
+    },
+    /// What was done with the retry budget of a pool in the last second.
+    Retries {
+        /// The name of the pool.
+        pool: Box<str>,
+        /// What was done.
+        used: RetryUse,
+        /// The number of instances by which the fleet's slack is divided.
+        divisor: u32,
+    },
     /// The readiness of this instance changed.
     Ready {
         /// Whether it is ready now.
@@ -324,6 +353,13 @@
         /// Time since the view of the platform was last confirmed; `None` before the first read.
         view_age: Option<Duration>,
     },
+    /// A request had not ended within its time.
+    EndedLate {
+        /// The request's id.
+        id: Arc<str>,
+        /// Time since the earlier of its route's timeout and its caller's deadline.
+        late: Duration,
+    },
     /// The caller of a request closed the connection or took no more bytes.
     CallerLeft {
         /// The request's id.
--- a/crates/dispatch/src/fleet.rs
+++ b/crates/dispatch/src/fleet.rs
@@ -28,8 +28,9 @@
             return;
         }
         let (version, routes) = (catalog.version, catalog.route_count());
+        let view_age = self.view_age(now);
         self.catalog = Some(catalog);
-        self.log(LogEntry::Config { version, routes });
+        self.log(LogEntry::Config { version, routes, view_age });
         self.recheck_keys(now);
         self.dispatch_all(now);
     }
@@ -240,7 +241,13 @@
         let members = u32::try_from(self.members.possible_count()).unwrap_or(u32::MAX);
         let settling = SETTLE_TIME + SETTLE_TIME_PER_MEMBER.saturating_mul(members);
         let is_settled = now.since(self.started_at) >= settling;
+        let former = self.share.size();
         self.share.update(self.members.addresses(), is_settled);
+        let divisor = self.share.size();
+        if divisor != former {
+            let members = self.share.known_members();
+            self.log(LogEntry::LimitDivisor { divisor, members });
+        }
     }
 
     /// Refuses the waiting requests whose key the configuration does not contain any more.
--- a/crates/dispatch/src/reading.rs
+++ b/crates/dispatch/src/reading.rs
@@ -10,7 +10,7 @@
 use gossip::{TreeContent, TreeMessage, ViewSummary};
 use model::prelude::*;
 
-use crate::{Effect, state::State};
+use crate::{Effect, LogEntry, state::State};
 
 /// The age of the view at which the first member of the fleet reads the platform again. A draining
 /// server must get no requests after two seconds, and a configuration must be in force after two,
@@ -152,6 +152,11 @@
     pub(crate) fn peer_view(&mut self, peer: SocketAddrV4, view: ViewSummary, as_of: Option<Time>) {
         let Some(as_of) = as_of else { return };
         self.platform_seen(as_of);
+        let own = self.freshness.view();
+        if view.digest == own.digest && view.version != own.version {
+            let (peer_version, version) = (view.version, own.version);
+            self.log(LogEntry::ViewsDiffer { peer, peer_version, version });
+        }
         self.freshness.record_peer_view(view, as_of);
         // An instance that can read neither the platform nor the peer that it asked asks the next.
         let may_ask = !self.is_behind || self.newer_peer.is_none() && self.failing_since.is_some();
--- a/crates/dispatch/src/state.rs
+++ b/crates/dispatch/src/state.rs
@@ -30,6 +30,8 @@
 /// The process ends this much before the end of its grace period, so that there is time to write
 /// the last responses.
 const EXIT_MARGIN: Duration = Duration::from_millis(400);
+/// Time between two log entries about the use of the retry budgets.
+const RETRY_REPORT_INTERVAL: Duration = Duration::from_secs(1);
 /// The instance becomes not ready this long before it has to stop accepting keys, so that the load
 /// balancer sends callers elsewhere before they are refused.
 const READY_MARGIN: Duration = Duration::from_millis(300);
@@ -78,6 +80,8 @@
     pub(crate) service_times: ServiceTimes,
     is_ready: bool,
     next_tick: Time,
+    /// When the use of the retry budgets is logged next.
+    next_retry_report: Time,
     effects: Vec<Effect>,
 }
 
@@ -134,6 +138,7 @@
             service_times: ServiceTimes::default(),
             is_ready: false,
             next_tick: now,
+            next_retry_report: now,
             effects: Vec::new(),
             rng,
             setup,
@@ -302,9 +307,27 @@
         self.update_zone_plans(now);
         self.update_account_shares(now);
         self.dispatch_all(now);
+        self.report_retries(now);
         self.update_phase(now);
     }
 
+    /// Logs what was done with the retry budgets since the last report, if it is due.
+    fn report_retries(&mut self, now: Time) {
+        if now < self.next_retry_report {
+            return;
+        }
+        self.next_retry_report = now + RETRY_REPORT_INTERVAL;
+        let Some(catalog) = self.catalog.clone() else { return };
+        let divisor = self.share.size();
+        for (id, pool) in &catalog.pools {
+            let Some(budget) = self.budgets.get_mut(id) else { continue };
+            let used = budget.take_use();
+            if !used.is_empty() {
+                self.log(LogEntry::Retries { pool: pool.name.clone(), used, divisor });
+            }
+        }
+    }
+
     fn shutdown(&mut self, now: Time) {
         if self.phase != Phase::Serving {
             return;
--- a/crates/edge/src/exchange.rs
+++ b/crates/edge/src/exchange.rs
@@ -28,6 +28,9 @@
 /// request that is rejected.
 const PROBLEM_TIMEOUT: Duration = Duration::from_secs(2);
 
+/// A request that ends this long after its time is logged: several times what the last response takes.
+const LATE_END: Duration = Duration::from_millis(200);
+
 /// What happens to the caller's connection after a request.
 #[derive(Clone, Copy, PartialEq, Eq, Debug)]
 pub(crate) enum Disposition {
@@ -235,6 +238,8 @@
     /// Serves a request that was read whole, until it ends or the caller leaves.
     async fn serve(mut self, accepted: Accepted, new: NewRequest) -> Disposition {
         let instance = Rc::clone(&self.instance);
+        let end_by = new.caller_deadline.min(new.arrived + new.routed.route.timeout);
+        let id = Arc::clone(&new.id);
         let (tx, commands) = async_channel::bounded(2);
         let key = instance.add_task(tx);
         instance.handle_event(Event::Request { key, new: Box::new(new) });
@@ -254,6 +259,11 @@
         // A caller that has left is noticed before a further step, which may send its request.
         let disposition = left.or(work).await;
         instance.remove_task(key);
+        let now = instance.clock.now();
+        let late = now.since(end_by);
+        if late >= LATE_END {
+            instance.record(now, &LogEntry::EndedLate { id, late });
+        }
         match disposition {
             Disposition::KeepOpen if self.response.closes_connection => Disposition::Close,
             disposition => disposition,
--- a/crates/edge/src/journal.rs
+++ b/crates/edge/src/journal.rs
@@ -2,7 +2,9 @@
 
 use std::time::Duration;
 
-use dispatch::{AttemptEnd, Delivered, HeldPart, LogEntry, QuarantineChange, ResponseTrace};
+use dispatch::{
+    AttemptEnd, Delivered, HeldPart, LogEntry, QuarantineChange, ResponseTrace, RetryUse,
+};
 use model::prelude::*;
 
 use crate::part_id::PartId;
@@ -56,6 +58,8 @@
             | LogEntry::ServerPaused { .. }
             | LogEntry::Rejected { .. }
             | LogEntry::SentLate { .. }
+            | LogEntry::EndedLate { .. }
+            | LogEntry::ViewsDiffer { .. }
             | LogEntry::CallerLeft { .. } => (&mut self.failures, MAX_FAILURE_LINES),
             _ => return write(entry),
         };
@@ -78,8 +82,22 @@
 
 fn write(entry: &LogEntry) {
     match entry {
-        LogEntry::Config { version, routes } => {
-            log::info!(version:%, routes; "configuration applied");
+        LogEntry::Config { version, routes, view_age } => {
+            let view_age_ms = view_age.map(millis);
+            log::info!(version:%, routes, view_age_ms:?; "configuration applied");
+        }
+        LogEntry::ViewsDiffer { peer, peer_version, version } => {
+            log::warn!(
+                peer:%, peer_config = peer_version, config = version;
+                "another instance has the same view and another configuration"
+            );
+        }
+        LogEntry::LimitDivisor { divisor, members } => {
+            log::info!(divisor, members; "limits are divided by another number of instances");
+        }
+        LogEntry::Retries { pool, used, divisor } => {
+            let RetryUse { sent, from_slack, denied } = *used;
+            log::info!(pool:%, sent, from_slack, denied, divisor; "retries");
         }
         LogEntry::ServerFound { server, cold } => {
             log::info!(server:%, cold_ms = cold.as_millis() as u64; "server available");
@@ -208,6 +226,9 @@
             let request = id.as_deref().unwrap_or_default();
             log::info!(request, host, path, error; "malformed request rejected");
         }
+        LogEntry::EndedLate { id, late } => {
+            log::warn!(request:% = id, late_ms = millis(*late); "request ended late");
+        }
         LogEntry::CallerLeft { id, after } => {
             log::info!(request:% = id, after_ms = millis(*after); "caller left");
         }
--- a/crates/edge/src/metrics.rs
+++ b/crates/edge/src/metrics.rs
@@ -2,7 +2,7 @@
 
 use std::{fmt, sync::atomic::AtomicU64};
 
-use dispatch::{LogEntry, State};
+use dispatch::{LogEntry, RetryUse, State};
 use model::prelude::*;
 use prometheus_client::{
     encoding::{EncodeLabelSet, text::encode},
@@ -33,6 +33,13 @@
     pub(crate) caller_connections: Gauge,
     members: Gauge,
     config_version: Gauge,
+    view_age: Gauge<f64, AtomicU64>,
+    views_differ: Counter,
+    ended_late: Counter,
+    limit_divisor: Gauge,
+    retries: Family<RetryLabels, Counter>,
+    retries_from_slack: Family<RetryLabels, Counter>,
+    retries_denied: Family<RetryLabels, Counter>,
     servers_ended: Counter,
     servers_leaving: Counter,
     server_pauses: Counter,
@@ -71,6 +78,11 @@
     pool: String,
 }
 
+#[derive(Clone, PartialEq, Eq, Hash, Debug, EncodeLabelSet)]
+struct RetryLabels {
+    pool: String,
+}
+
 impl fmt::Debug for Metrics {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         f.debug_struct("Metrics").finish_non_exhaustive()
@@ -96,6 +108,13 @@
             caller_connections: Gauge::default(),
             members: Gauge::default(),
             config_version: Gauge::default(),
+            view_age: Gauge::default(),
+            views_differ: Counter::default(),
+            ended_late: Counter::default(),
+            limit_divisor: Gauge::default(),
+            retries: Family::default(),
+            retries_from_slack: Family::default(),
+            retries_denied: Family::default(),
             servers_ended: Counter::default(),
             servers_leaving: Counter::default(),
             server_pauses: Counter::default(),
@@ -173,6 +192,37 @@
             "Version of the configuration in force",
             self.config_version.clone(),
         );
+        registry.register(
+            "view_age_seconds",
+            "Time since the view of the platform was last known to be up to date",
+            self.view_age.clone(),
+        );
+        registry.register(
+            "views_differ",
+            "Messages of instances with the same view by its digest and another configuration",
+            self.views_differ.clone(),
+        );
+        registry.register(
+            "ended_late",
+            "Requests that ended well after their route's timeout or their caller's deadline",
+            self.ended_late.clone(),
+        );
+        registry.register(
+            "limit_divisor",
+            "Instances by which limits of the fleet are divided",
+            self.limit_divisor.clone(),
+        );
+        registry.register("retries", "Retries sent", self.retries.clone());
+        registry.register(
+            "retries_from_slack",
+            "Retries reserved from the slack of the budget",
+            self.retries_from_slack.clone(),
+        );
+        registry.register(
+            "retries_denied",
+            "Retries for which nothing was left in the budget",
+            self.retries_denied.clone(),
+        );
         registry.register(
             "servers_leaving",
             "Backend servers that said in a response that they leave",
@@ -250,6 +300,16 @@
             LogEntry::Config { version, .. } => {
                 self.config_version.set(i64::try_from(version.0).unwrap_or(i64::MAX));
             }
+            LogEntry::ViewsDiffer { .. } => {
+                self.views_differ.inc();
+            }
+            LogEntry::EndedLate { .. } => {
+                self.ended_late.inc();
+            }
+            LogEntry::LimitDivisor { divisor, .. } => {
+                self.limit_divisor.set((*divisor).into());
+            }
+            LogEntry::Retries { pool, used, .. } => self.count_retries(pool, *used),
             LogEntry::ServerLeaving { .. } => {
                 self.servers_leaving.inc();
             }
@@ -273,6 +333,13 @@
         }
     }
 
+    fn count_retries(&self, pool: &str, used: RetryUse) {
+        let labels = RetryLabels { pool: pool.to_owned() };
+        self.retries.get_or_create(&labels).inc_by(used.sent.into());
+        self.retries_from_slack.get_or_create(&labels).inc_by(used.from_slack.into());
+        self.retries_denied.get_or_create(&labels).inc_by(used.denied.into());
+    }
+
     fn count_refusal(&self, refusal: Refusal) {
         let reason = format!("{:?}", refusal.reason);
         let execution = format!("{:?}", refusal.execution);
@@ -286,6 +353,9 @@
         let (members, age) = state.fleet_load(now).unwrap_or_default();
         self.fleet_load_members.set(members.into());
         self.fleet_load_age.set(age.as_secs_f64());
+        if let Some(age) = state.view_age(now) {
+            self.view_age.set(age.as_secs_f64());
+        }
     }
 
     /// Encodes all metrics.
--- a/crates/edge/src/process.rs
+++ b/crates/edge/src/process.rs
@@ -28,6 +28,8 @@
 const ACCEPT_BACKLOG: i32 = 1_024;
 /// Time between two checks for expired idle connections and for the end of the process.
 const HOUSEKEEPING_INTERVAL: Duration = Duration::from_millis(500);
+/// A tick that is this late is logged: the process was suspended or had no processor time.
+const LATE_TICK: Duration = Duration::from_millis(250);
 
 /// Why the process cannot start.
 #[derive(Debug, Error)]
@@ -136,6 +138,10 @@
         let due = instance.schedule_tick();
         // A message means that the next tick is due earlier than scheduled.
         if deadline::until(instance.clock, due, rescheduled.recv()).await.is_none() {
+            let late = instance.clock.now().since(due);
+            if late >= LATE_TICK {
+                log::warn!(late_ms = late.as_millis() as u64; "the process was held up");
+            }
             instance.handle_event(Event::Tick);
         }
     }
