Do not use the slack for retries before a window has passed since the start

Callers' requests that fail are retried at the cost of a budget for the whole fleet; beyond it, retries add to the load of servers that are in trouble (BUDGET). Cause: the budget of a process began with its share of the slack, although a former process at the address may have spent that share within the same window. A process now has no share of the slack until it has run for a window, so that what two processes at one address use never lies in one window. The ratio of its own requests pays from the start.

Two tests failed before: 80 retries from a slack of 56 (fleet_budgets), 13 from a just started instance (decisions retry_limits).

--- a/crates/dispatch/src/budget.rs
+++ b/crates/dispatch/src/budget.rs
@@ -46,7 +46,7 @@
     /// Reserves a retry. Returns `false` if the budget has none left. Each reserved retry must be
     /// spent or released.
     pub fn reserve(&mut self, now: Time, bounds: &Bounds, share: &Share) -> bool {
-        let slack = share.fraction(bounds.retry_slack);
+        let slack = share.fraction(now, bounds.retry_slack, bounds.retry_window);
         let needed = self.slack_needed(now, bounds);
         if needed > slack {
             self.used.denied += 1;
--- a/crates/dispatch/src/share.rs
+++ b/crates/dispatch/src/share.rs
@@ -23,13 +23,20 @@
     members: Vec<SocketAddrV4>,
     spares: u32,
     is_settled: bool,
+    started_at: Time,
 }
 
 impl Share {
-    /// Creates a share that knows only this instance, in a fleet with this number of availability
-    /// zones.
-    pub fn new(own: SocketAddrV4, zones: u32) -> Self {
-        Self { own, members: vec![own], spares: zones * SPARES_PER_ZONE, is_settled: false }
+    /// Creates the share of an instance that starts now and knows only itself, in a fleet with this
+    /// number of availability zones.
+    pub fn new(now: Time, own: SocketAddrV4, zones: u32) -> Self {
+        Self {
+            own,
+            members: vec![own],
+            spares: zones * SPARES_PER_ZONE,
+            is_settled: false,
+            started_at: now,
+        }
     }
 
     /// Replaces the known instances that may run. Until `is_settled`, there may be many more.
@@ -56,8 +63,13 @@
         known.saturating_add(self.spares)
     }
 
-    /// Returns this instance's share of a limit that can be divided into fractions.
-    pub fn fraction(&self, limit: f64) -> f64 {
+    /// Returns this instance's share of a limit on what is used in each `window`, if the limit can be
+    /// divided into fractions. An instance has none before it has run for that long: a former process
+    /// at its address may have used the share within the window.
+    pub fn fraction(&self, now: Time, limit: f64, window: Duration) -> f64 {
+        if now.since(self.started_at) < window {
+            return 0.0;
+        }
         limit / f64::from(self.size())
     }
 
--- a/crates/dispatch/src/state.rs
+++ b/crates/dispatch/src/state.rs
@@ -126,7 +126,7 @@
             knows_fleet_loads: false,
             reading_speeds: ReadingSpeeds::default(),
             account_shares: AccountShares::default(),
-            share: Share::new(setup.address, setup.zones),
+            share: Share::new(now, setup.address, setup.zones),
             budgets: HashMap::new(),
             demand: HashMap::new(),
             live_engines: HashMap::new(),
--- a/crates/dispatch/tests/decisions/support.rs
+++ b/crates/dispatch/tests/decisions/support.rs
@@ -136,7 +136,7 @@
 
 impl Bench {
     /// Returns an instance in the first zone that knows [`catalog`] and these servers, and has run
-    /// long enough to know that it is alone.
+    /// long enough to know that it is alone and to use its share of the slack for retries.
     pub(crate) fn new(servers: Vec<ServerEntry>) -> Self {
         Self::in_zone(ZONE, servers)
     }
@@ -149,7 +149,7 @@
         bench.step(Event::Config(Arc::new(catalog(1))));
         bench.step(Event::Listed(servers));
         bench.read();
-        bench.pass(4_000);
+        bench.pass(10_000);
         bench.read();
         bench
     }
--- a/crates/dispatch/tests/fleet_budgets.rs
+++ b/crates/dispatch/tests/fleet_budgets.rs
@@ -53,7 +53,7 @@
 
     /// Starts a process at an address, in place of the former one if there is one.
     fn start(&mut self, no: usize) {
-        let share = Share::new(address(no), ZONES);
+        let share = Share::new(self.now, address(no), ZONES);
         let process = Process { started: self.now, share, budget: RetryBudget::default() };
         self.processes[no] = Some(process);
     }
--- a/crates/dispatch/tests/shares.rs
+++ b/crates/dispatch/tests/shares.rs
@@ -10,6 +10,10 @@
 use rand_chacha::ChaCha8Rng;
 
 const ZONES: u32 = 3;
+/// The window of the limits.
+const WINDOW: Duration = Duration::from_secs(10);
+/// When all instances have run for more than a window.
+const NOW: Time = Time::from_millis(10_000);
 
 fn address(no: u16) -> SocketAddrV4 {
     SocketAddrV4::new([10, 2, (no >> 8) as u8, no as u8].into(), 7_000)
@@ -18,7 +22,7 @@
 /// Returns the shares of a fleet whose members all know each other.
 fn fleet(size: u16) -> Vec<Share> {
     let share = |no| {
-        let mut share = Share::new(address(no), ZONES);
+        let mut share = Share::new(Time::default(), address(no), ZONES);
         share.update((0..size).map(address), true);
         share
     };
@@ -59,12 +63,12 @@
     let mut all = fleet(7);
     // Each spare has just started, and knows only itself and three seeds.
     for no in 7..7 + ZONES as u16 {
-        let mut spare = Share::new(address(no), ZONES);
+        let mut spare = Share::new(NOW, address(no), ZONES);
         spare.update((0..3).map(address).chain([address(no)]), false);
         all.push(spare);
     }
 
-    let sum: f64 = all.iter().map(|share| share.fraction(54.0)).sum();
+    let sum: f64 = all.iter().map(|share| share.fraction(NOW, 54.0, WINDOW)).sum();
 
     assert!(sum <= 54.0, "the shares add up to {sum}, the limit is 54");
 }
