Count instances that have left within the window when the slack is divided

Callers see too many retries at a pool (BUDGET) when much of a fleet is scaled in: members that announced that they leave were dropped as soon as they were silent, so those that stay divided the slack by fewer instances than had used it in the window. The share now remembers for 60 s which instances it no longer knows, and a limit on a window counts those that went within it.

fleet_budgets members_leave failed before (6 of 12, 30 and 50 of 60 members leave) and passes.

--- a/crates/dispatch/src/fleet.rs
+++ b/crates/dispatch/src/fleet.rs
@@ -242,7 +242,7 @@
         let settling = SETTLE_TIME + SETTLE_TIME_PER_MEMBER.saturating_mul(members);
         let is_settled = now.since(self.started_at) >= settling;
         let former = self.share.size();
-        self.share.update(self.members.addresses(), is_settled);
+        self.share.update(now, self.members.addresses(), is_settled);
         let divisor = self.share.size();
         if divisor != former {
             let members = self.share.known_members();
--- a/crates/dispatch/src/share.rs
+++ b/crates/dispatch/src/share.rs
@@ -1,6 +1,9 @@
 //! An instance's share of limits that hold for the whole fleet.
 
-use std::net::SocketAddrV4;
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    net::SocketAddrV4,
+};
 
 use model::prelude::*;
 use xxhash_rust::xxh3::xxh3_64_with_seed;
@@ -12,6 +15,8 @@
 /// that a new instance does not take too large a share. It is three times the size that fleets are
 /// designed for.
 const UNSETTLED_FLEET_SIZE: u32 = 1_024;
+/// How long instances that are not known any more are remembered, at least the window of each limit.
+const DEPARTED_RETENTION: Duration = Duration::from_secs(60);
 
 /// An instance's share of limits that hold for the whole fleet. The shares of all instances add up
 /// to no more than the limit if each instance counts all the instances that may run.
@@ -21,6 +26,8 @@
     own: SocketAddrV4,
     /// The addresses of the known instances that may run, including this one.
     members: Vec<SocketAddrV4>,
+    /// The instances that are not known any more, with the time since which they are not.
+    departed: BTreeMap<SocketAddrV4, Time>,
     spares: u32,
     is_settled: bool,
     started_at: Time,
@@ -33,6 +40,7 @@
         Self {
             own,
             members: vec![own],
+            departed: BTreeMap::new(),
             spares: zones * SPARES_PER_ZONE,
             is_settled: false,
             started_at: now,
@@ -40,10 +48,22 @@
     }
 
     /// Replaces the known instances that may run. Until `is_settled`, there may be many more.
-    pub fn update(&mut self, members: impl Iterator<Item = SocketAddrV4>, is_settled: bool) {
-        self.members.clear();
+    pub fn update(
+        &mut self,
+        now: Time,
+        members: impl Iterator<Item = SocketAddrV4>,
+        is_settled: bool,
+    ) {
+        let former = std::mem::take(&mut self.members);
         self.members.extend(members);
         self.is_settled = is_settled;
+        self.departed.retain(|_, since| now.since(*since) < DEPARTED_RETENTION);
+        if self.members == former {
+            return;
+        }
+        let known: BTreeSet<_> = self.members.iter().copied().collect();
+        self.departed.extend(former.into_iter().map(|it| (it, now)));
+        self.departed.retain(|address, _| !known.contains(address));
     }
 
     /// Returns the number of instances by which limits are divided.
@@ -65,12 +85,14 @@
 
     /// Returns this instance's share of a limit on what is used in each `window`, if the limit can be
     /// divided into fractions. An instance has none before it has run for that long: a former process
-    /// at its address may have used the share within the window.
+    /// at its address may have used the share within the window. Instances that have gone within the
+    /// window have their part in it as well.
     pub fn fraction(&self, now: Time, limit: f64, window: Duration) -> f64 {
         if now.since(self.started_at) < window {
             return 0.0;
         }
-        limit / f64::from(self.size())
+        let departed = self.departed.values().filter(|since| now.since(**since) < window).count();
+        limit / (f64::from(self.size()) + departed as f64)
     }
 
     /// Returns this instance's share of a limit on whole units at a server, such as requests. All
--- a/crates/dispatch/tests/fleet_budgets.rs
+++ b/crates/dispatch/tests/fleet_budgets.rs
@@ -71,7 +71,7 @@
             let members: Vec<_> = running.map(|it| address(it.0)).collect();
             for process in self.processes.iter_mut().flatten() {
                 let is_settled = self.now.since(process.started) >= SETTLE_TIME;
-                process.share.update(members.iter().copied(), is_settled);
+                process.share.update(self.now, members.iter().copied(), is_settled);
             }
             act(self);
         }
