Do not use the slack for retries while no other instance has been heard of

An instance that is cut off from its start on took itself for a fleet of one, with one spare a zone, and used a quarter of the fleet's slack in each window; several such instances together exceed it (BUDGET). Where the settings name other instances and none has been heard of, the size of the fleet is not known, and the share of the slack is none; the ratio of the instance's own requests pays as before. Other limits are divided as before: a lone survivor must be able to use cold servers.

--- a/crates/dispatch/src/fleet.rs
+++ b/crates/dispatch/src/fleet.rs
@@ -6,7 +6,7 @@
 use model::prelude::*;
 
 use crate::{
-    Account, Catalog, Effect, LogEntry, ServerChange, ServerEntry, ServerKey,
+    Account, Catalog, Effect, FleetKnowledge, LogEntry, ServerChange, ServerEntry, ServerKey,
     reading::EXPIRED_ENTRY_GRACE, request::Stage, state::State,
 };
 
@@ -240,9 +240,15 @@
     fn update_share(&mut self, now: Time) {
         let members = u32::try_from(self.members.possible_count()).unwrap_or(u32::MAX);
         let settling = SETTLE_TIME + SETTLE_TIME_PER_MEMBER.saturating_mul(members);
-        let is_settled = now.since(self.started_at) >= settling;
+        let knowledge = if now.since(self.started_at) < settling {
+            FleetKnowledge::Unsettled
+        } else if members == 1 && self.members.has_seeds() {
+            FleetKnowledge::Alone
+        } else {
+            FleetKnowledge::Settled
+        };
         let former = self.share.size();
-        self.share.update(now, self.members.addresses(), is_settled);
+        self.share.update(now, self.members.addresses(), knowledge);
         let divisor = self.share.size();
         if divisor != former {
             let members = self.share.known_members();
--- a/crates/dispatch/src/share.rs
+++ b/crates/dispatch/src/share.rs
@@ -8,6 +8,8 @@
 use model::prelude::*;
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
+use crate::FleetKnowledge;
+
 /// Instances that are assumed to run unseen in each availability zone, beyond the known members:
 /// spare instances are started without notice.
 const SPARES_PER_ZONE: u32 = 1;
@@ -29,7 +31,7 @@
     /// The instances that are not known any more, with the time since which they are not.
     departed: BTreeMap<SocketAddrV4, Time>,
     spares: u32,
-    is_settled: bool,
+    knowledge: FleetKnowledge,
     started_at: Time,
 }
 
@@ -42,21 +44,21 @@
             members: vec![own],
             departed: BTreeMap::new(),
             spares: zones * SPARES_PER_ZONE,
-            is_settled: false,
+            knowledge: FleetKnowledge::Unsettled,
             started_at: now,
         }
     }
 
-    /// Replaces the known instances that may run. Until `is_settled`, there may be many more.
+    /// Replaces the known instances that may run.
     pub fn update(
         &mut self,
         now: Time,
         members: impl Iterator<Item = SocketAddrV4>,
-        is_settled: bool,
+        knowledge: FleetKnowledge,
     ) {
         let former = std::mem::take(&mut self.members);
         self.members.extend(members);
-        self.is_settled = is_settled;
+        self.knowledge = knowledge;
         self.departed.retain(|_, since| now.since(*since) < DEPARTED_RETENTION);
         if self.members == former {
             return;
@@ -69,7 +71,10 @@
     /// Returns the number of instances by which limits are divided.
     pub fn size(&self) -> u32 {
         let size = self.known_size();
-        if self.is_settled { size } else { size.max(UNSETTLED_FLEET_SIZE) }
+        match self.knowledge {
+            FleetKnowledge::Unsettled => size.max(UNSETTLED_FLEET_SIZE),
+            FleetKnowledge::Alone | FleetKnowledge::Settled => size,
+        }
     }
 
     /// Returns the number of known instances that may run.
@@ -86,9 +91,11 @@
     /// Returns this instance's share of a limit on what is used in each `window`, if the limit can be
     /// divided into fractions. An instance has none before it has run for that long: a former process
     /// at its address may have used the share within the window. Instances that have gone within the
-    /// window have their part in it as well.
+    /// window have their part in it as well. An instance that may be cut off from a fleet of unknown
+    /// size has none.
     pub fn fraction(&self, now: Time, limit: f64, window: Duration) -> f64 {
-        if now.since(self.started_at) < window {
+        let is_alone = self.knowledge == FleetKnowledge::Alone;
+        if is_alone || now.since(self.started_at) < window {
             return 0.0;
         }
         let departed = self.departed.values().filter(|since| now.since(**since) < window).count();
--- a/crates/dispatch/tests/fleet_budgets.rs
+++ b/crates/dispatch/tests/fleet_budgets.rs
@@ -5,7 +5,7 @@
 
 use std::net::SocketAddrV4;
 
-use dispatch::{Bounds, RetryBudget, Share};
+use dispatch::{Bounds, FleetKnowledge, RetryBudget, Share};
 use model::prelude::*;
 use rand::{RngExt as _, SeedableRng as _, seq::IndexedRandom as _};
 use rand_chacha::ChaCha8Rng;
@@ -70,8 +70,12 @@
             let running = self.processes.iter().enumerate().filter(|it| it.1.is_some());
             let members: Vec<_> = running.map(|it| address(it.0)).collect();
             for process in self.processes.iter_mut().flatten() {
-                let is_settled = self.now.since(process.started) >= SETTLE_TIME;
-                process.share.update(self.now, members.iter().copied(), is_settled);
+                let knowledge = if self.now.since(process.started) >= SETTLE_TIME {
+                    FleetKnowledge::Settled
+                } else {
+                    FleetKnowledge::Unsettled
+                };
+                process.share.update(self.now, members.iter().copied(), knowledge);
             }
             act(self);
         }
--- a/crates/dispatch/tests/shares.rs
+++ b/crates/dispatch/tests/shares.rs
@@ -4,7 +4,7 @@
 
 use std::net::SocketAddrV4;
 
-use dispatch::{Bounds, RequestWindow, RetryBudget, Share};
+use dispatch::{Bounds, FleetKnowledge, RequestWindow, RetryBudget, Share};
 use model::prelude::*;
 use rand::{RngExt as _, SeedableRng as _};
 use rand_chacha::ChaCha8Rng;
@@ -23,7 +23,7 @@
 fn fleet(size: u16) -> Vec<Share> {
     let share = |no| {
         let mut share = Share::new(Time::default(), address(no), ZONES);
-        share.update(NOW, (0..size).map(address), true);
+        share.update(NOW, (0..size).map(address), FleetKnowledge::Settled);
         share
     };
     (0..size).map(share).collect()
@@ -64,7 +64,7 @@
     // Each spare has just started, and knows only itself and three seeds.
     for no in 7..7 + ZONES as u16 {
         let mut spare = Share::new(NOW, address(no), ZONES);
-        spare.update(NOW, (0..3).map(address).chain([address(no)]), false);
+        spare.update(NOW, (0..3).map(address).chain([address(no)]), FleetKnowledge::Unsettled);
         all.push(spare);
     }
 
--- a/crates/gossip/src/members.rs
+++ b/crates/gossip/src/members.rs
@@ -94,6 +94,11 @@
         self.seeds = seeds.iter().copied().filter(|it| *it != self.own.address).collect();
     }
 
+    /// Returns whether any seed is another instance.
+    pub fn has_seeds(&self) -> bool {
+        !self.seeds.is_empty()
+    }
+
     /// Marks this instance as shutting down in all further packets.
     pub fn leave(&mut self) {
         self.own.is_leaving = true;
