Take half of the ratio of retries from each of two windows, so that instances' parts add up

Callers see more retries at a pool than the budget allows (BUDGET) when requests move between instances, as they do when some are lost and come back. Cause: of the three windows whose requests may pay for retries, each instance took the one in which its own requests were most; the sum of the greatest is more than the greatest of the sums. What an instance may take without asking the others must be a fixed combination of the three: half for the window itself, so that retries are possible from the start of traffic, and half for the window before, so that many may follow at once when a server is lost. By that any instance may use half of the budget at any time, and all of it for steady retries.

--- a/crates/dispatch/src/budget.rs
+++ b/crates/dispatch/src/budget.rs
@@ -15,9 +15,14 @@
 const KEPT_STEPS: usize = 2 * STEPS + 1;
 
 /// The retry budget of a pool: a ratio of this instance's own requests, and its share of the
-/// fleet's slack. In every window the retries of all instances together stay within the sum. The
-/// requests that count are those of that window, of the one that begins half a window earlier, or
-/// of the one before it, whichever has the most.
+/// fleet's slack.
+///
+/// The fleet may retry in each window as many requests as the ratio allows for those of that window,
+/// of the one that begins half a window earlier, or of the one before it, whichever has the most. An
+/// instance takes half of the ratio for its requests in that window, and half for those in the one before
+/// it. So the parts of all instances add up to no more than the budget, however requests move between
+/// instances, and an instance that gets all requests may use half of it at any time. If each took
+/// the window in which it had the most requests, they would add up to more.
 #[derive(Clone, Debug, Default)]
 pub struct RetryBudget {
     /// The latest steps in order of time, without gaps.
@@ -71,10 +76,10 @@
         for first in (KEPT_STEPS - 1 - STEPS..KEPT_STEPS).rev() {
             retries += self.steps[first].retries;
             let (start, end) = (first + 1, first + STEPS);
-            let requests = [0, STEPS / 2, STEPS]
-                .map(|back| before[(end - back).min(KEPT_STEPS)] - before[start - back]);
-            let most = requests.into_iter().max().unwrap_or_default();
-            needed = needed.max(f64::from(retries) - f64::from(most) * bounds.retry_ratio);
+            let requests =
+                [0, STEPS].map(|back| before[(end - back).min(KEPT_STEPS)] - before[start - back]);
+            let paid = f64::from(requests[0] + requests[1]) / 2.0 * bounds.retry_ratio;
+            needed = needed.max(f64::from(retries) - paid);
         }
         needed
     }
