--- a/crates/edge/src/process.rs
+++ b/crates/edge/src/process.rs
@@ -135,10 +135,11 @@
 /// Sends the reducer a tick whenever one is due.
 async fn tick(instance: Rc<Instance>, rescheduled: Receiver<()>) {
     loop {
+        let scheduled_at = instance.clock.now();
         let due = instance.schedule_tick();
         // A message means that the next tick is due earlier than scheduled.
         if deadline::until(instance.clock, due, rescheduled.recv()).await.is_none() {
-            let late = instance.clock.now().since(due);
+            let late = instance.clock.now().since(due.max(scheduled_at));
             if late >= LATE_TICK {
                 log::warn!(late_ms = late.as_millis() as u64; "the process was held up");
             }
