Do not take a fleet's limits for a lone instance's while its seeds may be restarting

Servers that start cold crash when they get too many requests. An instance that starts while its seeds are down hears of nobody for a while, took itself for the only one after 1.06 s, and used the limit of a cold server divided by 4 instead of by the fleet. With settings that name other instances, one that has heard of none now assumes a large fleet for 10 s. A lone survivor uses cold servers 10 s after its start instead of 1 s.

--- a/crates/dispatch/src/fleet.rs
+++ b/crates/dispatch/src/fleet.rs
@@ -16,6 +16,9 @@
 /// Added to [`SETTLE_TIME`] for each known member: when 340 instances start at once, it takes up to
 /// 20 s until each knows all others.
 const SETTLE_TIME_PER_MEMBER: Duration = Duration::from_millis(60);
+/// The same for an instance that has heard of no other, although its settings name some: they may be
+/// restarting, or a network partition may keep them away for a while.
+const ALONE_SETTLE_TIME: Duration = Duration::from_secs(10);
 /// The longest time for which the entry of a server can make it cold. A longer time is taken for an
 /// error, which would keep requests from the server.
 const MAX_ENTRY_COLD: Duration = Duration::from_secs(60);
@@ -240,9 +243,11 @@
     fn update_share(&mut self, now: Time) {
         let members = u32::try_from(self.members.possible_count()).unwrap_or(u32::MAX);
         let settling = SETTLE_TIME + SETTLE_TIME_PER_MEMBER.saturating_mul(members);
+        let is_alone = members == 1 && self.members.has_seeds();
+        let settling = if is_alone { ALONE_SETTLE_TIME } else { settling };
         let knowledge = if now.since(self.started_at) < settling {
             FleetKnowledge::Unsettled
-        } else if members == 1 && self.members.has_seeds() {
+        } else if is_alone {
             FleetKnowledge::Alone
         } else {
             FleetKnowledge::Settled
--- a/crates/dispatch/tests/decisions/retry_limits.rs
+++ b/crates/dispatch/tests/decisions/start_limits.rs
@@ -1,8 +1,8 @@
-//! The slack of the retry budget at an instance that starts: others may have used all of it.
+//! The limits of the fleet at an instance that starts: others may have used all of them.
 
 use std::{net::SocketAddrV4, sync::Arc};
 
-use dispatch::{AttemptEnd, Bounds, Delivered, Event, Setup, State};
+use dispatch::{AttemptEnd, Bounds, Delivered, Event, ServerEntry, Setup, State};
 use model::prelude::*;
 
 use crate::support::{Bench, address, attempts, catalog, prompt, server, setup};
@@ -65,3 +65,24 @@
 
     assert_eq!(retries, 0);
 }
+
+/// Guards against restarted instances that each take a lone instance's part of the limit of a cold server,
+/// as the seeds that they ask first are down.
+#[test]
+fn an_instance_that_waits_for_its_seeds_sends_nothing_to_a_cold_server() {
+    let mut bench = started(&[address(2, 7000)]);
+    let cold = Duration::from_secs(60);
+    bench.list(ServerEntry { cold, ..server("cold", "engines", 21) });
+
+    let mut sent = 0;
+    for topic in 0..9 {
+        sent += attempts(&bench.request("live", prompt(172, 543, topic)).1).len();
+        bench.pass(1_000);
+        bench.read();
+    }
+    bench.pass(2_000);
+    bench.read();
+    let later = attempts(&bench.request("live", prompt(172, 543, 9)).1).len();
+
+    assert_eq!((sent, later), (0, 1));
+}
