Read Server-Limit at the boundary and log it

Servers in need name in their responses how many requests a second they take from all instances together. Nothing read that, so no line could tell a limit that is not known from one that each instance keeps for itself. The field is now read with the others that servers say of themselves, from each response but a 421; what is negative, not finite or no number is ignored with a line. New: lines `server names a limit` and `server names no limit any more`, metric `limited_servers`. No decision uses it yet.

--- a/crates/dispatch/src/effect.rs
+++ b/crates/dispatch/src/effect.rs
@@ -6,8 +6,8 @@
 use model::prelude::*;
 
 use crate::{
-    Attempt, AttemptEnd, FleetDemand, QuarantineChange, RequestKey, ResponseTrace, RetryUse,
-    ServerKey,
+    Attempt, AttemptEnd, FleetDemand, QuarantineChange, RequestKey, RequestRate, ResponseTrace,
+    RetryUse, ServerKey,
 };
 
 /// An effect of a decision, which the instance carries out.
@@ -140,6 +140,22 @@
         /// For how long from now on.
         span: Duration,
     },
+    /// A server names in a response how many requests it takes from the whole fleet.
+    ServerLimited {
+        /// The server's name in the platform's list.
+        server: Arc<str>,
+        /// The incarnation that says so.
+        incarnation: u64,
+        /// The requests that it takes from all instances together.
+        rate: RequestRate,
+    },
+    /// A server that had named a limit names none any more.
+    ServerUnlimited {
+        /// The server's name in the platform's list.
+        server: Arc<str>,
+        /// The incarnation that had named it.
+        incarnation: u64,
+    },
     /// A field of a server's response cannot be parsed and is ignored.
     IgnoredField {
         /// The server's name in the platform's list.
--- a/crates/dispatch/src/event.rs
+++ b/crates/dispatch/src/event.rs
@@ -6,7 +6,8 @@
 use model::prelude::*;
 
 use crate::{
-    AttemptEnd, Bounds, Catalog, Prompt, RequestKey, ResponseTrace, Routed, ServerEntry, ServerKey,
+    AttemptEnd, Bounds, Catalog, Prompt, RequestKey, RequestRate, ResponseTrace, Routed,
+    ServerEntry, ServerKey,
 };
 
 /// An event that the reducer handles.
@@ -100,6 +101,13 @@
         /// For how long, from now on.
         span: Duration,
     },
+    /// A response of the server of a running attempt names a limit, or names none any more.
+    ServerLimit {
+        /// Identifies the request of the attempt, as in [`Event::Request`].
+        key: RequestKey,
+        /// The requests that the server takes from all instances together; `None` if it names no limit.
+        rate: Option<RequestRate>,
+    },
     /// Bytes arrived from a server.
     BytesReceived {
         /// The server, which is therefore reachable.
--- a/crates/dispatch/src/state.rs
+++ b/crates/dispatch/src/state.rs
@@ -10,9 +10,15 @@
 
 use crate::{
     Catalog, Effect, EngineDemand, Event, Freshness, HeldPart, LiveEngines, LogEntry, Quarantine,
-    RequestKey, RetryBudget, ServerKey, Setup, Share, account_shares::AccountShares, queue::Queue,
-    reading_speed::ReadingSpeeds, request::Request, server_ends::PossibleEnd, servers::Servers,
-    service_times::ServiceTimes, zone_plans::ZonePlans,
+    RequestKey, RetryBudget, ServerKey, Setup, Share,
+    account_shares::AccountShares,
+    queue::Queue,
+    reading_speed::ReadingSpeeds,
+    request::{Request, Stage},
+    server_ends::PossibleEnd,
+    servers::Servers,
+    service_times::ServiceTimes,
+    zone_plans::ZonePlans,
 };
 
 /// The longest time between two ticks. A tick tries to start waiting requests, since gossip may
@@ -181,6 +187,7 @@
             Event::FirstByteDue { key } => self.first_byte_due(now, key),
             Event::ServerLeaving { key } => self.server_leaves(now, key),
             Event::ServerPaused { key, span } => self.server_pauses(now, key, span),
+            Event::ServerLimit { key, rate } => self.server_named_limit(now, key, rate),
             Event::ServerClosed { key } => self.server_closed(key),
             Event::BytesReceived { server } => self.bytes_received(now, server),
             Event::Ended { key, end, cold, trace } => {
@@ -266,6 +273,20 @@
         self.freshness.view_status(now)
     }
 
+    /// Returns whether the server of a request's attempt has named a limit.
+    pub fn is_limited(&self, key: RequestKey) -> bool {
+        let Some(Stage::Running(running)) = self.requests.get(key).map(|req| req.stage) else {
+            return false;
+        };
+        let server = self.servers.get(running.server);
+        server.is_some_and(|it| self.servers.limit(it.id, running.incarnation).is_some())
+    }
+
+    /// Returns the number of listed servers that have named a limit.
+    pub fn limited_count(&self) -> usize {
+        self.servers.limited().count()
+    }
+
     /// Returns the parts of prompts that are held back.
     pub fn held_parts(&self) -> Vec<HeldPart> {
         self.quarantine.held()
--- a/crates/edge/src/attempt.rs
+++ b/crates/edge/src/attempt.rs
@@ -11,7 +11,7 @@
 use rustix::net::sockopt::set_tcp_user_timeout;
 
 use crate::{
-    AttemptFields, BackendFields, Instance,
+    AttemptFields, BackendFields, FieldError, Instance,
     connection_pool::Connection,
     memory::{MemoryUse, Reservation},
     outgoing::OutgoingRequest,
@@ -241,8 +241,9 @@
             let head = ResponseHead::read(input, method, MAX_RESPONSE_HEAD_BYTES).await?;
             self.instance.handle_event(Event::BytesReceived { server: self.attempt.server });
             let fields = self.instance.header_codec.read_backend(&head);
-            self.heed_server(head.status(), &fields);
-            if fields.id == Some(&**self.id) {
+            let is_own = fields.id == Some(&**self.id);
+            self.heed_server(head.status(), &fields, is_own);
+            if is_own {
                 progress.cold = fields.cold;
                 return Ok((head, is_clean));
             }
@@ -262,8 +263,9 @@
         Err(Fault::Broken("too many responses to other requests"))
     }
 
-    /// Passes on what the server says of itself in a response, also in one to another request.
-    fn heed_server(&self, status: u16, fields: &BackendFields<'_>) {
+    /// Passes on what the server says of itself in a response, also in one to another request. Only the
+    /// response to this one, `is_own`, shows that it names no limit now.
+    fn heed_server(&self, status: u16, fields: &BackendFields<'_>, is_own: bool) {
         if status == 421 {
             // Another server responds at this address.
             return;
@@ -276,14 +278,22 @@
                 self.instance.handle_event(Event::ServerPaused { key: self.key, span });
             }
             Ok(_) => {}
-            Err(err) => {
-                let (server, error) = (Arc::clone(&self.attempt.name), err.to_string());
-                let entry = LogEntry::IgnoredField { server, error };
-                self.instance.record(self.instance.clock.now(), &entry);
-            }
+            Err(err) => self.log_ignored_field(err),
+        }
+        let is_limited = || self.instance.read_state(|state| state.is_limited(self.key));
+        match fields.limit {
+            Ok(None) if !is_own || !is_limited() => {}
+            Ok(rate) => self.instance.handle_event(Event::ServerLimit { key: self.key, rate }),
+            Err(err) => self.log_ignored_field(err),
         }
     }
 
+    fn log_ignored_field(&self, err: FieldError) {
+        let (server, error) = (Arc::clone(&self.attempt.name), err.to_string());
+        let entry = LogEntry::IgnoredField { server, error };
+        self.instance.record(self.instance.clock.now(), &entry);
+    }
+
     /// Returns the fault of a response whose head proves that the request did not run.
     fn find_rejection(&self, head: &ResponseHead) -> Option<Fault> {
         let is_misdirected = head.status() == 421;
--- a/crates/edge/src/headers.rs
+++ b/crates/edge/src/headers.rs
@@ -2,7 +2,7 @@
 
 use std::net::SocketAddrV4;
 
-use dispatch::{Prompt, Rank};
+use dispatch::{Prompt, Rank, RequestRate};
 use http1::{RequestHead, ResponseHead};
 use model::prelude::*;
 use thiserror::Error;
@@ -67,6 +67,8 @@
     /// For how long the server wants no requests of this instance; absent if it does not say. Only a
     /// rejection may say it.
     pub retry_after: Result<Option<Duration>, FieldError>,
+    /// How many requests the server takes from all instances together; absent if it names no limit.
+    pub limit: Result<Option<RequestRate>, FieldError>,
 }
 
 /// What the fields of an attempt tell the backend server.
--- a/crates/edge/src/journal.rs
+++ b/crates/edge/src/journal.rs
@@ -56,6 +56,8 @@
             | LogEntry::IgnoredField { .. }
             | LogEntry::ServerReportedLeaving { .. }
             | LogEntry::ServerPaused { .. }
+            | LogEntry::ServerLimited { .. }
+            | LogEntry::ServerUnlimited { .. }
             | LogEntry::Rejected { .. }
             | LogEntry::SentLate { .. }
             | LogEntry::EndedLate { .. }
@@ -115,6 +117,13 @@
         LogEntry::ServerPaused { server, incarnation, span } => {
             log::info!(server:%, incarnation, span_ms = millis(*span); "server asks for a pause");
         }
+        LogEntry::ServerLimited { server, incarnation, rate } => {
+            let per_second = rate.per_second();
+            log::info!(server:%, incarnation, per_second; "server names a limit");
+        }
+        LogEntry::ServerUnlimited { server, incarnation } => {
+            log::info!(server:%, incarnation; "server names no limit any more");
+        }
         LogEntry::IgnoredField { server, error } => {
             log::info!(server:%, error; "ignored a field of a response");
         }
--- a/crates/edge/src/metrics.rs
+++ b/crates/edge/src/metrics.rs
@@ -43,6 +43,7 @@
     servers_ended: Counter,
     servers_leaving: Counter,
     server_pauses: Counter,
+    limited_servers: Gauge,
     quarantined_parts: Gauge,
     pub(crate) traffic: Traffic,
     accounts_above_share: Gauge,
@@ -118,6 +119,7 @@
             servers_ended: Counter::default(),
             servers_leaving: Counter::default(),
             server_pauses: Counter::default(),
+            limited_servers: Gauge::default(),
             quarantined_parts: Gauge::default(),
             traffic: Traffic::default(),
             accounts_above_share: Gauge::default(),
@@ -233,6 +235,11 @@
             "Pauses for which backend servers asked in rejections, extensions included",
             self.server_pauses.clone(),
         );
+        registry.register(
+            "limited_servers",
+            "Backend servers that name a limit on the requests of the fleet",
+            self.limited_servers.clone(),
+        );
         registry.register(
             "servers_ended",
             "Servers that ended while requests of this instance were unanswered",
@@ -353,6 +360,7 @@
         let (members, age) = state.fleet_load(now).unwrap_or_default();
         self.fleet_load_members.set(members.into());
         self.fleet_load_age.set(age.as_secs_f64());
+        self.limited_servers.set(i64::try_from(state.limited_count()).unwrap_or(i64::MAX));
         if let Some(age) = state.view_age(now) {
             self.view_age.set(age.as_secs_f64());
         }
