Keep the limits that servers name, over the whole fleet

Cause: nothing kept the limit. Each instance now keeps its part of one and a half times what it allows in 4 s, and 5 requests: the whole number left after division by the instances that may run, or one request at those that a hash of the server names where there are more instances than requests. Nothing is asked for, so peers that are late, cut off or restarted change nothing; a process has no part in its first window. All requests count when they are sent: first attempts, retries, trials, resumed generations; those that are decided are asked about again right before the first byte; such servers get no copies of KV caches and are no source of prompt parts. A response to a request that was sent after the limit was named ends it. Instances tell each other for 10 s, so that those without a part learn of the end, and the others keep the limit before they are told.

--- a/crates/dispatch/src/fleet.rs
+++ b/crates/dispatch/src/fleet.rs
@@ -177,6 +177,9 @@
             self.quarantine.merge(now, &update.evidence);
             self.update_quarantine(now);
         }
+        if !update.limits.is_empty() {
+            self.heed_limit_report(now, &update.limits);
+        }
         if !update.leaving.is_empty() {
             self.heed_leaving_report(now, &update.leaving);
         }
@@ -196,11 +199,13 @@
             if self.knows_fleet_loads() { <_>::default() } else { self.own_loads() };
         let evidence = self.quarantine.report(now);
         let leaving = self.leaving_report(now);
+        let limits = self.limit_report(now);
         let (packets, died) = self.members.tick(now, self.freshness.view_status(now), &loads);
         for mut outgoing in packets {
             outgoing.packet.ranked_loads.clone_from(&ranked_loads);
             outgoing.packet.evidence.clone_from(&evidence);
             outgoing.packet.leaving.clone_from(&leaving);
+            outgoing.packet.limits.clone_from(&limits);
             self.emit(Effect::Send(outgoing));
         }
         for member in died {
--- a/crates/dispatch/src/outcome.rs
+++ b/crates/dispatch/src/outcome.rs
@@ -37,6 +37,8 @@
         if let Some(server) = self.servers.get_mut(running.server) {
             server.unsent = server.unsent.saturating_sub(1);
             server.recent_requests.record(now);
+            let id = server.id;
+            self.count_limited(now, id, running.incarnation);
         }
         self.log_late_sending(now, id, running);
     }
--- a/crates/dispatch/src/placement.rs
+++ b/crates/dispatch/src/placement.rs
@@ -46,8 +46,8 @@
     }
 
     /// Returns whether the attempt that was started for a request may still be sent: its server has
-    /// neither begun to leave, asked for a pause nor been restarted since it was chosen, its zone has
-    /// not been evacuated, and no part of its prompt is held back. Asked when there is a connection,
+    /// neither begun to leave, asked for a pause, named a limit that leaves no room nor been restarted
+    /// since it was chosen, its zone has not been evacuated, and no part of its prompt is held back. Asked when there is a connection,
     /// right before the first byte.
     pub fn may_send_attempt(&self, now: Time, key: RequestKey) -> bool {
         let Some(req) = self.requests.get(key) else { return false };
@@ -58,25 +58,29 @@
             && self.servers.get(running.server).is_some_and(|server| {
                 self.servers.is_eligible(server)
                     && !server.is_paused(now)
+                    && self.is_within_limit(now, server, 0)
                     && server.entry.incarnation == running.incarnation
             })
     }
 
     /// Returns whether a server may get a request now: it neither leaves nor is in an evacuated zone,
-    /// paused or backed off, and if it is cold, this instance has not used up its share of the cold
+    /// paused or backed off, has named no limit that leaves no room, and if it is cold, this instance has not used up its share of the cold
     /// rate.
     pub(crate) fn may_send(&self, now: Time, server: &Server, pool: &Pool) -> bool {
         let is_out = server.is_paused(now) || server.health.is_backed_off(now);
         if !self.servers.is_eligible(server) || is_out {
             return false;
         }
+        // Requests that wait for a connection may be sent together with this one.
+        if !self.is_within_limit(now, server, server.unsent) {
+            return false;
+        }
         let is_cold = server.is_cold(now) || self.is_listed_as_cold(now, server);
         if !is_cold || pool.cold_rate <= 0.0 {
             return true;
         }
         let bounds = &self.setup.bounds;
         let limit = (pool.cold_rate * bounds.cold_factor + bounds.cold_extra).floor() as u32;
-        // Requests that wait for a connection may be sent together with this one.
         let count = server.recent_requests.count(now) + server.unsent;
         count < self.share.whole_units(limit, server.id)
     }
--- a/crates/dispatch/src/selection.rs
+++ b/crates/dispatch/src/selection.rs
@@ -154,6 +154,8 @@
             }
         }
         let backup = second.filter(|_| is_backed_up).map(|second| second.server);
+        let backup =
+            backup.filter(|key| self.servers.get(*key).is_some_and(|it| !self.has_limit(it)));
         Found { best: best.map(|best| Choice { backup, ..best }), full }
     }
 
@@ -209,10 +211,12 @@
         survey
     }
 
-    /// Returns whether a server is known and neither paused nor backed off.
+    /// Returns whether a server is known, neither paused nor backed off, and names no limit.
     fn is_available(&self, now: Time, server: ServerKey) -> bool {
         let server = self.servers.get(server);
-        server.is_some_and(|it| !it.is_paused(now) && !it.health.is_backed_off(now))
+        server.is_some_and(|it| {
+            !it.is_paused(now) && !it.health.is_backed_off(now) && !self.has_limit(it)
+        })
     }
 
     /// Returns the servers that rendezvous hashing prefers for the shared prefix of a request, among
--- a/crates/dispatch/src/server_notices.rs
+++ b/crates/dispatch/src/server_notices.rs
@@ -139,6 +139,6 @@
 }
 
 /// Returns the tag of a start of a server, the same at all instances.
-fn incarnation_tag(server: ServerId, incarnation: u64) -> IncarnationTag {
+pub(crate) fn incarnation_tag(server: ServerId, incarnation: u64) -> IncarnationTag {
     IncarnationTag(xxh3_64_with_seed(&incarnation.to_be_bytes(), server.0) as u32)
 }
--- a/crates/dispatch/src/servers.rs
+++ b/crates/dispatch/src/servers.rs
@@ -5,13 +5,11 @@
 use model::prelude::*;
 use slotmap::SlotMap;
 
-use crate::{Server, ServerEntry, ServerKey, server_limit::ServerLimit};
+use crate::{Server, ServerEntry, ServerKey};
 
 /// Servers that said that they leave, of which that is remembered; beyond that, those that are not
 /// listed any more are forgotten.
 const MAX_LEAVING: usize = 1_024;
-/// The same for servers that named a limit.
-const MAX_LIMITED: usize = 1_024;
 
 /// All backend servers that the platform lists, by pool.
 #[derive(Debug, Default)]
@@ -22,8 +20,6 @@
     /// The servers that said that they leave. Kept by id, as the platform may list such a server again,
     /// also after it had removed it.
     leaving: BTreeMap<ServerId, Leaving>,
-    /// The limits that servers named. Kept by id for the same reason.
-    limits: BTreeMap<ServerId, ServerLimit>,
     /// The evacuated zones, whose servers get no requests.
     pub(crate) evacuated_zones: BTreeSet<ZoneId>,
 }
@@ -95,31 +91,6 @@
         recent.map(|(id, leaving)| (*id, leaving.incarnation))
     }
 
-    /// Returns the limit that an incarnation of a server named; `None` if there is none.
-    pub(crate) fn limit(&self, id: ServerId, incarnation: u64) -> Option<&ServerLimit> {
-        self.limits.get(&id).filter(|limit| limit.incarnation == incarnation)
-    }
-
-    /// Replaces the limit of a server.
-    pub(crate) fn set_limit(&mut self, id: ServerId, limit: ServerLimit) {
-        if self.limits.len() >= MAX_LIMITED {
-            self.limits.retain(|id, _| self.by_id.contains_key(id));
-        }
-        self.limits.insert(id, limit);
-    }
-
-    pub(crate) fn remove_limit(&mut self, id: ServerId) {
-        self.limits.remove(&id);
-    }
-
-    /// Returns the servers that named a limit and are listed, with it.
-    pub(crate) fn limited(&self) -> impl Iterator<Item = (&Server, &ServerLimit)> {
-        self.all.values().filter_map(|server| {
-            let limit = self.limit(server.id, server.entry.incarnation)?;
-            Some((server, limit))
-        })
-    }
-
     /// Returns whether a server said that it leaves.
     fn is_leaving(&self, server: &Server) -> bool {
         let leaving = self.leaving.get(&server.id);
--- a/crates/dispatch/src/settings.rs
+++ b/crates/dispatch/src/settings.rs
@@ -48,6 +48,13 @@
     pub cold_factor: f64,
     /// Requests per second that a cold server may get beyond its rate times the factor.
     pub cold_extra: f64,
+    /// The window over which the requests to a server that names a limit are counted.
+    pub limit_window: Duration,
+    /// Such a server gets in each window at most what its limit allows there times this, plus
+    /// [`Bounds::limit_extra`].
+    pub limit_factor: f64,
+    /// Requests in a window that it may get beyond that.
+    pub limit_extra: f64,
     /// The time from the request to stop until the process is killed.
     pub grace: Duration,
 }
@@ -63,6 +70,9 @@
             retry_slack: 50.0,
             cold_factor: 1.5,
             cold_extra: 5.0,
+            limit_window: Duration::from_secs(4),
+            limit_factor: 1.5,
+            limit_extra: 5.0,
             grace: Duration::from_secs(8),
         }
     }
--- a/crates/dispatch/src/share.rs
+++ b/crates/dispatch/src/share.rs
@@ -98,7 +98,7 @@
         if is_alone || now.since(self.started_at) < window {
             return 0.0;
         }
-        let departed = self.departed.values().filter(|since| now.since(**since) < window).count();
+        let departed = self.departed_within(now, window).count();
         limit / (f64::from(self.size()) + departed as f64)
     }
 
@@ -106,7 +106,35 @@
     /// instances get the same number if there is at least one unit for each. Otherwise as many
     /// instances as there are units get one, and rendezvous hashing chooses them for each server.
     pub fn whole_units(&self, limit: u32, server: ServerId) -> u32 {
-        let size = self.size();
+        self.units_beside(&[], limit, server)
+    }
+
+    /// Does the same for a limit on what is used in each `window`, as [`Share::fraction`] does: with no
+    /// units before a window has passed since the start, and counting the instances that have gone
+    /// within it.
+    pub fn whole_units_over(
+        &self,
+        now: Time,
+        window: Duration,
+        limit: u32,
+        server: ServerId,
+    ) -> u32 {
+        if now.since(self.started_at) < window {
+            return 0;
+        }
+        let departed: Vec<_> = self.departed_within(now, window).collect();
+        self.units_beside(&departed, limit, server)
+    }
+
+    fn departed_within(&self, now: Time, window: Duration) -> impl Iterator<Item = SocketAddrV4> {
+        let departed = self.departed.iter().filter(move |it| now.since(*it.1) < window);
+        departed.map(|it| *it.0)
+    }
+
+    /// Returns the units that are left beside the known members and those that have departed.
+    fn units_beside(&self, departed: &[SocketAddrV4], limit: u32, server: ServerId) -> u32 {
+        let count = |len| u32::try_from(len).unwrap_or(u32::MAX);
+        let size = self.size().saturating_add(count(departed.len()));
         if limit >= size {
             return limit / size;
         }
@@ -117,9 +145,10 @@
             xxh3_64_with_seed(&buf, server.0)
         };
         let own_rank = rank(self.own);
-        let ahead = self.members.iter().filter(|member| rank(**member) > own_rank).count();
+        let known = self.members.iter().chain(departed);
+        let ahead = known.filter(|member| rank(**member) > own_rank).count();
         // Unknown instances may rank higher as well.
-        let unknown = size.saturating_sub(u32::try_from(self.members.len()).unwrap_or(u32::MAX));
+        let unknown = size.saturating_sub(count(self.members.len() + departed.len()));
         u32::from(ahead as u64 + u64::from(unknown) < u64::from(limit))
     }
 }
--- a/crates/dispatch/src/state.rs
+++ b/crates/dispatch/src/state.rs
@@ -16,6 +16,7 @@
     reading_speed::ReadingSpeeds,
     request::{Request, Stage},
     server_ends::PossibleEnd,
+    server_limits::ServerLimits,
     servers::Servers,
     service_times::ServiceTimes,
     zone_plans::ZonePlans,
@@ -51,6 +52,7 @@
     pub(crate) rng: ChaCha8Rng,
     pub(crate) catalog: Option<Arc<Catalog>>,
     pub(crate) servers: Servers,
+    pub(crate) server_limits: ServerLimits,
     /// Whether the platform's server list has been read.
     pub(crate) has_server_list: bool,
     pub(crate) freshness: Freshness,
@@ -119,6 +121,7 @@
             upstream: Upstream::new(setup.address, rng.random()),
             catalog: None,
             servers: Servers::default(),
+            server_limits: ServerLimits::default(),
             has_server_list: false,
             freshness: Freshness::default(),
             is_behind: false,
@@ -279,12 +282,12 @@
             return false;
         };
         let server = self.servers.get(running.server);
-        server.is_some_and(|it| self.servers.limit(it.id, running.incarnation).is_some())
+        server.is_some_and(|it| self.server_limits.get(it.id, running.incarnation).is_some())
     }
 
-    /// Returns the number of listed servers that have named a limit.
-    pub fn limited_count(&self) -> usize {
-        self.servers.limited().count()
+    /// Returns by how many instances limits of the fleet are divided.
+    pub fn limit_divisor(&self) -> u32 {
+        self.share.size()
     }
 
     /// Returns the parts of prompts that are held back.
@@ -320,6 +323,7 @@
         self.gossip(now);
         self.tell_loads(now);
         self.remove_expired_servers(now);
+        self.forget_limits(now);
         self.refuse_expired(now);
         self.update_late(now);
         self.record_survivals(now);
--- a/crates/edge/src/metrics.rs
+++ b/crates/edge/src/metrics.rs
@@ -360,7 +360,8 @@
         let (members, age) = state.fleet_load(now).unwrap_or_default();
         self.fleet_load_members.set(members.into());
         self.fleet_load_age.set(age.as_secs_f64());
-        self.limited_servers.set(i64::try_from(state.limited_count()).unwrap_or(i64::MAX));
+        let limited = state.limited_servers(now).len();
+        self.limited_servers.set(i64::try_from(limited).unwrap_or(i64::MAX));
         if let Some(age) = state.view_age(now) {
             self.view_age.set(age.as_secs_f64());
         }
--- a/crates/gossip/src/members.rs
+++ b/crates/gossip/src/members.rs
@@ -183,6 +183,7 @@
             ranked_loads: packet.ranked_loads,
             evidence: packet.evidence,
             leaving: packet.leaving,
+            limits: packet.limits,
         })
     }
 
--- a/crates/gossip/src/packet.rs
+++ b/crates/gossip/src/packet.rs
@@ -6,7 +6,7 @@
 use thiserror::Error;
 
 use crate::{
-    IncarnationTag, Load, Member, PartEvidence, RankedLoad, ZoneMembers,
+    IncarnationTag, LimitNotice, Load, Member, PartEvidence, RankedLoad, ZoneMembers,
     checked::{self, EMPTY_LIST_BYTES},
 };
 
@@ -19,6 +19,8 @@
 
 /// Upper bound on the bytes of the evidence and the notices in a packet.
 const MAX_EVIDENCE_BYTES: usize = 400;
+/// Upper bound on the bytes of the limits in a packet, with those of empty lists before them.
+const MAX_LIMIT_BYTES: usize = 200;
 /// Upper bound on the bytes of a [`RankedLoad`], and on those of their number.
 const MAX_RANKED_LOAD_BYTES: usize = 10;
 
@@ -55,6 +57,9 @@
     /// notices, in large fleets only.
     #[serde(skip)]
     pub zones: Vec<ZoneMembers>,
+    /// What servers told the sender lately of their limits, as far as it fits. It follows the zones.
+    #[serde(skip)]
+    pub limits: Vec<LimitNotice>,
 }
 
 /// A packet to be sent.
@@ -94,8 +99,10 @@
     /// The bytes are not an encoded packet.
     #[error("malformed packet: {0}")]
     Malformed(#[from] postcard::Error),
-    /// The evidence, the notices or the zones in the packet do not match their checksum.
-    #[error("the evidence against prompt parts, the notices of servers or the zones are damaged")]
+    /// The evidence, the notices, the zones or the limits in the packet do not match their checksum.
+    #[error(
+        "the evidence against prompt parts, the notices of servers, the zones or the limits are damaged"
+    )]
     DamagedList,
     /// The sum of loads does not match its checksum.
     #[error("the sum of loads is damaged")]
@@ -126,6 +133,7 @@
             evidence: Vec::new(),
             leaving: Vec::new(),
             zones: Vec::new(),
+            limits: Vec::new(),
         }
     }
 
@@ -142,16 +150,21 @@
         Ok(bytes)
     }
 
-    /// Encodes as much as fits of the zones, of the evidence in the room that they leave, and of the
-    /// notices in the rest.
+    /// Encodes as much as fits of the zones, of the limits and of the evidence in the room that they
+    /// leave, and of the notices in the rest.
     fn encode_lists(&self, room: usize) -> Result<Vec<u8>, postcard::Error> {
         let zones = checked::encode(&self.zones, room.saturating_sub(2 * EMPTY_LIST_BYTES))?;
         let reserved = if zones.is_empty() { 0 } else { zones.len() + EMPTY_LIST_BYTES };
+        let room = room - reserved;
+        // Empty lists before them take bytes too.
+        let for_limits = room.min(MAX_LIMIT_BYTES).saturating_sub(3 * EMPTY_LIST_BYTES);
+        let limits = checked::encode(&self.limits, for_limits)?;
+        let reserved = if limits.is_empty() { 0 } else { limits.len() + 3 * EMPTY_LIST_BYTES };
         let room = (room - reserved).min(MAX_EVIDENCE_BYTES);
         let evidence = checked::encode(&self.evidence, room)?;
         let room = room.saturating_sub(evidence.len().max(EMPTY_LIST_BYTES));
         let notices = checked::encode(&self.leaving, room)?;
-        checked::join([evidence, notices, zones])
+        checked::join([evidence, notices, zones, limits])
     }
 
     /// Decodes a packet. Bytes after it are ignored.
@@ -169,7 +182,10 @@
                     let (leaving, rest) = checked::decode(rest)?;
                     packet.leaving = leaving;
                     // Packets of small fleets and of instances that do not tell zones end here.
-                    packet.zones = checked::decode(rest)?.0;
+                    let (zones, rest) = checked::decode(rest)?;
+                    packet.zones = zones;
+                    // Packets end here while no server names a limit.
+                    packet.limits = checked::decode(rest)?.0;
                 }
                 Ok(packet)
             }
--- a/crates/gossip/src/peer_update.rs
+++ b/crates/gossip/src/peer_update.rs
@@ -2,7 +2,7 @@
 
 use model::prelude::*;
 
-use crate::{IncarnationTag, Load, Member, PartEvidence, RankedLoad, ViewStatus};
+use crate::{IncarnationTag, LimitNotice, Load, Member, PartEvidence, RankedLoad, ViewStatus};
 
 /// What a received packet says about its sender.
 #[derive(Debug)]
@@ -24,4 +24,6 @@
     pub evidence: Vec<PartEvidence>,
     /// Servers that told the sender lately that they leave.
     pub leaving: Vec<IncarnationTag>,
+    /// What servers told the sender lately of their limits.
+    pub limits: Vec<LimitNotice>,
 }
--- a/crates/gossip/tests/notices.rs
+++ b/crates/gossip/tests/notices.rs
@@ -5,8 +5,8 @@
 use std::net::SocketAddrV4;
 
 use gossip::{
-    DecodeError, EndTag, IncarnationTag, Load, MAX_PACKET_BYTES, Member, Members, Packet,
-    PartEvidence, ServerEnd, ServerTag, ViewStatus,
+    DecodeError, EndTag, IncarnationTag, LimitNotice, Load, MAX_PACKET_BYTES, Member, Members,
+    Packet, PartEvidence, ServerEnd, ServerTag, ViewStatus,
 };
 use model::prelude::*;
 
@@ -91,3 +91,57 @@
         );
     }
 }
+
+/// Returns a packet that tells of this many limits too.
+fn with_limits(mut packet: Packet, count: u32) -> Packet {
+    packet.limits = limits(count);
+    packet
+}
+
+fn limits(count: u32) -> Vec<LimitNotice> {
+    let limit = |no| LimitNotice {
+        server: IncarnationTag(u32::MAX - no),
+        millis_per_second: (no % 2 == 0).then_some(2_300 + no),
+        age_ms: 9_000,
+    };
+    (0..count).map(limit).collect()
+}
+
+#[test]
+fn limits_are_decoded_as_they_were_encoded_behind_all_other_lists() {
+    for (evidence, leaving) in [(0, 0), (2, 0), (0, 3), (20, 16)] {
+        let packet = with_limits(packet(3, evidence, leaving), 12);
+
+        let decoded = Packet::decode(&packet.encode().unwrap()).unwrap();
+
+        assert_eq!(decoded.limits, packet.limits);
+        assert_eq!(decoded.leaving.is_empty(), leaving == 0);
+        assert_eq!(decoded.evidence.is_empty(), evidence == 0);
+    }
+}
+
+/// Guards against packets that grow while no server names a limit, or beyond a datagram.
+#[test]
+fn limits_take_bytes_only_while_there_are_some_and_a_bounded_number() {
+    let without = packet(3, 0, 0).encode().unwrap().len();
+    let with = |count| with_limits(packet(3, 0, 0), count).encode().unwrap().len();
+    let full = with_limits(packet(80, 20, 200), 400).encode().unwrap().len();
+
+    assert_eq!(with(0), without);
+    assert!(with(400) <= without + 200, "{} bytes", with(400) - without);
+    assert!(full <= MAX_PACKET_BYTES, "{full} bytes");
+}
+
+/// Guards against a limit of another server that is read from a damaged packet.
+#[test]
+fn a_packet_with_damaged_limits_is_rejected() {
+    let bytes = with_limits(packet(3, 0, 0), 2).encode().unwrap();
+
+    for no in 1..=8 {
+        let mut damaged = bytes.clone();
+        let index = damaged.len() - no;
+        damaged[index] ^= 0x10;
+
+        assert!(Packet::decode(&damaged).is_err(), "byte {no} from the end");
+    }
+}
