Show limits of servers and what divides them at /status

Operators can see what an instance knows of servers that name a limit, its part and what it has used, at the readiness and metrics addresses: GET /status gives JSON with readiness, version of the configuration, age of the view, instances, divisor and limited servers. Test: own_endpoints the_status_tells_the_limits.

--- a/crates/edge/src/status.rs
+++ b/crates/edge/src/status.rs
@@ -14,6 +14,8 @@
 
 /// The path under which operators see and decide which prompt parts are held back.
 const PROMPT_PARTS: &str = "/prompt-parts";
+/// The path under which operators see what the instance knows and keeps.
+const STATUS: &str = "/status";
 
 /// Size limit of a request's head; the connection of a larger one is closed.
 const MAX_HEAD_BYTES: usize = 4 << 10;
@@ -80,6 +82,13 @@
     if let Some(rest) = path.strip_prefix(PROMPT_PARTS) {
         return respond_prompt_parts(instance, method, rest);
     }
+    if path == STATUS {
+        return if method == "GET" {
+            ("200 OK", status(instance))
+        } else {
+            ("405 Method Not Allowed", String::new())
+        };
+    }
     let settings = &instance.settings;
     if path == settings.ready_path {
         return if instance.is_ready() {
@@ -99,6 +108,38 @@
     ("404 Not Found", String::new())
 }
 
+/// Returns what the instance knows and keeps as JSON.
+fn status(instance: &Instance) -> String {
+    let now = instance.clock.now();
+    let limited = instance.read_state(|state| state.limited_servers(now));
+    let limited = limited.iter().map(|server| {
+        json!({
+            "server": &*server.name,
+            "perSecond": server.rate.per_second(),
+            "share": server.share,
+            "sent": server.sent,
+            "namedAgeMs": millis(now.since(server.named_at)),
+            "toldByServer": server.is_direct,
+        })
+    });
+    let limited: Vec<_> = limited.collect();
+    instance.read_state(|state| {
+        json!({
+            "ready": instance.is_ready(),
+            "configVersion": state.catalog().map(|catalog| catalog.version.0),
+            "viewAgeMs": state.view_age(now).map(millis),
+            "instances": state.alive(),
+            "limitDivisor": state.limit_divisor(),
+            "limitedServers": limited,
+        })
+        .to_string()
+    })
+}
+
+fn millis(span: Duration) -> u64 {
+    u64::try_from(span.as_millis()).unwrap_or(u64::MAX)
+}
+
 /// Returns the response to a request about the prompt parts that are held back. `rest` is its path
 /// after [`PROMPT_PARTS`].
 fn respond_prompt_parts(instance: &Instance, method: &str, rest: &str) -> (&'static str, String) {
@@ -127,7 +168,6 @@
 /// Returns the prompt parts that are held back as JSON.
 fn held_parts(instance: &Instance) -> String {
     let now = instance.clock.now();
-    let millis = |span: Duration| u64::try_from(span.as_millis()).unwrap_or(u64::MAX);
     let parts = instance.read_state(State::held_parts);
     let parts = parts.iter().map(|held| {
         json!({
