Tell limits by turns if a packet has no room for all; test parts of limits in fleets that change

If more than 16 servers name a limit, reports held the first ones by id, and no word of ended limits once 16 had one: instances without a part would learn of an end by the silence of a minute only. Each report now holds others. Instances that have gone are remembered for 300 s, longer than any window of the settings that is in use. New tests: 40 limits told within 12 rounds; parts of a limit in fleets of 2 to 80 whose members restart and leave at random, 20 seeds.

--- a/crates/dispatch/src/limited_servers.rs
+++ b/crates/dispatch/src/limited_servers.rs
@@ -9,6 +9,7 @@
 
 use gossip::LimitNotice;
 use model::prelude::*;
+use rand::seq::IteratorRandom as _;
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
 use crate::{
@@ -101,8 +102,9 @@
         limited.collect()
     }
 
-    /// Returns what servers told this instance lately of their limits.
-    pub(crate) fn limit_report(&self, now: Time) -> Vec<LimitNotice> {
+    /// Returns what servers told this instance lately of their limits; others in each report if there are
+    /// more than one takes.
+    pub(crate) fn limit_report(&mut self, now: Time) -> Vec<LimitNotice> {
         let since = now - REPORT_TIME;
         let notice = |id, incarnation, rate: Option<RequestRate>, at| LimitNotice {
             server: incarnation_tag(id, incarnation),
@@ -113,7 +115,7 @@
         let direct = direct.map(|(id, it)| notice(id, it.incarnation, Some(it.rate), it.told_at));
         let ended = self.server_limits.ended_since(since);
         let ended = ended.map(|(id, it)| notice(id, it.incarnation, None, it.at));
-        direct.chain(ended).take(MAX_REPORTED).collect()
+        direct.chain(ended).sample(&mut self.rng, MAX_REPORTED)
     }
 
     /// Handles what servers told another instance of their limits.
--- a/crates/dispatch/src/share.rs
+++ b/crates/dispatch/src/share.rs
@@ -18,7 +18,7 @@
 /// designed for.
 const UNSETTLED_FLEET_SIZE: u32 = 1_024;
 /// How long instances that are not known any more are remembered, at least the window of each limit.
-const DEPARTED_RETENTION: Duration = Duration::from_secs(60);
+const DEPARTED_RETENTION: Duration = Duration::from_secs(300);
 
 /// An instance's share of limits that hold for the whole fleet. The shares of all instances add up
 /// to no more than the limit if each instance counts all the instances that may run.
--- a/crates/dispatch/tests/decisions/server_limits.rs
+++ b/crates/dispatch/tests/decisions/server_limits.rs
@@ -1,6 +1,6 @@
 //! Servers that name in their responses how many requests they take from the whole fleet.
 
-use std::sync::Arc;
+use std::{collections::BTreeSet, sync::Arc};
 
 use dispatch::{
     AttemptEnd, Effect, Event, RequestKey, RequestRate, ServerChange, ServerEntry, State,
@@ -408,3 +408,22 @@
     packets[0].packet.limits = vec![notice];
     bench.step(Event::Packet(packets.remove(0).packet));
 }
+
+/// Guards against limits that others never hear of, as a packet has no room for all of them.
+#[test]
+fn limits_beyond_the_room_of_a_packet_are_told_by_turns() {
+    let mut bench = Bench::new(Vec::new());
+    for no in 1..=40 {
+        bench.list(entry(no));
+        let (key, _) = bench.request("look", prompt(0, 0, 0));
+        bench.step(Event::Sent { key });
+        bench.step(Event::ServerLimit { key, rate: rate(0.0) });
+        bench.ended(key, AttemptEnd::Completed { is_success: true });
+        bench.step(Event::Server(ServerChange::Unlisted(entry(no).id())));
+    }
+
+    let told: BTreeSet<_> =
+        (0..12).flat_map(|_| report_of(&mut bench)).map(|notice| notice.server).collect();
+
+    assert_eq!(told.len(), 40);
+}
--- a/crates/dispatch/tests/fleet_budgets.rs
+++ b/crates/dispatch/tests/fleet_budgets.rs
@@ -1,11 +1,11 @@
-//! The retry budget of whole fleets, in which instances restart, leave, are cut off and get other
-//! callers: in every window the retries of all processes add up to no more than the budget.
+//! The limits of whole fleets, in which instances restart, leave, are cut off and get other callers: in
+//! every window what all processes send adds up to no more than the limit.
 
 #![allow(clippy::unwrap_used)]
 
 use std::net::SocketAddrV4;
 
-use dispatch::{Bounds, FleetKnowledge, RetryBudget, Share};
+use dispatch::{Bounds, FleetKnowledge, RequestWindow, RetryBudget, Share};
 use model::prelude::*;
 use rand::{RngExt as _, SeedableRng as _, seq::IndexedRandom as _};
 use rand_chacha::ChaCha8Rng;
@@ -13,6 +13,8 @@
 const ZONES: u32 = 3;
 /// The time from the start of a process until gossip has found the others.
 const SETTLE_TIME: Duration = Duration::from_millis(1_500);
+/// The window of limits that servers name.
+const LIMIT_WINDOW: Duration = Duration::from_secs(4);
 const START: Time = Time::from_millis(1_000_000);
 
 /// A process and the limits that it keeps.
@@ -20,6 +22,8 @@
     started: Time,
     share: Share,
     budget: RetryBudget,
+    /// What it has sent to a server that names a limit.
+    limited: RequestWindow,
 }
 
 /// Processes that each keep their part of one budget, and what they sent in all.
@@ -54,7 +58,9 @@
     /// Starts a process at an address, in place of the former one if there is one.
     fn start(&mut self, no: usize) {
         let share = Share::new(self.now, address(no), ZONES);
-        let process = Process { started: self.now, share, budget: RetryBudget::default() };
+        let budget = RetryBudget::default();
+        let limited = RequestWindow::new(LIMIT_WINDOW);
+        let process = Process { started: self.now, share, budget, limited };
         self.processes[no] = Some(process);
     }
 
@@ -105,6 +111,18 @@
         }
     }
 
+    /// Sends as many requests from each process to a server as its limit allows in a window.
+    fn send_limited(&mut self, limit: u32, sent: &mut Vec<Time>) {
+        let server = ServerId::of("limited");
+        for Process { share, limited, .. } in self.processes.iter_mut().flatten() {
+            let part = share.whole_units_over(self.now, LIMIT_WINDOW, limit, server);
+            while limited.count(self.now) < part {
+                limited.record(self.now);
+                sent.push(self.now);
+            }
+        }
+    }
+
     /// Returns by how much the retries in some window exceed the budget at most; at most 0 if they never
     /// do.
     fn worst_excess(&self) -> f64 {
@@ -233,3 +251,34 @@
     let retries = fleet.retries.len();
     assert!(retries as f64 >= 0.4 * allowed, "{retries} retries of {allowed} allowed");
 }
+
+/// Guards against limits of servers that are exceeded by processes that restart and members that leave: both
+/// have used their part of a window.
+#[test]
+fn requests_to_a_limited_server_stay_within_its_limit_while_members_restart_and_leave() {
+    for seed in 0..20 {
+        let mut rng = ChaCha8Rng::seed_from_u64(seed);
+        let (size, limit) = (rng.random_range(2..80_usize), rng.random_range(5..60));
+        let mut fleet = Fleet::new(size, Bounds::default());
+        let mut sent = Vec::new();
+
+        for _ in 0..20 {
+            fleet
+                .pass(rng.random_range(10..300) * 10, |fleet| fleet.send_limited(limit, &mut sent));
+            for no in 0..size {
+                match rng.random_range(0..10) {
+                    0 => fleet.leave(no),
+                    1 | 2 => fleet.start(no),
+                    _ => {}
+                }
+            }
+        }
+
+        let within = |end: &Time| {
+            sent.iter().filter(|at| **at <= *end && end.since(**at) < LIMIT_WINDOW).count()
+        };
+        let most = sent.iter().map(within).max().unwrap_or_default();
+        assert!(most <= limit as usize, "seed {seed}: {most} of {limit} from {size} instances");
+        assert!(sent.len() > limit as usize, "seed {seed}: {} from {size} instances", sent.len());
+    }
+}
