--- /dev/null
+++ b/review/standin-2/joined.rs
@@ -0,0 +1,147 @@
+//! Servers that spoil a few of their answers: they break an answer off inside its body and send an extra
+//! one on the connection, to the same request or late to the one before.
+
+#[path = "common.rs"]
+mod common;
+
+use std::{
+    collections::HashMap,
+    io::Write,
+    sync::{
+        Arc, Mutex,
+        atomic::{AtomicUsize, Ordering},
+    },
+    thread,
+    time::Duration,
+};
+
+use common::*;
+
+/// As on the sheet: 800 bytes of answer.
+const BODY_BYTES: usize = 800;
+/// How much of a spoiled answer's body comes.
+const CUT_AT: usize = 300;
+/// One answer in this many is spoiled, 3 in 100.
+const SPOIL_EVERY: usize = 33;
+const REQUESTS: usize = 990;
+const CALLERS: usize = 6;
+
+/// The whole body of the answer to a request.
+fn body(id: &str) -> String {
+    let line = format!("balance of {id};");
+    let mut text = line.repeat(BODY_BYTES / line.len() + 1);
+    text.truncate(BODY_BYTES);
+    text
+}
+
+fn main() {
+    let rec = Record::create();
+    let folder = Folder::create();
+    let store = Store::default();
+    let route = |name: &str, kind: &str, attempts: u32| {
+        format!(
+            "{{\"name\":\"{name}\",\"host\":\"{HOST}\",\"prefix\":\"/{name}/\",\"routeKind\":\"{kind}\",\
+             \"timeoutMs\":4000,\"sloMs\":300,\"priority\":0,\"service\":\"libro\",\
+             \"maxAttempts\":{attempts},\"public\":false,\"sticky\":false,\"resumable\":false,\
+             \"gapTargetMs\":1000}}"
+        )
+    };
+    store.put(
+        "op/config",
+        &format!(
+            "{{\"version\":7,\"routes\":[{},{}],\"services\":[{{\"name\":\"libro\",\
+             \"healthPath\":\"/healthz\",\"maxConns\":100,\"protocol\":\"h1\",\"tls\":false,\
+             \"coldStartS\":0.0,\"coldPerS\":0.0}}],\"limits\":{{\"maxHeaderBytes\":16384,\
+             \"maxBodyBytes\":4194304,\"headerTimeoutMs\":3000,\"idleTimeoutMs\":15000}},\
+             \"tenants\":[{{\"name\":\"hule930\",\"apiKeys\":[\"{KEY}\"],\"priority\":1}}]}}",
+            route("saldo", "idempotent", 2),
+            route("abono", "non_idempotent", 1)
+        ),
+    );
+    let (runs, spoiled) = (Arc::new(AtomicUsize::new(0)), Arc::new(AtomicUsize::new(0)));
+    // The last whole answer on each connection, by the port of its other end.
+    let before: Arc<Mutex<HashMap<u16, Vec<u8>>>> = Arc::default();
+    let mut runners = Vec::new();
+    for name in ["i-1", "i-2", "i-3"] {
+        let (runs, spoiled, rec) = (Arc::clone(&runs), Arc::clone(&spoiled), rec.clone());
+        let before = Arc::clone(&before);
+        let runner = Runner::start(machine_ip(200), name, move |req, stream| {
+            let id = req.id();
+            let whole = answer(req, 200, "", &body(&id));
+            thread::sleep(ms(10));
+            let former = before.lock().unwrap().insert(stream.peer_addr()?.port(), whole.clone());
+            if !has_trouble() || (runs.fetch_add(1, Ordering::SeqCst) + 1) % SPOIL_EVERY != 0 {
+                stream.write_all(&whole)?;
+                return Ok(true);
+            }
+            let head = whole.len() - BODY_BYTES;
+            let no = spoiled.fetch_add(1, Ordering::SeqCst);
+            stream.write_all(&whole[..head + CUT_AT])?;
+            thread::sleep(ms(20));
+            let (second, what) = match (no % 3, former) {
+                (0, _) => (whole, "the same again"),
+                (1, Some(former)) => (former, "late the one to the request before"),
+                _ => (answer(req, 500, "", &"failed;".repeat(80)), "a 500"),
+            };
+            rec.line(&format!(
+                "{name} breaks its answer to {id} off after {CUT_AT} bytes of the body and sends {what}"
+            ));
+            stream.write_all(&second)?;
+            thread::sleep(ms(20));
+            Ok(false)
+        });
+        store.put(&format!("servers/{name}"), &runner.entry("libro", "zona-norte", 6, 0, 1));
+        runners.push(runner);
+    }
+    let (store_address, _) = store.serve_at(machine_ip(100));
+    let mut edges: Vec<_> = (1..=3).map(|no| Edge::new(&folder, no)).collect();
+    let seeds: Vec<_> = edges.iter().map(|it| it.control).collect();
+    for (edge, zone) in edges.iter_mut().zip(["zona-norte", "zona-sur", "zona-yumbo"]) {
+        edge.write_settings(zone, store_address, &seeds, 110);
+        edge.start();
+    }
+    for edge in &edges {
+        edge.wait_ready(Duration::from_secs(10));
+    }
+    thread::sleep(Duration::from_secs(11));
+    let counts = Arc::new(Mutex::new([0_usize; 4]));
+    let mut callers = Vec::new();
+    for caller in 0..CALLERS {
+        let (front, rec, counts) = (edges[caller % 3].front, rec.clone(), Arc::clone(&counts));
+        callers.push(thread::spawn(move || {
+            for no in 0..REQUESTS / CALLERS {
+                let id = new_id();
+                let text = if no % 2 == 0 {
+                    request("GET", "/saldo/2f", &id, 4_000, "", "")
+                } else {
+                    request("POST", "/abono/2f", &id, 4_000, "", "{}")
+                };
+                let (place, what) = match send(front, &text, Duration::from_secs(4)) {
+                    Ok(it) if it.status() == 200 && it.body == body(&id).as_bytes() => (0, "200, whole".to_owned()),
+                    Ok(it) if it.status() == 200 => {
+                        let text = String::from_utf8_lossy(&it.body);
+                        let foreign = text.char_indices().find(|(at, _)| !body(&id).starts_with(&text[..=*at]));
+                        let at = foreign.map_or(0, |it| it.0);
+                        (1, format!("BROKEN: 200 with {} bytes, of which those from {at} on are not the answer's: {:?}", text.len(), &text[at..(at + 60).min(text.len())]))
+                    }
+                    Ok(it) => (2, it.status().to_string()),
+                    Err(err) => (3, format!("no complete answer: {err}")),
+                };
+                counts.lock().unwrap()[place] += 1;
+                if place > 0 {
+                    rec.line(&format!("client gets for {id} {}: {what}", if no % 2 == 0 { "(idempotent)" } else { "(not idempotent)" }));
+                }
+            }
+        }));
+    }
+    for caller in callers {
+        let _ = caller.join();
+    }
+    let [whole, mixed, failed, cut] = *counts.lock().unwrap();
+    rec.tell(&format!(
+        "spoiled {} answers; clients got {whole} whole bodies with 200, {mixed} others with 200, {failed} other statuses, {cut} no complete answer",
+        spoiled.load(Ordering::SeqCst)
+    ));
+    drop(edges);
+    exit(if whole == 0 { 2 } else { i32::from(mixed > 0) });
+}
