--- a/review/standin-2/continued.rs
+++ b/review/standin-2/continued.rs
@@ -49,7 +49,9 @@
     if let Some(from) = req.field("Kv-From") {
         let mut all = runs.lock().unwrap();
         let held = all.get_mut(&id).filter(|run| {
-            *from == format!("{own_address}/{id}") && run.backup == own_address && run.continued.is_none()
+            *from == format!("{own_address}/{id}")
+                && run.backup == own_address
+                && run.continued.is_none()
         });
         let Some(run) = held else {
             rec.line(&format!("server {own} has no copy of {id}"));
@@ -170,7 +172,8 @@
     }
     let answers: Vec<_> = clients.into_iter().filter_map(|it| it.join().ok()).collect();
     thread::sleep(Duration::from_secs(3));
-    let complete = answers.iter().filter(|it| it.starts_with("200") && it.contains("47 events")).count();
+    let complete =
+        answers.iter().filter(|it| it.starts_with("200") && it.contains("47 events")).count();
     let (mut continued, mut overlapped) = (0, 0);
     for (id, run) in runs.lock().unwrap().iter() {
         let Some((at, server)) = &run.continued else { continue };
