--- a/review/standin-2/common.rs
+++ b/review/standin-2/common.rs
@@ -26,6 +26,9 @@
     std::env::var("TROUBLE").map_or(true, |it| it != "0")
 }
 
+/// Traffic starts this long after the machines.
+pub const LEAD: Duration = Duration::from_secs(10);
+
 pub fn ms(millis: u64) -> Duration {
     Duration::from_millis(millis)
 }
@@ -424,6 +427,19 @@
     stream.set_nodelay(true)?;
     let mut reader = BufReader::new(stream.try_clone()?);
     while let Some(req) = read_request(&mut reader)? {
+        if req.target() == "/healthz" {
+            let answer = format!(
+                "HTTP/1.1 200 X\r\nX-Clementinehall-Instance-Id: {own}\r\nContent-Length: 0\r\n\r\n"
+            );
+            stream.write_all(answer.as_bytes())?;
+            continue;
+        }
+        if req.id().is_empty() {
+            let answer =
+                "HTTP/1.1 400 X\r\nX-Clementinehall-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n";
+            stream.write_all(answer.as_bytes())?;
+            continue;
+        }
         if req.field("X-Clementinehall-Expect-Instance").is_some_and(|it| it != own) {
             let answer = format!(
                 "HTTP/1.1 421 Misdirected Request\r\nX-Clementinehall-Instance-Id: {own}\r\n\
