--- a/review/standin-2/crowd.rs
+++ b/review/standin-2/crowd.rs
@@ -20,7 +20,7 @@
 /// The mean size of a body over the three kinds of generation on the sheet.
 const BODY_BYTES: usize = 10_500;
 /// A head has some 500 bytes beside it; the operator allows 16,384.
-const COOKIE_BYTES: usize = 4_000;
+const COOKIE_BYTES: usize = 8_000;
 /// Kept connections of callers: fewer than the program accepts.
 const CALLERS: usize = 2_300;
 const RUNNERS: usize = 12;
