--- a/crates/dispatch/src/effect.rs
+++ b/crates/dispatch/src/effect.rs
@@ -297,6 +297,17 @@
         /// Time since the request's arrival.
         waited: Duration,
     },
+    /// A response of which the caller has a part goes on at another server.
+    Continued {
+        /// The request's id.
+        id: Arc<str>,
+        /// The name of the server whose response broke off; empty if it is not listed any more.
+        before: Arc<str>,
+        /// The name of the server where it goes on.
+        server: Arc<str>,
+        /// What shows that the run before has ended, or that nothing does.
+        evidence: &'static str,
+    },
     /// An attempt ended without a complete response to the caller.
     AttemptFailed {
         /// The request's id.
--- a/crates/dispatch/src/placement.rs
+++ b/crates/dispatch/src/placement.rs
@@ -5,7 +5,7 @@
 use model::prelude::*;
 
 use crate::{
-    Attempt, Command, Effect, LogEntry, Pool, RequestKey, Server, Verdict,
+    Attempt, Command, Effect, LogEntry, Pool, RequestKey, Server, ServerKey, Verdict,
     awaited_servers::AwaitedServers,
     request::{RunningAttempt, Stage},
     selection::Choice,
@@ -171,10 +171,25 @@
             others: choice.others,
             waited: now.since(req.arrived),
         };
+        let continued = req.has_partial_response.then(|| req.tried.last().copied()).flatten();
         self.log(entry);
+        if let Some(before) = continued {
+            self.log_continued(key, before, &attempt);
+        }
         self.emit(Effect::Command { key, command: Command::Run(attempt) });
     }
 
+    fn log_continued(&mut self, key: RequestKey, before: ServerKey, attempt: &Attempt) {
+        let Some(req) = self.requests.get(key) else { return };
+        let before = self.servers.get(before).map(|server| Arc::clone(&server.entry.name));
+        self.log(LogEntry::Continued {
+            id: Arc::clone(&req.id),
+            before: before.unwrap_or_default(),
+            server: Arc::clone(&attempt.name),
+            evidence: "none",
+        });
+    }
+
     /// Returns whether a request could be retried after its next attempt: its route and deadline
     /// allow one more run, and a server is left that has not been tried.
     fn can_retry(&self, now: Time, key: RequestKey) -> bool {
--- a/crates/edge/src/journal.rs
+++ b/crates/edge/src/journal.rs
@@ -51,6 +51,7 @@
             }
             LogEntry::AccountExcess { .. } => (&mut self.excesses, MAX_EXCESS_LINES),
             LogEntry::AttemptFailed { .. }
+            | LogEntry::Continued { .. }
             | LogEntry::Refused { .. }
             | LogEntry::Malformed { .. }
             | LogEntry::IgnoredField { .. }
@@ -198,6 +199,12 @@
                 "attempt failed"
             );
         }
+        LogEntry::Continued { id, before, server, evidence } => {
+            log::info!(
+                request:% = id, before:%, server:%, evidence;
+                "response continued at another server"
+            );
+        }
         LogEntry::Answered { id, route, first_byte, total, in_target, attempts, trace } => {
             let (first_byte_ms, total_ms) = (millis(*first_byte), millis(*total));
             let ResponseTrace { framing, events, repeated, unread, .. } = *trace;
--- a/crates/edge/src/metrics.rs
+++ b/crates/edge/src/metrics.rs
@@ -27,6 +27,7 @@
     attempts: Counter,
     failed: Family<AttemptLabels, Counter>,
     faults: Family<FaultLabels, Counter>,
+    continued: Family<ContinuedLabels, Counter>,
     callers_left: Counter,
     pub(crate) connections_opened: Counter,
     pub(crate) connections_reused: Counter,
@@ -74,6 +75,11 @@
     fault: &'static str,
 }
 
+#[derive(Clone, PartialEq, Eq, Hash, Debug, EncodeLabelSet)]
+struct ContinuedLabels {
+    evidence: &'static str,
+}
+
 #[derive(Clone, PartialEq, Eq, Hash, Debug, EncodeLabelSet)]
 struct LeavingLabels {
     pool: String,
@@ -103,6 +109,7 @@
             attempts: Counter::default(),
             failed: Family::default(),
             faults: Family::default(),
+            continued: Family::default(),
             callers_left: Counter::default(),
             connections_opened: Counter::default(),
             connections_reused: Counter::default(),
@@ -168,6 +175,11 @@
             "Responses of servers that were not used, or not to their end",
             self.faults.clone(),
         );
+        registry.register(
+            "responses_continued",
+            "Responses that went on at another server, by what showed the end of the run before",
+            self.continued.clone(),
+        );
         registry.register(
             "callers_left",
             "Requests whose caller disconnected",
@@ -291,6 +303,9 @@
                     self.faults.get_or_create(&FaultLabels { fault }).inc();
                 }
             }
+            LogEntry::Continued { evidence, .. } => {
+                self.continued.get_or_create(&ContinuedLabels { evidence }).inc();
+            }
             LogEntry::Answered { route, first_byte, total, in_target, .. } => {
                 self.count_answered(route, *first_byte, *total, *in_target);
             }
