End the run of a broken generation before it goes on at another server

What callers saw: nothing; their streams were whole.

Cause: the end of an attempt was taken for the end of its run. The attempt closes its connection, which is all that was done, and some servers work on.

Change: the reducer has a stage in which the run is ended. The task of the request connects to the server anew and asks it to end the run and to move its KV cache to the engine with the copy (kv-move with last). The generation resumes only if the answer proves the end: moved (200 with a handle), stopped (503 with a handle), no such run (404), another server (421), or refused connections where the server had closed the run's connection itself and sends nothing else here. Otherwise the caller's connection is closed, which promises nothing. Lines and metrics say what showed the end.

--- a/crates/dispatch/src/attempt.rs
+++ b/crates/dispatch/src/attempt.rs
@@ -32,8 +32,17 @@
     /// An engine that probably has the shared prefix cached, from which `server` fetches it; `None`
     /// if `server` probably has it cached itself or cannot fetch.
     pub fetch_source: Option<SocketAddrV4>,
-    /// Whether the generation resumes from the copy of its KV cache that the server has.
-    pub resumes_from_backup: bool,
+    /// The copy of its KV cache from which the generation resumes; `None` if it starts anew.
+    pub kv_copy: Option<KvCopy>,
+}
+
+/// A copy of the KV cache of a generation.
+#[derive(Clone, PartialEq, Eq, Debug)]
+pub struct KvCopy {
+    /// The address of the engine that gave it its name.
+    pub named_by: SocketAddrV4,
+    /// Its name there: the request's id for one that was kept while the generation ran.
+    pub name: Arc<str>,
 }
 
 /// What the caller has got of the response to its request.
--- a/crates/dispatch/src/catalog.rs
+++ b/crates/dispatch/src/catalog.rs
@@ -104,6 +104,8 @@
     /// Whether it copies the KV cache of a generation to another engine on request, so that the
     /// generation can resume there.
     pub has_backups: bool,
+    /// Whether it ends a run on request, and moves its KV cache to another engine.
+    pub can_end_runs: bool,
     /// The time to fetch the KV cache of one prompt token from another engine; `None` if engines
     /// cannot fetch.
     pub fetch_per_token: Option<Duration>,
--- a/crates/dispatch/src/effect.rs
+++ b/crates/dispatch/src/effect.rs
@@ -6,8 +6,8 @@
 use model::prelude::*;
 
 use crate::{
-    Attempt, AttemptEnd, FleetDemand, QuarantineChange, RequestKey, RequestRate, ResponseTrace,
-    RetryUse, ServerKey,
+    Attempt, AttemptEnd, FleetDemand, LeftRun, QuarantineChange, RequestKey, RequestRate,
+    ResponseTrace, RetryUse, ServerKey,
 };
 
 /// An effect of a decision, which the instance carries out.
@@ -56,6 +56,9 @@
 pub enum Command {
     /// Make an attempt.
     Run(Attempt),
+    /// End the run of the last attempt, and report what its server shows of it as
+    /// [`crate::Event::RunEnded`].
+    EndRun(LeftRun),
     /// Pass on the response that is held back.
     Deliver,
     /// Refuse the request, or break off its response if that has begun.
@@ -305,8 +308,21 @@
         before: Arc<str>,
         /// The name of the server where it goes on.
         server: Arc<str>,
-        /// What shows that the run before has ended, or that nothing does.
+    },
+    /// A response broke off midway, and the server was asked to end its run.
+    RunLeft {
+        /// The request's id.
+        id: Arc<str>,
+        /// The name of the server of the run; empty if it is not listed any more.
+        server: Arc<str>,
+        /// What the server shows of the run.
         evidence: &'static str,
+        /// Whether that proves that the run has ended.
+        has_ended: bool,
+        /// Whether the request goes on at another server.
+        goes_on: bool,
+        /// Time since the response broke off.
+        took: Duration,
     },
     /// An attempt ended without a complete response to the caller.
     AttemptFailed {
--- a/crates/dispatch/src/event.rs
+++ b/crates/dispatch/src/event.rs
@@ -6,7 +6,7 @@
 use model::prelude::*;
 
 use crate::{
-    AttemptEnd, Bounds, Catalog, Prompt, RequestKey, RequestRate, ResponseTrace, Routed,
+    AttemptEnd, Bounds, Catalog, Prompt, RequestKey, RequestRate, ResponseTrace, Routed, RunEnd,
     ServerEntry, ServerKey,
 };
 
@@ -84,7 +84,8 @@
         /// Identifies the request, as in [`Event::Request`].
         key: RequestKey,
     },
-    /// The response ended with the connection of the server, as it has neither a length nor chunks.
+    /// The server ended the connection, and with it the response: a whole one that has neither a length
+    /// nor chunks, or one that broke off.
     ServerClosed {
         /// Identifies the request, as in [`Event::Request`].
         key: RequestKey,
@@ -124,6 +125,13 @@
         /// What was read of the response, for the log.
         trace: ResponseTrace,
     },
+    /// A [`crate::Command::EndRun`] was carried out.
+    RunEnded {
+        /// Identifies the request, as in [`Event::Request`].
+        key: RequestKey,
+        /// What the server shows of the run.
+        end: RunEnd,
+    },
     /// An [`crate::Effect::CheckServer`] was carried out.
     ServerChecked {
         /// The server that was checked.
--- a/crates/dispatch/src/outcome.rs
+++ b/crates/dispatch/src/outcome.rs
@@ -7,10 +7,9 @@
 use model::prelude::*;
 
 use crate::{
-    AttemptEnd, Command, Delivered, Effect, LogEntry, RequestKey, ResponseTrace, Room, ServerKey,
+    AttemptEnd, Command, Delivered, Effect, LogEntry, RequestKey, ResponseTrace, ServerKey,
     request::{MIN_REMAINING, Request, RunningAttempt, Stage},
     route::Repeat,
-    selection::Choice,
     state::State,
 };
 
@@ -186,8 +185,8 @@
         end: AttemptEnd,
         trace: ResponseTrace,
     ) {
-        let next = match self.backup_choice(now, key, running, end) {
-            Some(choice) => NextStep::Resume(choice),
+        let next = match self.backup_to_resume(now, key, running, end) {
+            Some(backup) => NextStep::EndRun(backup),
             None => self.next_step(now, key, end),
         };
         let Some(req) = self.requests.get_mut(key) else { return };
@@ -203,48 +202,12 @@
         self.log(entry);
         match next {
             NextStep::Retry => self.enqueue(now, key, RETRY_WAIT),
-            NextStep::Resume(choice) => self.start(now, key, choice),
+            NextStep::EndRun(next) => self.end_run(now, key, running, next),
             NextStep::Deliver => self.deliver(now, key),
             NextStep::Refuse(refusal) => self.refuse(now, key, refusal),
         }
     }
 
-    /// Returns the engine at which a generation that broke off midway can resume from the copy of
-    /// its KV cache. This reserves a retry from the budget.
-    fn backup_choice(
-        &mut self,
-        now: Time,
-        key: RequestKey,
-        running: RunningAttempt,
-        end: AttemptEnd,
-    ) -> Option<Choice> {
-        let req = self.requests.get(key)?;
-        let server = self.servers.get(running.backup?)?;
-        let pool = self.catalog.as_ref()?.pools.get(&req.pool)?;
-        let is_late = now + MIN_REMAINING >= req.end_by;
-        let is_midway = end == AttemptEnd::Broken { delivered: Delivered::Events };
-        // Its prompt may have ended the engine, and would end the next one.
-        let is_doubtful = self.quarantine.is_doubtful(&req.prompt);
-        if !is_midway || is_late || is_doubtful || !self.may_send(now, server, pool) {
-            return None;
-        }
-        let others = self.others_load(server).map_or(0, |load| load.total().attempts);
-        let choice = Choice {
-            server: running.backup?,
-            room: Room::Free,
-            is_acceptable: true,
-            is_mixed: false,
-            cost: Duration::ZERO,
-            expected: running.expected,
-            others,
-            backup: None,
-            fetch_source: None,
-            prefill_tokens: 0,
-            tokens_ahead: 0.0,
-        };
-        self.reserve_retry(now, key).then_some(choice)
-    }
-
     /// Decides whether a request is retried, and if not, what its caller gets. A retry is reserved
     /// from the budget unless nothing was sent.
     fn next_step(&mut self, now: Time, key: RequestKey, end: AttemptEnd) -> NextStep {
@@ -322,8 +285,8 @@
 enum NextStep {
     /// The request waits for another server.
     Retry,
-    /// The generation resumes at the engine that has a copy of its KV cache.
-    Resume(Choice),
+    /// The run must end, and then resumes at this engine from a copy of its KV cache.
+    EndRun(ServerKey),
     /// The caller gets the server error that was held back.
     Deliver,
     Refuse(Refusal),
@@ -334,7 +297,7 @@
     fn name(self) -> &'static str {
         match self {
             Self::Retry => "retry",
-            Self::Resume(_) => "continue from the copy",
+            Self::EndRun(_) => "end the run, then continue from a copy",
             Self::Deliver => "deliver the failure",
             Self::Refuse(_) => "refuse",
         }
--- a/crates/dispatch/src/placement.rs
+++ b/crates/dispatch/src/placement.rs
@@ -5,7 +5,7 @@
 use model::prelude::*;
 
 use crate::{
-    Attempt, Command, Effect, LogEntry, Pool, RequestKey, Server, ServerKey, Verdict,
+    Attempt, Command, Effect, KvCopy, LogEntry, Pool, RequestKey, Server, Verdict,
     awaited_servers::AwaitedServers,
     request::{RunningAttempt, Stage},
     selection::Choice,
@@ -40,7 +40,7 @@
         let mut awaited = AwaitedServers::default();
         for key in self.queue.first(pool, MAX_SCANNED_REQUESTS) {
             if let Some(choice) = self.choose(now, key, spec, &mut awaited) {
-                self.start(now, key, choice);
+                self.start(now, key, choice, None);
             }
         }
     }
@@ -93,9 +93,14 @@
         is_current && !server.entry.cold.is_zero()
     }
 
-    /// Starts an attempt at the chosen server. A request that is not in the queue, as its last
-    /// attempt has just broken off, resumes there from the copy of its KV cache.
-    pub(crate) fn start(&mut self, now: Time, key: RequestKey, choice: Choice) {
+    /// Starts an attempt at the chosen server, where a generation resumes from `copy` if there is one.
+    pub(crate) fn start(
+        &mut self,
+        now: Time,
+        key: RequestKey,
+        choice: Choice,
+        copy: Option<KvCopy>,
+    ) {
         let bounds = self.setup.bounds;
         let keys_until = self.freshness.keys_valid_until(bounds.revoke).unwrap_or(now);
         let is_retryable = self.can_retry(now, key);
@@ -106,14 +111,11 @@
         let pool = self.requests.get(key).map(|req| req.pool);
         let reading_factor = pool.map_or(1.0, |pool| self.reading_factor(pool));
         let Some(req) = self.requests.get_mut(key) else { return };
-        let resumes_from_backup = match req.stage {
-            Stage::Waiting(entry) => {
-                self.queue.remove(req.pool, entry);
-                false
-            }
-            Stage::Idle => true,
-            Stage::Running(_) => return,
-        };
+        match req.stage {
+            Stage::Waiting(entry) => self.queue.remove(req.pool, entry),
+            Stage::Idle => {}
+            Stage::Running(_) | Stage::Ending(_) => return,
+        }
         let Some(server) = self.servers.get_mut(choice.server) else { return };
         req.attempts += 1;
         let first_byte_timeout = req
@@ -133,7 +135,7 @@
             has_closed: false,
             leave_by: leave_by.filter(|time| *time < req.end_by),
             expected: choice.expected,
-            prefill_tokens: if resumes_from_backup { 0 } else { choice.prefill_tokens },
+            prefill_tokens: if copy.is_some() { 0 } else { choice.prefill_tokens },
             tokens_ahead: choice.tokens_ahead,
             held_tokens: req.prompt.held_tokens(),
             live_pool: req.is_live_stream().then_some(req.pool),
@@ -159,7 +161,7 @@
             holds_server_error: is_retryable,
             backup,
             fetch_source,
-            resumes_from_backup,
+            kv_copy: copy,
         };
         let entry = LogEntry::Attempt {
             id: Arc::clone(&req.id),
@@ -171,25 +173,14 @@
             others: choice.others,
             waited: now.since(req.arrived),
         };
-        let continued = req.has_partial_response.then(|| req.tried.last().copied()).flatten();
+        let is_continued = req.has_partial_response;
         self.log(entry);
-        if let Some(before) = continued {
-            self.log_continued(key, before, &attempt);
+        if is_continued {
+            self.log_continued(key, &attempt);
         }
         self.emit(Effect::Command { key, command: Command::Run(attempt) });
     }
 
-    fn log_continued(&mut self, key: RequestKey, before: ServerKey, attempt: &Attempt) {
-        let Some(req) = self.requests.get(key) else { return };
-        let before = self.servers.get(before).map(|server| Arc::clone(&server.entry.name));
-        self.log(LogEntry::Continued {
-            id: Arc::clone(&req.id),
-            before: before.unwrap_or_default(),
-            server: Arc::clone(&attempt.name),
-            evidence: "none",
-        });
-    }
-
     /// Returns whether a request could be retried after its next attempt: its route and deadline
     /// allow one more run, and a server is left that has not been tried.
     fn can_retry(&self, now: Time, key: RequestKey) -> bool {
--- a/crates/dispatch/src/request.rs
+++ b/crates/dispatch/src/request.rs
@@ -6,8 +6,8 @@
 use model::prelude::*;
 
 use crate::{
-    Prompt, Rank, Routed, ServerKey, choice::FIRST_CHOICE_UNCACHED, queue::QueueEntry,
-    route::Repeat,
+    Prompt, Rank, Routed, ServerKey, choice::FIRST_CHOICE_UNCACHED, continuation::EndingRun,
+    queue::QueueEntry, route::Repeat,
 };
 
 slotmap::new_key_type! {
@@ -66,6 +66,8 @@
     Waiting(QueueEntry),
     /// An attempt was started and has not ended.
     Running(RunningAttempt),
+    /// An attempt broke off midway, and its run has to end before the request goes on.
+    Ending(EndingRun),
     /// Neither: a step of the reducer is deciding what follows.
     Idle,
 }
--- a/crates/dispatch/src/state.rs
+++ b/crates/dispatch/src/state.rs
@@ -196,6 +196,7 @@
             Event::Ended { key, end, cold, trace } => {
                 self.attempt_ended(now, key, end, cold, trace);
             }
+            Event::RunEnded { key, end } => self.run_ended(now, key, end),
             Event::ServerChecked { server, is_down } => self.server_checked(now, server, is_down),
             Event::HoldPart { part } => {
                 self.quarantine.hold(now, part);
--- a/crates/dispatch/tests/decisions/copies.rs
+++ b/crates/dispatch/tests/decisions/copies.rs
@@ -1,9 +1,14 @@
-//! KV cache copies: a live stream resumes at another engine when its engine crashes.
+//! KV cache copies: a live stream resumes at another engine once the run at its engine has ended.
 
-use dispatch::{AttemptEnd, Delivered, Event, RequestKey, ServerEntry};
+use dispatch::{
+    AttemptEnd, Command, Delivered, Effect, Event, KvCopy, LeftRun, RequestKey, RunEnd,
+    ServerChange, ServerEntry,
+};
 use model::prelude::*;
 
-use crate::support::{Bench, attempts, prompt, refusals, server};
+use crate::support::{Bench, address, attempts, prompt, refusals, server};
+
+const BROKEN: AttemptEnd = AttemptEnd::Broken { delivered: Delivered::Events };
 
 /// Starts a live stream and returns its key, the name of its engine and the last byte of the
 /// address of the engine that gets a copy.
@@ -22,24 +27,149 @@
     Bench::new(servers.map(|(name, host)| server(name, "engines", host)).into())
 }
 
+/// Returns the runs that are to be ended, with their requests.
+fn left_runs(effects: &[Effect]) -> Vec<(RequestKey, LeftRun)> {
+    let left_run = |effect: &Effect| match effect {
+        Effect::Command { key, command: Command::EndRun(left) } => Some((*key, *left)),
+        _ => None,
+    };
+    effects.iter().filter_map(left_run).collect()
+}
+
+fn copy(host: u8, name: &str) -> KvCopy {
+    KvCopy { named_by: address(host, 8080), name: name.into() }
+}
+
+/// Guards against a generation that goes on while its first server still works on it.
 #[test]
-fn a_live_stream_that_breaks_off_resumes_at_the_engine_with_its_copy() {
+fn a_live_stream_that_breaks_off_resumes_once_its_run_has_ended() {
+    for end in [RunEnd::Ended, RunEnd::Replaced] {
+        let mut bench = three_engines();
+        let (key, engine, backup) = start_live_stream(&mut bench);
+        let backup = backup.unwrap();
+
+        let broken = bench.ended(key, BROKEN);
+        let ended = bench.step(Event::RunEnded { key, end });
+
+        let by = bench.now + Duration::from_secs(1);
+        let left = LeftRun { move_to: Some(address(backup, 8080)), by };
+        assert_eq!(left_runs(&broken), [(key, left)]);
+        assert!(attempts(&broken).is_empty(), "resumed before the run had ended");
+        let next = &attempts(&ended)[0].1;
+        assert_ne!(*next.name, engine);
+        assert_eq!(next.address, address(backup, 8080));
+        assert_eq!(next.kv_copy, Some(copy(backup, "request-1")));
+    }
+}
+
+#[test]
+fn a_live_stream_resumes_from_the_copy_that_was_moved_as_its_run_ended() {
     let mut bench = three_engines();
-    let (key, engine, backup) = start_live_stream(&mut bench);
+    let (key, _, backup) = start_live_stream(&mut bench);
+    bench.ended(key, BROKEN);
 
-    let effects = bench.ended(key, AttemptEnd::Broken { delivered: Delivered::Events });
+    let end = RunEnd::Moved(copy(99, "h-7"));
+    let effects = bench.step(Event::RunEnded { key, end });
 
     let next = &attempts(&effects)[0].1;
-    assert_ne!(*next.name, engine);
     assert_eq!(Some(next.address.ip().octets()[3]), backup);
-    assert!(next.resumes_from_backup);
+    assert_eq!(next.kv_copy, Some(copy(99, "h-7")));
+}
+
+/// Guards against a second run of a generation whose first run may go on.
+#[test]
+fn a_live_stream_is_broken_off_if_its_run_may_go_on() {
+    let ends = [RunEnd::Unknown("no response in time"), RunEnd::Unreachable, RunEnd::Refused];
+    for end in ends {
+        let mut bench = three_engines();
+        let (key, _, _) = start_live_stream(&mut bench);
+        bench.ended(key, BROKEN);
+
+        let effects = bench.step(Event::RunEnded { key, end: end.clone() });
+
+        assert!(attempts(&effects).is_empty(), "{end:?}");
+        assert_eq!(refusals(&effects), [(key, Refusal::unknown(Reason::ServerFailed))], "{end:?}");
+    }
+}
+
+/// Guards against generations that are lost with a server that has crashed.
+#[test]
+fn a_live_stream_resumes_if_its_server_ended_the_connection_and_refuses_new_ones() {
+    let mut bench = three_engines();
+    let (key, _, backup) = start_live_stream(&mut bench);
+    bench.step(Event::ServerClosed { key });
+    bench.ended(key, BROKEN);
+
+    let effects = bench.step(Event::RunEnded { key, end: RunEnd::Refused });
+
+    assert_eq!(attempts(&effects)[0].1.kv_copy, Some(copy(backup.unwrap(), "request-1")));
+}
+
+/// Guards against a server that is about to stop: it refuses connections and finishes its runs.
+#[test]
+fn a_live_stream_is_broken_off_if_its_server_refuses_connections_and_goes_on_with_another() {
+    let servers = [("e1", 11), ("e2", 12)].map(|(name, host)| server(name, "engines", host));
+    let mut bench = Bench::new(servers.into());
+    let streams: Vec<_> = (0..8).map(|_| start_live_stream(&mut bench)).collect();
+    let (key, engine, _) = &streams[0];
+    assert!(streams[1..].iter().any(|other| other.1 == *engine), "no other stream there");
+    bench.step(Event::ServerClosed { key: *key });
+    bench.ended(*key, BROKEN);
+
+    let effects = bench.step(Event::RunEnded { key: *key, end: RunEnd::Refused });
+
+    assert!(attempts(&effects).is_empty());
+    assert_eq!(refusals(&effects).len(), 1);
+}
+
+/// Guards against a run that is not ended as its server has left the list, where it may work on.
+#[test]
+fn the_run_at_a_server_that_is_not_listed_any_more_is_ended_too() {
+    let mut bench = three_engines();
+    let (key, engine, backup) = start_live_stream(&mut bench);
+    bench.step(Event::Server(ServerChange::Unlisted(ServerId::of(&engine))));
+
+    let broken = bench.ended(key, BROKEN);
+    let ended = bench.step(Event::RunEnded { key, end: RunEnd::Ended });
+
+    assert_eq!(left_runs(&broken).len(), 1);
+    assert_eq!(attempts(&ended)[0].1.kv_copy, Some(copy(backup.unwrap(), "request-1")));
+}
+
+#[test]
+fn a_live_stream_whose_caller_leaves_while_its_run_ends_does_not_resume() {
+    let mut bench = three_engines();
+    let (key, _, _) = start_live_stream(&mut bench);
+    bench.ended(key, BROKEN);
+    bench.step(Event::CallerLeft { key });
+
+    let effects = bench.step(Event::RunEnded { key, end: RunEnd::Ended });
+
+    assert!(attempts(&effects).is_empty() && refusals(&effects).is_empty());
+    assert_eq!(bench.state.request_count(), 0);
+}
+
+#[test]
+fn a_live_stream_is_broken_off_if_the_engine_with_its_copy_leaves_while_its_run_ends() {
+    let mut bench = three_engines();
+    let (key, _, backup) = start_live_stream(&mut bench);
+    bench.ended(key, BROKEN);
+    let backup = backup.unwrap();
+    let entry = server(&format!("e{}", backup - 10), "engines", backup);
+    bench.list(ServerEntry { is_draining: true, ..entry });
+
+    let effects = bench.step(Event::RunEnded { key, end: RunEnd::Ended });
+
+    assert!(attempts(&effects).is_empty());
+    assert_eq!(refusals(&effects), [(key, Refusal::unknown(Reason::ServerFailed))]);
 }
 
 #[test]
 fn a_live_stream_is_broken_off_if_the_engine_with_its_copy_rejects_it() {
     let mut bench = three_engines();
     let (key, _, _) = start_live_stream(&mut bench);
-    bench.ended(key, AttemptEnd::Broken { delivered: Delivered::Events });
+    bench.ended(key, BROKEN);
+    bench.step(Event::RunEnded { key, end: RunEnd::Ended });
 
     let effects = bench.ended(key, AttemptEnd::Rejected { is_misdirected: false });
 
@@ -66,9 +196,10 @@
     }
     bench.pass(1_200);
 
-    let ends = running
-        .into_iter()
-        .map(|key| bench.ended(key, AttemptEnd::Broken { delivered: Delivered::Events }));
+    let ends = running.into_iter().map(|key| {
+        bench.ended(key, BROKEN);
+        bench.step(Event::RunEnded { key, end: RunEnd::Ended })
+    });
     let resumed = ends.flat_map(|effects| attempts(&effects)).count();
 
     // Each of the two engines may get 20 a second times 1.5 and 5 more, divided by one instance and
--- a/crates/dispatch/tests/decisions/ends.rs
+++ b/crates/dispatch/tests/decisions/ends.rs
@@ -1,6 +1,6 @@
 //! Servers whose connections end while they answer: which of them speak against a prompt part.
 
-use dispatch::{AttemptEnd, Delivered, Effect, Event, RequestKey, ServerEntry, ServerKey};
+use dispatch::{AttemptEnd, Delivered, Effect, Event, RequestKey, RunEnd, ServerEntry, ServerKey};
 
 use crate::support::{Bench, attempts, prompt, server};
 
@@ -30,13 +30,15 @@
 }
 
 /// Lets a server end 5 ms after it began to answer a stream, and start again. Returns the effects of
-/// the attempt's end.
+/// the attempt's end, and of the connection that it then refuses.
 fn end_server_at_stream(bench: &mut Bench, own: u32) -> Vec<Effect> {
     let (key, entry) = begin_stream(bench, own);
     bench.pass(5);
-    let effects = bench.ended(key, AttemptEnd::Broken { delivered: Delivered::Events });
+    bench.step(Event::ServerClosed { key });
+    let mut effects = bench.ended(key, AttemptEnd::Broken { delivered: Delivered::Events });
     let server = checked(&effects).unwrap();
     bench.step(Event::ServerChecked { server, is_down: true });
+    effects.extend(bench.step(Event::RunEnded { key, end: RunEnd::Refused }));
     bench.list(ServerEntry { incarnation: u64::from(own), ..entry });
     bench.pass(200);
     effects
--- a/crates/dispatch/tests/decisions/notice_limits.rs
+++ b/crates/dispatch/tests/decisions/notice_limits.rs
@@ -2,7 +2,9 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 
-use dispatch::{AttemptEnd, Delivered, Effect, Event, Prompt, RequestKey, ServerEntry};
+use dispatch::{
+    AttemptEnd, Command, Delivered, Effect, Event, Prompt, RequestKey, RunEnd, ServerEntry,
+};
 use model::prelude::*;
 
 use crate::support::{Bench, attempts, prompt, refusals, server};
@@ -236,10 +238,11 @@
     assert_ne!(next.fetch_source, Some(holder));
 }
 
-/// Guards against streams that go on at a server that gave notice, and copies that are sent there.
+/// Guards against streams that go on at a server that gave notice, also while their former run ends, and
+/// copies that are sent there.
 #[test]
 fn an_engine_that_gives_notice_gets_neither_resumed_streams_nor_copies() {
-    for notice in NOTICES {
+    for (notice, is_late) in NOTICES.into_iter().flat_map(|it| [(it, false), (it, true)]) {
         let names = (1..=3).map(|no| server(&format!("e{no}"), "engines", 10 + no));
         let mut bench = Bench::new(names.collect());
         let start = |bench: &mut Bench| {
@@ -257,10 +260,27 @@
             (attempts(&effects).first()?.1.address == told).then_some(key)
         });
 
-        bench.step(notice(other.expect("a request at the engine with the copy")));
-        let resumed = bench.ended(stream, AttemptEnd::Broken { delivered: Delivered::Events });
+        let give_notice = |bench: &mut Bench| {
+            bench.step(notice(other.expect("a request at the engine with the copy")));
+        };
+        let break_off = |bench: &mut Bench| {
+            bench.ended(stream, AttemptEnd::Broken { delivered: Delivered::Events })
+        };
+        let broken = if is_late {
+            let broken = break_off(&mut bench);
+            give_notice(&mut bench);
+            broken
+        } else {
+            give_notice(&mut bench);
+            break_off(&mut bench)
+        };
+        let resumed = bench.step(Event::RunEnded { key: stream, end: RunEnd::Ended });
         let later: Vec<_> = (0..20).map(|_| start(&mut bench).1).collect();
 
+        let is_moved =
+            |effect: &Effect| matches!(effect, Effect::Command { command: Command::EndRun(_), .. });
+        assert_eq!(broken.iter().any(is_moved), is_late);
+        assert!(attempts(&broken).is_empty());
         assert!(attempts(&resumed).iter().all(|it| it.1.address != told));
         assert!(later.iter().all(|it| it.address != told && it.backup != Some(told)));
     }
--- a/crates/dispatch/tests/decisions/support.rs
+++ b/crates/dispatch/tests/decisions/support.rs
@@ -56,6 +56,7 @@
         engine: Some(Engine {
             slots: 128,
             has_backups: true,
+            can_end_runs: true,
             fetch_per_token: Some(Duration::from_nanos(399)),
         }),
     }
--- a/crates/edge/src/attempt.rs
+++ b/crates/edge/src/attempt.rs
@@ -24,11 +24,11 @@
 
 /// Timeout for establishing a TCP connection: several round trips between zones, but less than the
 /// initial retransmission timeout, so a server whose SYN was lost counts as not connected.
-const CONNECT_TIMEOUT: Duration = Duration::from_millis(400);
+pub(crate) const CONNECT_TIMEOUT: Duration = Duration::from_millis(400);
 /// Closes a connection whose sent bytes stay unacknowledged for this long (`TCP_USER_TIMEOUT`).
 const UNACKNOWLEDGED_TIMEOUT_MS: u32 = 3_000;
 /// Size limit of the head of a backend server's response; a larger one fails the attempt.
-const MAX_RESPONSE_HEAD_BYTES: usize = 16 << 10;
+pub(crate) const MAX_RESPONSE_HEAD_BYTES: usize = 16 << 10;
 /// Size limit of a response body that is read whole without being relayed: one of a server error that
 /// is held back, or of a response to another request.
 const MAX_BUFFERED_BODY_BYTES: usize = 64 << 10;
@@ -74,13 +74,15 @@
     HeldBack,
     /// For the reason given here.
     Broken(&'static str),
+    /// The server ended the connection, in the way given here.
+    Closed(&'static str),
     TimedOut,
     CallerLeft,
 }
 
 impl<E: ConnectionError> From<E> for Fault {
     fn from(err: E) -> Self {
-        Self::Broken(err.summary())
+        if err.is_end() { Self::Closed(err.summary()) } else { Self::Broken(err.summary()) }
     }
 }
 
@@ -120,9 +122,12 @@
         let done = deadline::until(clock, end_by, self.send_and_relay(&mut progress)).await;
         let delivered = self.response.delivered();
         let done = done.unwrap_or(Err(Fault::TimedOut));
-        if let Err(Fault::Broken(reason)) = done {
+        if let Err(Fault::Broken(reason) | Fault::Closed(reason)) = done {
             self.trace.fault = Some(reason);
         }
+        if let Err(Fault::Closed(_)) = done {
+            self.instance.handle_event(Event::ServerClosed { key: self.key });
+        }
         let end = match done {
             Ok(relayed) => AttemptEnd::Completed { is_success: relayed.is_success },
             Err(Fault::CallerLeft) => AttemptEnd::CallerLeft,
@@ -132,7 +137,7 @@
             Err(_) if !progress.is_sent => AttemptEnd::NotConnected,
             Err(Fault::Rejected { is_misdirected }) => AttemptEnd::Rejected { is_misdirected },
             Err(Fault::HeldBack) => AttemptEnd::HeldBack,
-            Err(Fault::Broken(_)) => AttemptEnd::Broken { delivered },
+            Err(Fault::Broken(_) | Fault::Closed(_)) => AttemptEnd::Broken { delivered },
             Err(Fault::TimedOut) => AttemptEnd::TimedOut { delivered },
         };
         AttemptOutcome { end, cold: progress.cold, trace: self.trace }
@@ -167,6 +172,7 @@
         if !self.instance.read_state(|state| state.may_send_attempt(now, self.key)) {
             return Err(Fault::Withdrawn);
         }
+        let copy = self.attempt.kv_copy.as_ref();
         let fields = AttemptFields {
             server: &self.attempt.name,
             time_left: now.until(self.attempt.end_by),
@@ -175,7 +181,7 @@
             last_event_id: self.response.last_event_id(),
             kv_backup: self.attempt.backup,
             fetch_source: self.attempt.fetch_source,
-            kv_copy: self.attempt.resumes_from_backup.then_some((self.attempt.address, self.id)),
+            kv_copy: copy.map(|it| (it.named_by, &*it.name)),
         };
         let head = self.outgoing.encode_head(&*self.instance.header_codec, &fields);
         progress.is_sent = true;
--- a/crates/edge/src/exchange.rs
+++ b/crates/edge/src/exchange.rs
@@ -5,7 +5,7 @@
 use aio::deadline;
 use async_channel::Receiver;
 use async_net::TcpStream;
-use dispatch::{Command, Event, LogEntry, NewRequest, RequestKey, ResponseTrace, Routed};
+use dispatch::{Attempt, Command, Event, LogEntry, NewRequest, RequestKey, ResponseTrace, Routed};
 use futures_lite::FutureExt as _;
 use http1::{BodyError, Buffered, Framing, HeadError, RequestHead, discard, read_whole};
 use model::prelude::*;
@@ -14,6 +14,7 @@
     FieldError, Instance,
     attempt::{HeldResponse, RunningAttempt},
     counted_body::read_counted,
+    left_run,
     memory::{MemoryUse, Reservation},
     outgoing::OutgoingRequest,
     problem::Problem,
@@ -298,6 +299,7 @@
 impl ActiveRequest<'_> {
     /// Carries out the reducer's commands until the request has ended.
     async fn run_commands(&mut self, commands: &Receiver<Command>) -> Disposition {
+        let mut last: Option<Attempt> = None;
         while let Ok(command) = commands.recv().await {
             // Checked as late as possible, so that connections close soon after shutdown starts.
             self.response.closes_connection |=
@@ -333,6 +335,12 @@
                     if outcome.end == dispatch::AttemptEnd::CallerLeft {
                         return Disposition::Abort;
                     }
+                    last = Some(attempt);
+                }
+                Command::EndRun(left) => {
+                    let Some(attempt) = &last else { return Disposition::Abort };
+                    let end = left_run::end(self.instance, &self.accepted.id, attempt, left).await;
+                    self.instance.handle_event(Event::RunEnded { key: self.key, end });
                 }
                 Command::Deliver => return self.deliver().await,
                 Command::Refuse(refusal) => return self.refuse(refusal).await,
--- a/crates/edge/src/headers.rs
+++ b/crates/edge/src/headers.rs
@@ -1,13 +1,13 @@
-//! The header fields exchanged with callers and backend servers.
+//! The header fields exchanged with callers and backend servers, and calls to backend servers.
 
 use std::net::SocketAddrV4;
 
-use dispatch::{Prompt, Rank, RequestRate};
+use dispatch::{Prompt, Rank, RequestRate, RunEnd};
 use http1::{RequestHead, ResponseHead};
 use model::prelude::*;
 use thiserror::Error;
 
-/// Reads and writes the header fields that a platform defines.
+/// Reads and writes the header fields and the calls that a platform defines.
 pub trait HeaderCodec {
     /// Reads the fields of a caller's request.
     fn read_caller<'a>(&self, head: &'a RequestHead) -> Result<CallerFields<'a>, FieldError>;
@@ -23,6 +23,31 @@
 
     /// Returns the name of the field that holds a request's id.
     fn request_id_name(&self) -> &'static str;
+
+    /// Encodes the call, head and body, that makes an engine end a run and move its KV cache.
+    fn encode_end_run(&self, fields: &EndRunFields<'_>) -> Result<Vec<u8>, EncodeError>;
+
+    /// Returns what the response of the engine at `address` to that call shows of the run. Whatever
+    /// does not prove that the run has ended is [`RunEnd::Unknown`].
+    fn decode_run_end(&self, address: SocketAddrV4, status: u16, body: &[u8]) -> RunEnd;
+}
+
+/// A call cannot be encoded, for the reason given here.
+#[derive(Clone, PartialEq, Eq, Debug, Error)]
+#[error("{0}")]
+pub struct EncodeError(pub String);
+
+/// What the call says that makes an engine end a run.
+#[derive(Clone, Copy, Debug)]
+pub struct EndRunFields<'a> {
+    /// The id of the request that it runs.
+    pub id: &'a str,
+    /// The name of the engine: another server at its address rejects the call.
+    pub server: &'a str,
+    /// The address of the engine.
+    pub address: SocketAddrV4,
+    /// The address of the engine to which the KV cache is moved.
+    pub move_to: SocketAddrV4,
 }
 
 /// Why a request is rejected because of a header field.
@@ -88,7 +113,7 @@
     pub kv_backup: Option<SocketAddrV4>,
     /// The server from which this one fetches the prompt's cached prefix tokens that it lacks.
     pub fetch_source: Option<SocketAddrV4>,
-    /// The server's own address and the request's id, if the generation resumes from the KV cache
-    /// copy that the server holds.
+    /// The address of the engine that named the KV cache copy from which the generation resumes, and
+    /// the copy's name; absent if the generation does not resume.
     pub kv_copy: Option<(SocketAddrV4, &'a str)>,
 }
--- a/crates/edge/src/journal.rs
+++ b/crates/edge/src/journal.rs
@@ -52,6 +52,7 @@
             LogEntry::AccountExcess { .. } => (&mut self.excesses, MAX_EXCESS_LINES),
             LogEntry::AttemptFailed { .. }
             | LogEntry::Continued { .. }
+            | LogEntry::RunLeft { .. }
             | LogEntry::Refused { .. }
             | LogEntry::Malformed { .. }
             | LogEntry::IgnoredField { .. }
@@ -199,10 +200,14 @@
                 "attempt failed"
             );
         }
-        LogEntry::Continued { id, before, server, evidence } => {
+        LogEntry::Continued { id, before, server } => {
+            log::info!(request:% = id, before:%, server:%; "response continued at another server");
+        }
+        LogEntry::RunLeft { id, server, evidence, has_ended, goes_on, took } => {
+            let took_ms = millis(*took);
             log::info!(
-                request:% = id, before:%, server:%, evidence;
-                "response continued at another server"
+                request:% = id, server:%, evidence, ended = has_ended, goes_on, took_ms;
+                "run left after its response broke off"
             );
         }
         LogEntry::Answered { id, route, first_byte, total, in_target, attempts, trace } => {
--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -15,6 +15,7 @@
 mod headers;
 mod instance;
 mod journal;
+mod left_run;
 mod memory;
 mod metrics;
 mod outgoing;
@@ -36,7 +37,9 @@
 mod traffic;
 
 pub use events::{EventSplitter, StreamEvent};
-pub use headers::{AttemptFields, BackendFields, CallerFields, FieldError, HeaderCodec};
+pub use headers::{
+    AttemptFields, BackendFields, CallerFields, EncodeError, EndRunFields, FieldError, HeaderCodec,
+};
 pub use instance::Instance;
 pub use journal::Journal;
 pub use process::{RunError, run};
--- a/crates/edge/src/metrics.rs
+++ b/crates/edge/src/metrics.rs
@@ -27,7 +27,8 @@
     attempts: Counter,
     failed: Family<AttemptLabels, Counter>,
     faults: Family<FaultLabels, Counter>,
-    continued: Family<ContinuedLabels, Counter>,
+    continued: Counter,
+    runs_left: Family<RunLabels, Counter>,
     callers_left: Counter,
     pub(crate) connections_opened: Counter,
     pub(crate) connections_reused: Counter,
@@ -76,8 +77,9 @@
 }
 
 #[derive(Clone, PartialEq, Eq, Hash, Debug, EncodeLabelSet)]
-struct ContinuedLabels {
+struct RunLabels {
     evidence: &'static str,
+    ended: &'static str,
 }
 
 #[derive(Clone, PartialEq, Eq, Hash, Debug, EncodeLabelSet)]
@@ -109,7 +111,8 @@
             attempts: Counter::default(),
             failed: Family::default(),
             faults: Family::default(),
-            continued: Family::default(),
+            continued: Counter::default(),
+            runs_left: Family::default(),
             callers_left: Counter::default(),
             connections_opened: Counter::default(),
             connections_reused: Counter::default(),
@@ -177,9 +180,14 @@
         );
         registry.register(
             "responses_continued",
-            "Responses that went on at another server, by what showed the end of the run before",
+            "Responses that went on at another server",
             self.continued.clone(),
         );
+        registry.register(
+            "runs_left",
+            "Runs whose response broke off midway, by what their server showed and whether that proves their end",
+            self.runs_left.clone(),
+        );
         registry.register(
             "callers_left",
             "Requests whose caller disconnected",
@@ -303,8 +311,12 @@
                     self.faults.get_or_create(&FaultLabels { fault }).inc();
                 }
             }
-            LogEntry::Continued { evidence, .. } => {
-                self.continued.get_or_create(&ContinuedLabels { evidence }).inc();
+            LogEntry::Continued { .. } => {
+                self.continued.inc();
+            }
+            LogEntry::RunLeft { evidence, has_ended, .. } => {
+                let ended = if *has_ended { "true" } else { "false" };
+                self.runs_left.get_or_create(&RunLabels { evidence, ended }).inc();
             }
             LogEntry::Answered { route, first_byte, total, in_target, .. } => {
                 self.count_answered(route, *first_byte, *total, *in_target);
--- a/crates/edge/src/relay.rs
+++ b/crates/edge/src/relay.rs
@@ -307,7 +307,9 @@
     match end {
         Some(end) => end?,
         None if splitter.pending() > 0 => {
-            return Err(Fault::Broken("the stream ends within an event"));
+            let is_closed = started.head.framing() == Framing::UntilClose;
+            let fault = if is_closed { Fault::Closed } else { Fault::Broken };
+            return Err(fault("the stream ends within an event"));
         }
         None => {}
     }
--- a/crates/http1/src/error.rs
+++ b/crates/http1/src/error.rs
@@ -43,6 +43,9 @@
 pub trait ConnectionError {
     /// Returns what happened, without the details of one case.
     fn summary(&self) -> &'static str;
+
+    /// Returns whether the peer ended the connection: it closed or reset it.
+    fn is_end(&self) -> bool;
 }
 
 impl ConnectionError for io::Error {
@@ -53,6 +56,10 @@
             _ => "the connection broke",
         }
     }
+
+    fn is_end(&self) -> bool {
+        matches!(self.kind(), io::ErrorKind::UnexpectedEof | io::ErrorKind::ConnectionReset)
+    }
 }
 
 impl ConnectionError for HeadError {
@@ -64,6 +71,14 @@
             Self::Malformed(detail) => detail,
         }
     }
+
+    fn is_end(&self) -> bool {
+        match self {
+            Self::Closed => true,
+            Self::Broken(err) => err.is_end(),
+            Self::TooLarge(_) | Self::TooManyFields | Self::Malformed(_) => false,
+        }
+    }
 }
 
 impl ConnectionError for BodyError {
@@ -74,4 +89,11 @@
             Self::TooLarge(_) => "the body is too large",
         }
     }
+
+    fn is_end(&self) -> bool {
+        match self {
+            Self::Broken(err) => err.is_end(),
+            Self::Malformed | Self::TooLarge(_) => false,
+        }
+    }
 }
