--- a/crates/dispatch/tests/decisions/copies.rs
+++ b/crates/dispatch/tests/decisions/copies.rs
@@ -1,7 +1,7 @@
 //! KV cache copies: a live stream resumes at another engine once the run at its engine has ended.
 
 use dispatch::{
-    AttemptEnd, Command, Delivered, Effect, Event, KvCopy, LeftRun, RequestKey, RunEnd,
+    AttemptEnd, Command, Delivered, Effect, Event, KvCopy, LeftRun, Prompt, RequestKey, RunEnd,
     ServerChange, ServerEntry,
 };
 use model::prelude::*;
@@ -164,6 +164,75 @@
     assert_eq!(refusals(&effects), [(key, Refusal::unknown(Reason::ServerFailed))]);
 }
 
+/// Guards against a third run, and against a refusal that says that nothing ran, whatever becomes of the
+/// resumption.
+#[test]
+fn a_live_stream_whose_resumption_fails_is_broken_off() {
+    let ends = [
+        BROKEN,
+        AttemptEnd::TimedOut { delivered: Delivered::Events },
+        AttemptEnd::NotConnected,
+        AttemptEnd::Withdrawn,
+        AttemptEnd::Unused,
+        AttemptEnd::HeldBack,
+        AttemptEnd::Rejected { is_misdirected: true },
+    ];
+    for end in ends {
+        let mut bench = three_engines();
+        let (key, _, _) = start_live_stream(&mut bench);
+        bench.ended(key, BROKEN);
+        bench.step(Event::RunEnded { key, end: RunEnd::Moved(copy(99, "h-7")) });
+
+        let effects = bench.ended(key, end);
+
+        assert!(attempts(&effects).is_empty() && left_runs(&effects).is_empty(), "{end:?}");
+        let refusals = refusals(&effects);
+        assert_eq!(refusals.len(), 1, "{end:?}");
+        assert_eq!(refusals[0].1.execution, Execution::Unknown, "{end:?}");
+    }
+}
+
+/// Guards against a run that is left as its server leaves: it is finished there.
+#[test]
+fn a_run_stays_at_a_server_that_leaves_or_is_withdrawn() {
+    let events: [fn(ServerEntry) -> Event; 4] = [
+        |entry| Event::Server(ServerChange::Listed(ServerEntry { is_draining: true, ..entry })),
+        |entry| Event::Server(ServerChange::Unlisted(entry.id())),
+        |entry| Event::Server(ServerChange::Listed(ServerEntry { incarnation: 2, ..entry })),
+        |entry| Event::EvacuatedZones([entry.zone].into()),
+    ];
+    for event in events {
+        for route in ["live", "short"] {
+            let mut bench = three_engines();
+            let talk = Prompt { max_output: 280, ..prompt(172, 543, 1) };
+            let (key, effects) = bench.request(route, talk);
+            let attempt = &attempts(&effects)[0].1;
+            bench.step(Event::Sent { key });
+            bench.step(Event::FirstByte { key });
+            let host = attempt.address.ip().octets()[3];
+
+            let mut effects = bench.step(event(server(&attempt.name, "engines", host)));
+            effects.extend(bench.pass(1_000));
+
+            assert!(attempts(&effects).is_empty() && left_runs(&effects).is_empty(), "{route}");
+            assert!(refusals(&effects).is_empty(), "{route}");
+        }
+    }
+}
+
+/// Guards against a second run of a generation whose first event is late: only what may run more than
+/// once is left for that.
+#[test]
+fn a_generation_that_must_not_be_repeated_is_not_left_for_being_late() {
+    for (route, may_leave) in [("live", false), ("batch", false), ("short", true)] {
+        let mut bench = three_engines();
+        let (key, _) = bench.request(route, prompt(172, 543, 1));
+        bench.step(Event::Sent { key });
+
+        assert_eq!(bench.state.leave_by(key).is_some(), may_leave, "{route}");
+    }
+}
+
 #[test]
 fn a_live_stream_is_broken_off_if_the_engine_with_its_copy_rejects_it() {
     let mut bench = three_engines();
