--- a/crates/edge/src/left_run.rs
+++ b/crates/edge/src/left_run.rs
@@ -17,8 +17,8 @@
 const MAX_BODY_BYTES: usize = 16 << 10;
 
 /// Ends the run of `attempt`, the last one of the request `id`, and returns what its server shows of it
-/// by [`LeftRun::by`]. The connection is a new one: whether its server accepts it says whether the
-/// server runs.
+/// by [`LeftRun::by`]. The connection is always a new one: a refused one says that the server has ended
+/// or cannot be reached.
 pub(crate) async fn end(instance: &Instance, id: &str, attempt: &Attempt, left: LeftRun) -> RunEnd {
     instance.clock.sleep_until(left.from).await;
     let connect_by = left.by.min(instance.clock.now() + CONNECT_TIMEOUT);
@@ -26,7 +26,7 @@
     let connecting = TcpStream::connect(attempt.address);
     let stream = match deadline::until(instance.clock, connect_by, connecting).await {
         Some(Ok(stream)) => stream,
-        Some(Err(err)) => return refused(&err),
+        Some(Err(err)) => return shown_by_failure(&err),
         None => return RunEnd::Unreachable,
     };
     set_socket_options(&stream);
@@ -52,7 +52,7 @@
 }
 
 /// Returns what a failure to connect shows.
-fn refused(err: &io::Error) -> RunEnd {
+fn shown_by_failure(err: &io::Error) -> RunEnd {
     match err.kind() {
         io::ErrorKind::ConnectionRefused => RunEnd::Refused,
         io::ErrorKind::TimedOut
