Malformed second responses are not part of a body

Seen by callers (test, untouched code): 200 with a body that ends in `HTTP/1.1 200 X`, a field `Bad Name: a`, the request's id and the body of a second response.

Cause: where only the end of the connection ends a body, a second response is found by its head, and a head that does not parse counted as content. The more a head is checked, the more such responses would pass.

Change: a malformed head that names the request, or an earlier one of the connection, is a second response without a status, which breaks the response off like one with another status. Other bytes that look like a head stay content, and so does what precedes a head that parses.

invalid_heads::a_malformed_second_response_is_not_part_of_a_body: failed on (whole, with the foreign head), passes now.

--- a/crates/edge/src/relay.rs
+++ b/crates/edge/src/relay.rs
@@ -242,7 +242,10 @@
     if !second.is_own {
         return Err(Fault::Broken("a response to an earlier request interrupts the body"));
     }
-    if second.status != head.status() {
+    let Some(status) = second.status else {
+        return Err(Fault::Broken("a malformed second response interrupts the body"));
+    };
+    if status != head.status() {
         return Err(Fault::Broken("a second response with another status interrupts the body"));
     }
     log::info!(
--- a/crates/edge/src/second_response.rs
+++ b/crates/edge/src/second_response.rs
@@ -22,7 +22,8 @@
 pub(crate) struct SecondResponse {
     /// The index in the body at which its head begins.
     pub(crate) start: usize,
-    pub(crate) status: u16,
+    /// The status; `None` if the head is malformed.
+    pub(crate) status: Option<u16>,
     /// Whether it is to the same request, not to an earlier one of the connection.
     pub(crate) is_own: bool,
 }
@@ -81,11 +82,34 @@
     }
 
     fn parse(&self, start: usize, raw: &[u8]) -> Option<SecondResponse> {
-        let head = ResponseHead::parse(raw, self.method).ok().flatten()?;
+        let Ok(head) = ResponseHead::parse(raw, self.method) else {
+            let is_own = self.named_in_malformed(raw)? == self.id;
+            return Some(SecondResponse { start, status: None, is_own });
+        };
+        let head = head?;
         let id = self.header_codec.read_backend(&head).id?;
         let is_own = id == self.id;
-        let is_known = is_own || self.earlier.iter().any(|it| **it == *id);
-        is_known.then(|| SecondResponse { start, status: head.status(), is_own })
+        self.is_known(id).then(|| SecondResponse { start, status: Some(head.status()), is_own })
+    }
+
+    /// Returns the first known id in the lines of a malformed head. There is none if another head may
+    /// begin inside of it, as that one is searched by itself.
+    fn named_in_malformed<'b>(&self, raw: &'b [u8]) -> Option<&'b str> {
+        if memmem::find(raw.get(1..)?, HEAD_START).is_some() {
+            return None;
+        }
+        let name = self.header_codec.request_id_name();
+        let mut lines = raw.split(|byte| *byte == b'\n').filter_map(|it| str::from_utf8(it).ok());
+        lines.find_map(|line| {
+            let (found, id) = line.split_once(':')?;
+            let id = id.trim();
+            (found.trim().eq_ignore_ascii_case(name) && self.is_known(id)).then_some(id)
+        })
+    }
+
+    /// Returns whether an id is that of the request or of an earlier one of the connection.
+    fn is_known(&self, id: &str) -> bool {
+        id == self.id || self.earlier.iter().any(|it| **it == *id)
     }
 }
 
