Refuse responses whose status HTTP does not define

Played on: 000, 001, 042, 099, 600, 700 and 999 are passed on with the body, whatever says where that ends.

Cause: `httparse` accepts any three digits, and nothing behind it asked whether they are a status. 000 to 099 are neither interim nor a failure, so no rule of the router held for them.

Change: `ResponseHead::parse`, which reads each head of a response (servers, the store, other instances, calls that end runs, second responses in bodies), refuses a status outside of 100 to 599 (RFC 9110, section 15) as malformed. What follows is what follows any malformed head: 502, or another server where the request may be repeated. The length of a response with such a status is unknown as well, so its connection ends.

--- a/crates/http1/src/response.rs
+++ b/crates/http1/src/response.rs
@@ -1,5 +1,7 @@
 //! Response heads.
 
+use std::ops::RangeInclusive;
+
 use futures_lite::AsyncRead;
 
 use crate::{
@@ -10,6 +12,8 @@
 
 /// The most heads that are read to find the final response; interim ones (1xx) are skipped.
 const MAX_HEADS: usize = 4;
+/// The status codes that HTTP defines (RFC 9110, section 15). `httparse` accepts any three digits.
+const STATUSES: RangeInclusive<u16> = 100..=599;
 
 /// The head of a final response.
 #[derive(Clone, Debug)]
@@ -51,6 +55,9 @@
             return Err(HeadError::Malformed("the head contains another one"));
         }
         let status = parsed.code.unwrap_or_default();
+        if !STATUSES.contains(&status) {
+            return Err(HeadError::Malformed("the status is not valid"));
+        }
         if status == 101 {
             return Err(HeadError::Malformed("switching protocols is not supported"));
         }
@@ -71,7 +78,7 @@
         &self.fields
     }
 
-    /// Returns the status code.
+    /// Returns the status code, from 200 to 599.
     pub fn status(&self) -> u16 {
         self.status
     }
--- a/crates/http1/tests/heads.rs
+++ b/crates/http1/tests/heads.rs
@@ -241,6 +241,21 @@
     }
 }
 
+/// Guards against a status that HTTP does not define and that goes on to the caller.
+#[test]
+fn a_status_below_100_or_above_599_is_malformed() {
+    for status in 0..1_000 {
+        let text = format!("HTTP/1.1 {status:03} X\r\nContent-Length: 0\r\n\r\n");
+
+        let head = ResponseHead::parse(text.as_bytes(), "GET");
+
+        let is_valid = (100..600).contains(&status) && status != 101;
+        assert_eq!(head.is_ok(), is_valid, "{status}: {head:?}");
+        let is_final = is_valid && status >= 200;
+        assert_eq!(head.ok().flatten().map(|it| it.status()), is_final.then_some(status));
+    }
+}
+
 /// Guards against responses that are refused as they name a version of HTTP.
 #[test]
 fn a_head_may_name_a_version_of_http() {
