--- /dev/null
+++ b/crates/daemon/tests/traffic/invalid_heads.rs
@@ -0,0 +1,58 @@
+//! Responses whose heads are not valid are refused like those that break off.
+
+use crate::{
+    backend::Backend,
+    bench::fixture_with_servers,
+    caller::{CallerResponse, call, post},
+};
+
+/// The rest of a response behind its status line, with each way to say where the body ends.
+const RESTS: [&str; 4] = [
+    "content-length: 2\r\n\r\nok",
+    "transfer-encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n",
+    "\r\nok",
+    "content-type: text/event-stream\r\ntransfer-encoding: chunked\r\n\r\n\
+     e\r\ndata: [DONE]\n\n\r\n0\r\n\r\n",
+];
+
+/// Sends a request to a server with this response.
+fn receive(sent: impl Into<Vec<u8>>) -> CallerResponse {
+    let backend = Backend::responding_with(sent);
+    let fixture = fixture_with_servers(&[backend.address]);
+    call(fixture.address, &post("/stock", "x"))
+}
+
+fn assert_refused(response: &CallerResponse, case: &str) {
+    assert_eq!(response.status, 502, "{case}: {response:?}");
+    assert_eq!(response.error(), ("server-failed".to_owned(), "unknown".to_owned()), "{case}");
+}
+
+/// Guards against a status that HTTP does not define and that goes on to the caller.
+#[test]
+fn a_response_with_an_invalid_status_is_refused() {
+    for status in ["000", "001", "042", "099", "600", "700", "999"] {
+        for rest in RESTS {
+            let sent = format!("HTTP/1.1 {status} X\r\n{rest}");
+
+            assert_refused(&receive(&*sent), &sent);
+        }
+    }
+}
+
+/// Guards against a field whose name holds a blank, a control character or a separator, or a line that
+/// goes on with the one before: parsers differ in what such lines mean.
+#[test]
+fn a_response_with_an_invalid_field_name_is_refused() {
+    let bytes = (0..=b' ').chain(*b"\"(),/;<=>?@[\\]{}\x7f\x80\xff");
+    for byte in bytes.filter(|byte| *byte != b'\n') {
+        let names: [&[u8]; 3] = [&[byte, b'a'], &[b'a', byte, b'b'], &[b'a', byte]];
+        for name in names {
+            for rest in RESTS {
+                let parts = [b"HTTP/1.1 200 X\r\n", name, b": c\r\n", rest.as_bytes()];
+                let case = format!("{:?} {rest:?}", name.escape_ascii().to_string());
+
+                assert_refused(&receive(parts.concat()), &case);
+            }
+        }
+    }
+}
--- a/crates/daemon/tests/traffic/main.rs
+++ b/crates/daemon/tests/traffic/main.rs
@@ -12,6 +12,7 @@
 mod forwarding;
 mod framing;
 mod fuzz;
+mod invalid_heads;
 mod platform;
 mod shutdown;
 mod watch;
