Keep the error of a connection for its reader

Seen by callers: a server responds to a long upload at once, with neither a length nor chunks, writes a part of the body and resets the connection, or closes it with the upload unread.

Cause: the kernel reports the error of a socket once. The request is written while the response is read, so the write takes ECONNRESET, is only noted as incomplete, and the next read returns 0, which ends a body that ends with its connection. A reset behind the end of the server's output is an error of which no read learns at all.

Evidence: plain sockets, 20 of 20 connections: `write: ECONNRESET, read: 0` with 8 MB, `read: ECONNRESET` with 300 kB, which are in buffers before the reset. Polling the reader first is no remedy: where the server resets at once, the write still comes first in 20 of 20.

Change: `aio::Socket`, the client's end of a connection, is what writers and readers of one connection share. All connections to servers, to the store, to other instances and to the platform's services use it, in both programs. A broken pipe counts as a reset of the server.

--- a/crates/daemon/src/forward.rs
+++ b/crates/daemon/src/forward.rs
@@ -3,7 +3,7 @@
 mod events;
 mod relay;
 
-use async_net::TcpStream;
+use aio::Socket;
 use control::{Event, RunCommand};
 use futures_lite::AsyncWriteExt as _;
 use http_types::Response;
@@ -126,7 +126,7 @@
         Ok(opened)
     }
 
-    async fn connect(&self) -> Result<TcpStream, AttemptError> {
+    async fn connect(&self) -> Result<Socket, AttemptError> {
         if self.is_late() {
             return Err(AttemptError::Unused);
         }
@@ -135,10 +135,10 @@
         }
         let timeout = Duration::from_millis(self.cx.settings.limits.connect_ms);
         let by = (self.cx.clock.now() + timeout).min(self.command.start_by);
-        let connecting = TcpStream::connect(self.command.address);
+        let connecting = Socket::connect(self.command.address);
         let connected = deadline::until(self.cx.clock, by, connecting).await;
         let Some(Ok(stream)) = connected else { return Err(AttemptError::ConnectFailed) };
-        let _ = stream.set_nodelay(true);
+        let _ = stream.set_nodelay();
         Ok(stream)
     }
 
--- a/crates/daemon/src/forward/relay.rs
+++ b/crates/daemon/src/forward/relay.rs
@@ -1,6 +1,6 @@
 //! Passing a backend server's response on to the caller.
 
-use async_net::TcpStream;
+use aio::Socket;
 use http_types::Response;
 
 use super::{Attempt, AttemptError, events::EventSplitter};
@@ -32,7 +32,7 @@
 /// A response whose head and first body bytes were read.
 #[derive(Debug)]
 pub(super) struct OpenedResponse {
-    input: Buffered<TcpStream>,
+    input: Buffered<Socket>,
     head: ResponseParts,
     decoder: BodyDecoder,
     first: Option<Vec<u8>>,
@@ -41,7 +41,7 @@
 impl OpenedResponse {
     /// Reads the first bytes of the body.
     pub(super) async fn read(
-        mut input: Buffered<TcpStream>,
+        mut input: Buffered<Socket>,
         head: ResponseParts,
     ) -> Result<Self, AttemptError> {
         let mut decoder = BodyDecoder::new(head.framing);
--- a/crates/daemon/src/http/exchange.rs
+++ b/crates/daemon/src/http/exchange.rs
@@ -2,7 +2,7 @@
 
 use std::net::SocketAddr;
 
-use async_net::TcpStream;
+use aio::Socket;
 use futures_lite::{AsyncWriteExt as _, FutureExt as _, future};
 use http_types::{Request, Response};
 use thiserror::Error;
@@ -49,16 +49,16 @@
 /// A client connection that stays open between requests.
 #[derive(Debug)]
 pub(crate) struct Client {
-    stream: TcpStream,
-    input: Buffered<TcpStream>,
+    stream: Socket,
+    input: Buffered<Socket>,
 }
 
 impl Client {
     /// Connects to a server.
     pub(crate) async fn connect(address: SocketAddr) -> Result<Self, ExchangeError> {
-        let stream = TcpStream::connect(address).await?;
+        let stream = Socket::connect(address).await?;
         // Requests are written at once; Nagle's algorithm would only delay them.
-        let _ = stream.set_nodelay(true);
+        let _ = stream.set_nodelay();
         Ok(Self { input: Buffered::new(stream.clone()), stream })
     }
 
--- a/crates/edge/src/attempt.rs
+++ b/crates/edge/src/attempt.rs
@@ -1,14 +1,13 @@
 //! Attempts at backend servers.
 
-use std::{future::Future, pin::pin, sync::Arc};
+use std::{future::Future, os::fd::AsFd, pin::pin, sync::Arc};
 
-use aio::deadline;
-use async_net::TcpStream;
+use aio::{Socket, deadline};
 use dispatch::{Attempt, AttemptEnd, Event, LogEntry, RequestKey, ResponseTrace};
 use http1::{Buffered, ConnectionError, Framing, ResponseHead, discard, read_whole};
 use model::prelude::*;
 use prometheus_client::metrics::counter::Counter;
-use rustix::net::sockopt::set_tcp_user_timeout;
+use rustix::net::sockopt::{set_tcp_nodelay, set_tcp_user_timeout};
 
 use crate::{
     AttemptFields, BackendFields, FieldError, Instance,
@@ -226,7 +225,7 @@
             return Ok(connection);
         }
         self.instance.metrics.connections_opened.inc();
-        let connecting = TcpStream::connect(address);
+        let connecting = Socket::connect(address.into());
         let by = (clock.now() + CONNECT_TIMEOUT).min(self.attempt.end_by);
         let connected = deadline::until(clock, by, connecting).await;
         let Some(Ok(stream)) = connected else { return Err(Fault::NotConnected) };
@@ -238,7 +237,7 @@
     /// the connection. Responses to other requests that come before it are skipped.
     async fn read_head(
         &self,
-        input: &mut Buffered<TcpStream>,
+        input: &mut Buffered<Socket>,
         progress: &mut Progress,
     ) -> Result<(ResponseHead, bool), Fault> {
         let method = self.outgoing.head.method();
@@ -388,8 +387,8 @@
 
 /// Disables Nagle's algorithm, so that small writes go out at once, and sets the timeout for
 /// unacknowledged bytes.
-pub(crate) fn set_socket_options(stream: &TcpStream) {
-    if let Err(err) = stream.set_nodelay(true) {
+pub(crate) fn set_socket_options(stream: &impl AsFd) {
+    if let Err(err) = set_tcp_nodelay(stream, true) {
         log::debug!("cannot disable Nagle's algorithm: {err}");
     }
     if let Err(err) = set_tcp_user_timeout(stream, UNACKNOWLEDGED_TIMEOUT_MS) {
--- a/crates/edge/src/connection_pool.rs
+++ b/crates/edge/src/connection_pool.rs
@@ -8,7 +8,7 @@
     time::Duration,
 };
 
-use async_net::TcpStream;
+use aio::Socket;
 use http1::Buffered;
 use model::prelude::*;
 
@@ -27,16 +27,16 @@
 #[derive(Debug)]
 pub(crate) struct Connection {
     /// The socket, used for writing.
-    pub(crate) stream: TcpStream,
+    pub(crate) stream: Socket,
     /// The same socket, used for reading, with what was read ahead.
-    pub(crate) input: Buffered<TcpStream>,
+    pub(crate) input: Buffered<Socket>,
     /// The ids of the last requests that it carried before, the oldest first.
     pub(crate) earlier: Vec<Arc<str>>,
 }
 
 impl Connection {
     /// Wraps a connection that has carried no request.
-    pub(crate) fn new(stream: TcpStream) -> Self {
+    pub(crate) fn new(stream: Socket) -> Self {
         Self { input: Buffered::new(stream.clone()), stream, earlier: Vec::new() }
     }
 
--- a/crates/edge/src/left_run.rs
+++ b/crates/edge/src/left_run.rs
@@ -2,8 +2,7 @@
 
 use std::io;
 
-use aio::deadline;
-use async_net::TcpStream;
+use aio::{Socket, deadline};
 use dispatch::{Attempt, LeftRun, RunEnd};
 use futures_lite::AsyncWriteExt as _;
 use http1::{Buffered, ConnectionError, ResponseHead, read_whole};
@@ -23,7 +22,7 @@
     instance.clock.sleep_until(left.from).await;
     let connect_by = left.by.min(instance.clock.now() + CONNECT_TIMEOUT);
     instance.metrics.connections_opened.inc();
-    let connecting = TcpStream::connect(attempt.address);
+    let connecting = Socket::connect(attempt.address.into());
     let stream = match deadline::until(instance.clock, connect_by, connecting).await {
         Some(Ok(stream)) => stream,
         Some(Err(err)) => return shown_by_failure(&err),
@@ -63,7 +62,7 @@
 }
 
 /// Sends a call and returns the status and the body of the response, or why there is none.
-async fn ask(mut stream: TcpStream, call: &[u8]) -> Result<(u16, Vec<u8>), &'static str> {
+async fn ask(mut stream: Socket, call: &[u8]) -> Result<(u16, Vec<u8>), &'static str> {
     stream.write_all(call).await.map_err(|err| err.summary())?;
     let mut input = Buffered::new(stream);
     let head = ResponseHead::read(&mut input, "POST", MAX_RESPONSE_HEAD_BYTES).await;
--- a/crates/edge/src/sending.rs
+++ b/crates/edge/src/sending.rs
@@ -7,14 +7,14 @@
     task::Poll,
 };
 
-use async_net::TcpStream;
+use aio::Socket;
 use futures_lite::{AsyncWriteExt as _, future};
 
 /// Request bodies up to this size are sent in one write with the head.
 const MAX_JOINED_BODY_BYTES: usize = 4 << 10;
 
 /// Writes a request to a server.
-pub(crate) async fn write(mut stream: TcpStream, mut head: Vec<u8>, body: &[u8]) -> io::Result<()> {
+pub(crate) async fn write(mut stream: Socket, mut head: Vec<u8>, body: &[u8]) -> io::Result<()> {
     if body.len() <= MAX_JOINED_BODY_BYTES {
         head.extend_from_slice(body);
         return stream.write_all(&head).await;
--- a/crates/edge/src/server_check.rs
+++ b/crates/edge/src/server_check.rs
@@ -2,8 +2,7 @@
 
 use std::{io, rc::Rc};
 
-use aio::deadline;
-use async_net::TcpStream;
+use aio::{Socket, deadline};
 use dispatch::Event;
 use model::prelude::*;
 
@@ -27,7 +26,7 @@
 async fn check_server(instance: Rc<Instance>, check: ServerCheck) {
     let ServerCheck { server, address } = check;
     let by = instance.clock.now() + TIMEOUT;
-    let connected = deadline::until(instance.clock, by, TcpStream::connect(address)).await;
+    let connected = deadline::until(instance.clock, by, Socket::connect(address.into())).await;
     let is_down = match connected {
         Some(Ok(stream)) => {
             instance.metrics.connections_opened.inc();
--- a/crates/http1/src/error.rs
+++ b/crates/http1/src/error.rs
@@ -52,13 +52,20 @@
     fn summary(&self) -> &'static str {
         match self.kind() {
             io::ErrorKind::UnexpectedEof => "the connection ended within the response",
-            io::ErrorKind::ConnectionReset => "the connection was reset",
+            io::ErrorKind::ConnectionReset | io::ErrorKind::BrokenPipe => {
+                "the connection was reset"
+            }
             _ => "the connection broke",
         }
     }
 
     fn is_end(&self) -> bool {
-        matches!(self.kind(), io::ErrorKind::UnexpectedEof | io::ErrorKind::ConnectionReset)
+        matches!(
+            self.kind(),
+            io::ErrorKind::UnexpectedEof
+                | io::ErrorKind::ConnectionReset
+                | io::ErrorKind::BrokenPipe
+        )
     }
 }
 
