Doubt the end of a response while its request is being written

That is so whenever the server has read all that has arrived when it closes the connection, as one does that responds while it reads and then ends: its system sends the end, and the reset when the next bytes come, a round trip later.

Cause: the reader acts on the end at once, when the reset is still under way.

Change: where only the end of the connection ends a response and its request is still being written, the end waits until the writing has succeeded or failed, for 100 ms at most, a round trip between zones. Then the connection is asked once more. A server that has ended its output but reads on, or holds the connection open, has its response delivered, in the latter case that much later. Requests that were written in time, so all but large uploads, wait for nothing.

--- a/crates/edge/src/attempt.rs
+++ b/crates/edge/src/attempt.rs
@@ -2,7 +2,7 @@
 
 use std::{future::Future, os::fd::AsFd, pin::pin, sync::Arc};
 
-use aio::{Socket, deadline};
+use aio::{Latch, Socket, deadline};
 use dispatch::{Attempt, AttemptEnd, Event, LogEntry, RequestKey, ResponseTrace};
 use http1::{Buffered, ConnectionError, Framing, ResponseHead, discard, read_whole};
 use model::prelude::*;
@@ -149,7 +149,8 @@
         let outgoing = self.outgoing;
         self.bytes(Cause::Requests).inc_by(outgoing.body.len() as u64);
         let writing = pin!(write(connection.stream.clone(), head, &outgoing.body));
-        let mut sending = Sending::new(writing);
+        connection.written = Latch::default();
+        let mut sending = Sending::new(writing, connection.written.clone());
         let reading = self.read_head(&mut connection.input, progress);
         let read = before_leaving(instance, key, end_by, sending.alongside(reading)).await;
         let (head, is_clean) = read.ok_or(Fault::TimedOut)??;
@@ -204,7 +205,14 @@
         }
         self.check_response(&head, &mut connection).await?;
         let received = self.bytes(Cause::Responses);
-        let started = relay::StartedResponse::read(connection, head, is_reusable, received).await?;
+        let reading = relay::StartedResponse::read(
+            connection,
+            head,
+            is_reusable,
+            received,
+            self.instance.clock,
+        );
+        let started = reading.await?;
         self.instance.handle_event(Event::FirstByte { key: self.key });
         Ok(started)
     }
@@ -334,6 +342,9 @@
             if memory.resize(self.instance.clock.now(), MAX_BUFFERED_BODY_BYTES) {
                 let input = &mut connection.input;
                 let mut body = read_whole(input, head.framing(), MAX_BUFFERED_BODY_BYTES).await?;
+                if head.framing() == Framing::UntilClose {
+                    connection.check_end(self.instance.clock).await?;
+                }
                 if let Ending::At(end) = relay::find_end(self, head, connection, &body)? {
                     body.truncate(end);
                 }
--- a/crates/edge/src/connection_pool.rs
+++ b/crates/edge/src/connection_pool.rs
@@ -3,12 +3,13 @@
 use std::{
     cell::RefCell,
     collections::{HashMap, HashSet},
+    io,
     net::SocketAddrV4,
     sync::Arc,
     time::Duration,
 };
 
-use aio::Socket;
+use aio::{Clock, Latch, Socket, deadline};
 use http1::Buffered;
 use model::prelude::*;
 
@@ -20,6 +21,9 @@
 const KEEP_ALIVE_FRACTION: f64 = 0.5;
 /// Idle connections kept for each server; further ones are closed.
 const MAX_IDLE_PER_SERVER: usize = 32;
+/// How long the end of a response is doubted while its request is being written: a round trip between
+/// zones. A server that has closed the connection resets it when the next bytes arrive.
+const RESET_TIMEOUT: Duration = Duration::from_millis(100);
 /// Requests of a connection whose late responses are told from content.
 const MAX_EARLIER_REQUESTS: usize = 8;
 
@@ -30,6 +34,8 @@
     pub(crate) stream: Socket,
     /// The same socket, used for reading, with what was read ahead.
     pub(crate) input: Buffered<Socket>,
+    /// Set when the writing of the request has ended, with success or not.
+    pub(crate) written: Latch,
     /// The ids of the last requests that it carried before, the oldest first.
     pub(crate) earlier: Vec<Arc<str>>,
 }
@@ -37,7 +43,24 @@
 impl Connection {
     /// Wraps a connection that has carried no request.
     pub(crate) fn new(stream: Socket) -> Self {
-        Self { input: Buffered::new(stream.clone()), stream, earlier: Vec::new() }
+        Self {
+            input: Buffered::new(stream.clone()),
+            stream,
+            written: Latch::default(),
+            earlier: Vec::new(),
+        }
+    }
+
+    /// Checks that the end of the input is that of a response which ends with its connection, and not
+    /// due to an error. The error may follow if the server has closed the connection before it had read
+    /// the request.
+    pub(crate) async fn check_end(&mut self, clock: Clock) -> io::Result<()> {
+        let by = clock.now() + RESET_TIMEOUT;
+        if deadline::until(clock, by, self.written.wait()).await.is_none() {
+            log::debug!("a response ended while its request was being written");
+        }
+        // The input has ended, so this gives no bytes.
+        self.input.fill().await.map(drop)
     }
 
     /// Records that the connection has carried a request.
--- a/crates/edge/src/relay.rs
+++ b/crates/edge/src/relay.rs
@@ -1,5 +1,6 @@
 //! Relays a backend server's response to the caller.
 
+use aio::Clock;
 use dispatch::Event;
 use http1::{BodyDecoder, Framing, ResponseHead, is_event};
 use prometheus_client::metrics::counter::Counter;
@@ -47,6 +48,7 @@
     is_reusable: bool,
     /// Counts the bytes of the body.
     received: Counter,
+    clock: Clock,
 }
 
 impl StartedResponse {
@@ -56,19 +58,24 @@
         head: ResponseHead,
         is_reusable: bool,
         received: Counter,
+        clock: Clock,
     ) -> Result<Self, Fault> {
         let mut decoder = BodyDecoder::new(head.framing());
         let first = decoder.next(&mut connection.input).await?;
         received.inc_by(first.as_ref().map_or(0, |it| it.len() as u64));
-        Ok(Self { connection, head, decoder, first, is_reusable, received })
+        Ok(Self { connection, head, decoder, first, is_reusable, received, clock })
     }
 
+    /// Returns the next piece of the body, or `None` once it is complete.
     async fn next(&mut self) -> Result<Option<Vec<u8>>, Fault> {
         if let Some(piece) = self.first.take() {
             return Ok(Some(piece));
         }
         let piece = self.decoder.next(&mut self.connection.input).await?;
         self.received.inc_by(piece.as_ref().map_or(0, |it| it.len() as u64));
+        if piece.is_none() && self.head.framing() == Framing::UntilClose {
+            self.connection.check_end(self.clock).await?;
+        }
         Ok(piece)
     }
 
--- a/crates/edge/src/sending.rs
+++ b/crates/edge/src/sending.rs
@@ -7,7 +7,7 @@
     task::Poll,
 };
 
-use aio::Socket;
+use aio::{Latch, Socket};
 use futures_lite::{AsyncWriteExt as _, future};
 
 /// Request bodies up to this size are sent in one write with the head.
@@ -28,11 +28,14 @@
     writing: Pin<&'a mut W>,
     /// Whether the writing succeeded; `None` while it goes on.
     is_written: Option<bool>,
+    /// Set when the writing ends.
+    ended: Latch,
 }
 
 impl<'a, W: Future<Output = io::Result<()>>> Sending<'a, W> {
-    pub(crate) fn new(writing: Pin<&'a mut W>) -> Self {
-        Self { writing, is_written: None }
+    /// Prepares the writing; `ended` is set when it has ended, with success or not.
+    pub(crate) fn new(writing: Pin<&'a mut W>, ended: Latch) -> Self {
+        Self { writing, is_written: None, ended }
     }
 
     /// Returns whether all of the request was written.
@@ -49,6 +52,7 @@
             {
                 // After a failed write a response may still arrive.
                 self.is_written = Some(result.is_ok());
+                self.ended.set();
             }
             reading.as_mut().poll(cx)
         })
