Quoted requests in bodies are content

Change: a malformed head counts only behind a status line, whether its code is valid or not.

invalid_heads::a_quoted_request_is_part_of_a_body: failed on, passes now and on. The tests of malformed second responses hold.

--- a/crates/edge/src/second_response.rs
+++ b/crates/edge/src/second_response.rs
@@ -7,7 +7,7 @@
 
 use std::sync::Arc;
 
-use http1::ResponseHead;
+use http1::{ResponseHead, is_status_line};
 use memchr::memmem;
 
 use crate::HeaderCodec;
@@ -92,15 +92,16 @@
         self.is_known(id).then(|| SecondResponse { start, status: Some(head.status()), is_own })
     }
 
-    /// Returns the first known id in the lines of a malformed head. There is none if another head may
-    /// begin inside of it, as that one is searched by itself.
+    /// Returns the first known id in the fields of a malformed head. There is none if it has no status
+    /// line, as in a quoted request, or if another head may begin inside of it, as that one is searched
+    /// by itself.
     fn named_in_malformed<'b>(&self, raw: &'b [u8]) -> Option<&'b str> {
-        if memmem::find(raw.get(1..)?, HEAD_START).is_some() {
+        let mut lines = raw.split(|byte| *byte == b'\n').map(<[u8]>::trim_ascii_end);
+        if !is_status_line(lines.next()?) || memmem::find(raw.get(1..)?, HEAD_START).is_some() {
             return None;
         }
         let name = self.header_codec.request_id_name();
-        let mut lines = raw.split(|byte| *byte == b'\n').filter_map(|it| str::from_utf8(it).ok());
-        lines.find_map(|line| {
+        lines.filter_map(|line| str::from_utf8(line).ok()).find_map(|line| {
             let (found, id) = line.split_once(':')?;
             let id = id.trim();
             (found.trim().eq_ignore_ascii_case(name) && self.is_known(id)).then_some(id)
--- a/crates/http1/src/lib.rs
+++ b/crates/http1/src/lib.rs
@@ -23,3 +23,4 @@
 pub use framing::Framing;
 pub use request::RequestHead;
 pub use response::ResponseHead;
+pub use status_line::is_status_line;
