--- a/crates/daemon/tests/traffic/main.rs
+++ b/crates/daemon/tests/traffic/main.rs
@@ -8,6 +8,7 @@
 mod bench;
 mod caller;
 mod callers;
+mod early_responses;
 mod foreign;
 mod forwarding;
 mod framing;
