Refuse chunked bodies with a malformed trailer

Seen by callers (test): 200 with the body where the server's trailer holds `Bad Name: a`, a control byte in a name, a folded line or the status line of another response. The line itself goes no further, as trailers are left out, but the message is malformed, and its last chunk may be that of another one.

Cause: the trailer was read line by line up to an empty one, whatever the lines held.

Sound trailers are left out as before.

--- a/crates/daemon/tests/traffic/invalid_heads.rs
+++ b/crates/daemon/tests/traffic/invalid_heads.rs
@@ -56,3 +56,30 @@
         }
     }
 }
+
+/// Guards against a chunked body that is taken for whole although its trailer is malformed.
+#[test]
+fn a_response_with_an_invalid_trailer_is_not_complete() {
+    for line in ["Bad Name: a\r\n", "Bad\x01: a\r\n", "a: b\r\n c\r\n", "HTTP/1.1 200 X\r\n"] {
+        let sent = format!(
+            "HTTP/1.1 200 X\r\ntransfer-encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n{line}\r\n"
+        );
+
+        let response = receive(&*sent);
+
+        assert!(response.status == 502 || !response.is_complete, "{sent}: {response:?}");
+    }
+}
+
+/// The same for the fields that say where the body ends.
+#[test]
+fn a_response_whose_framing_field_has_an_invalid_name_is_refused() {
+    let fields = ["content-length : 2\r\n", "content-length\t: 2\r\n", "content-length\x01: 2\r\n"];
+    for field in fields {
+        for more in ["", "content-length: 2\r\n", "transfer-encoding: chunked\r\n"] {
+            let sent = format!("HTTP/1.1 200 X\r\n{field}{more}\r\n2\r\nok\r\n0\r\n\r\n");
+
+            assert_refused(&receive(&*sent), &sent);
+        }
+    }
+}
--- a/crates/http1/src/body.rs
+++ b/crates/http1/src/body.rs
@@ -200,7 +200,7 @@
     Ok(State::ChunkLine)
 }
 
-/// Skips a line of the trailer, whose fields are not used. `seen` is the size of the trailer so
+/// Skips a line of the trailer, whose fields are checked but not used. `seen` is the size of the trailer so
 /// far.
 async fn trailer_line<R: AsyncRead + Unpin>(
     input: &mut Buffered<R>,
@@ -208,6 +208,9 @@
 ) -> Result<State, BodyError> {
     loop {
         if let Some(end) = input.data().windows(2).position(|pair| pair == b"\r\n") {
+            if end > 0 && !is_field(&input.data()[..end]) {
+                return Err(BodyError::Malformed);
+            }
             input.consume(end + 2);
             return Ok(match end {
                 0 => State::Done,
@@ -220,3 +223,13 @@
         fill(input).await?;
     }
 }
+
+/// Returns whether a line without its end is one header field.
+fn is_field(line: &[u8]) -> bool {
+    let block = [line, b"\r\n\r\n"].concat();
+    let mut fields = [httparse::EMPTY_HEADER; 1];
+    matches!(
+        httparse::parse_headers(&block, &mut fields),
+        Ok(httparse::Status::Complete((len, [_]))) if len == block.len()
+    )
+}
--- a/crates/http1/tests/heads.rs
+++ b/crates/http1/tests/heads.rs
@@ -121,6 +121,30 @@
     }
 }
 
+/// Guards against a trailer that is no trailer, such as a second response behind the last chunk: the
+/// message is malformed, and its last chunk may be the end of another one.
+#[test]
+fn a_trailer_line_that_is_no_field_is_malformed() {
+    let bytes = (0..=b' ').chain(*b"\"(),/;<=>?@[\\]{}\x7f\x80\xff").filter(|it| *it != b'\n');
+    let names = bytes.flat_map(|it| [vec![it, b'a'], vec![b'a', it, b'b'], vec![b'a', it]]);
+    let mut lines: Vec<_> = names.map(|name| [&name[..], b": c\r\n"].concat()).collect();
+    let others: [&[u8]; 6] = [
+        b": c\r\n",
+        b"a\r\n",
+        b"a: b\r\n c\r\n",
+        b"a: b\nc: d\r\n",
+        b"a: \0\r\n",
+        b"HTTP/1.1 200 X\r\n",
+    ];
+    lines.extend(others.map(<[u8]>::to_vec));
+
+    for line in lines {
+        let sent = [b"1\r\na\r\n0\r\nX-A: b\r\n", &line[..], b"\r\n"].concat();
+
+        assert_eq!(body(&sent, Framing::Chunked), None, "{:?}", line.escape_ascii().to_string());
+    }
+}
+
 /// A response with neither a length nor a transfer coding has no other end than that of the
 /// connection, which must not count as a truncation.
 #[test]
