Log in clementined why a response was refused

Two of the reasons had lines of their own; the others were dropped with the error.

No decision changes.

Test: traffic invalid_heads::the_log_names_why_a_response_was_refused goes over five reasons; before, there was a line for the last of them only.

--- a/crates/daemon/src/forward.rs
+++ b/crates/daemon/src/forward.rs
@@ -50,16 +50,15 @@
     Unused,
     ConnectFailed,
     ServerBusy,
-    Broken,
-    /// The stream contains bytes that are no event, such as those of a second response.
-    NoEvent,
+    /// For the reason given here.
+    Broken(&'static str),
     TimedOut,
     CallerLeft,
 }
 
 impl<E: ConnectionError> From<E> for AttemptError {
-    fn from(_: E) -> Self {
-        Self::Broken
+    fn from(err: E) -> Self {
+        Self::Broken(err.summary())
     }
 }
 
@@ -131,7 +130,7 @@
             return Err(AttemptError::Unused);
         }
         if self.writer.is_started() && !(self.command.resumes && self.writer.can_resume()) {
-            return Err(AttemptError::Broken);
+            return Err(AttemptError::Broken("the response cannot be continued"));
         }
         let timeout = Duration::from_millis(self.cx.settings.limits.connect_ms);
         let by = (self.cx.clock.now() + timeout).min(self.command.start_by);
@@ -161,11 +160,7 @@
     fn check_head(&self, head: &ResponseParts) -> Result<(), AttemptError> {
         let id = self.id.to_string();
         if head.names_other_request(&id) {
-            log::warn!(
-                "request {id}: backend server {} sent the response to another request",
-                self.command.server
-            );
-            return Err(AttemptError::Broken);
+            return Err(AttemptError::Broken("the response is to another request"));
         }
         let did_not_run = header(&head.res, "x-outcome") == Some("not-run");
         if did_not_run && head.res.status() == http_types::StatusCode::ServiceUnavailable {
@@ -180,13 +175,8 @@
             AttemptError::Unused => AttemptEnd::Unused,
             AttemptError::ConnectFailed => AttemptEnd::ConnectFailed,
             AttemptError::ServerBusy => AttemptEnd::ServerBusy,
-            AttemptError::Broken => AttemptEnd::Broken { answered },
-            AttemptError::NoEvent => {
-                log::warn!(
-                    "request {}: backend server {} sent bytes that are no event in its stream",
-                    self.id,
-                    self.command.server
-                );
+            AttemptError::Broken(fault) => {
+                log::warn!(request:% = self.id, server:% = self.command.server, fault; "attempt failed");
                 AttemptEnd::Broken { answered }
             }
             AttemptError::TimedOut => AttemptEnd::TimedOut { answered },
--- a/crates/daemon/src/forward/relay.rs
+++ b/crates/daemon/src/forward/relay.rs
@@ -94,7 +94,7 @@
         return if resumed {
             events(opened, None, writer).await
         } else {
-            Err(AttemptError::Broken)
+            Err(AttemptError::Broken("the response does not continue the stream"))
         };
     }
     match mode {
@@ -180,13 +180,14 @@
             written.map_err(|_| AttemptError::CallerLeft)?;
         }
         if splitter.is_broken() {
-            return Err(AttemptError::NoEvent);
+            return Err(AttemptError::Broken("bytes in the stream are no event"));
         }
         if splitter.pending() > MAX_EVENT_BYTES {
-            return Err(AttemptError::Broken);
+            return Err(AttemptError::Broken("an event is too large"));
         }
     }
-    let last = splitter.finish().ok_or(AttemptError::Broken)?;
+    let unfinished = AttemptError::Broken("the stream ends within an event");
+    let last = splitter.finish().ok_or(unfinished)?;
     if let Some(res) = res.take() {
         writer.begin(res, true);
     }
--- a/crates/daemon/tests/traffic/invalid_heads.rs
+++ b/crates/daemon/tests/traffic/invalid_heads.rs
@@ -1,5 +1,12 @@
 //! Responses whose heads are not valid are refused like those that break off.
 
+use std::sync::Mutex;
+
+use log::{
+    Level, LevelFilter, Log, Metadata, Record,
+    kv::{self, Key, Value, VisitSource},
+};
+
 use crate::{
     backend::Backend,
     bench::fixture_with_servers,
@@ -83,3 +90,56 @@
         }
     }
 }
+
+/// Keeps the log lines of this process.
+struct Lines(Mutex<Vec<String>>);
+
+static LINES: Lines = Lines(Mutex::new(Vec::new()));
+
+impl Log for Lines {
+    fn enabled(&self, metadata: &Metadata<'_>) -> bool {
+        metadata.level() <= Level::Warn
+    }
+
+    fn log(&self, record: &Record<'_>) {
+        struct Text(String);
+        impl<'kvs> VisitSource<'kvs> for Text {
+            fn visit_pair(&mut self, key: Key<'kvs>, value: Value<'kvs>) -> Result<(), kv::Error> {
+                self.0 += &format!(" {key}={value}");
+                Ok(())
+            }
+        }
+        let mut text = Text(record.args().to_string());
+        record.key_values().visit(&mut text).unwrap();
+        self.0.lock().unwrap().push(text.0);
+    }
+
+    fn flush(&self) {}
+}
+
+/// Guards against a reason that nobody learns: the caller gets 502 for each of them.
+#[test]
+fn the_log_names_why_a_response_was_refused() {
+    // No other test of this process sets a logger.
+    log::set_logger(&LINES).unwrap();
+    log::set_max_level(LevelFilter::Warn);
+    let cases = [
+        ("HTTP/1.1 000 X\r\ncontent-length: 0\r\n\r\n", "the status is not valid"),
+        ("HTTP/1.1 200 X\r\nBad Name: a\r\n\r\n", "a header field's name is not valid"),
+        ("HTTP/1.1 200 X\r\n\r\nok", "the response is neither chunked nor has a length"),
+        ("HTTP/1.1 200 X\r\ncontent-length: 3\r\n\r\nok", "the connection ended within"),
+        (
+            "HTTP/1.1 200 X\r\nx-request-id: other\r\ncontent-length: 0\r\n\r\n",
+            "to another request",
+        ),
+    ];
+    for (sent, fault) in cases {
+        let response = receive(sent);
+
+        let id = response.field("x-request-id").unwrap();
+        let lines = LINES.0.lock().unwrap();
+        let mut lines = lines.iter().filter(|line| line.contains(id));
+        let line = lines.next().unwrap_or_else(|| panic!("no line for {sent:?}"));
+        assert!(line.starts_with("attempt failed") && line.contains(fault), "{sent:?}: {line}");
+    }
+}
