--- a/crates/edge/src/connection_pool.rs
+++ b/crates/edge/src/connection_pool.rs
@@ -21,8 +21,8 @@
 const KEEP_ALIVE_FRACTION: f64 = 0.5;
 /// Idle connections kept for each server; further ones are closed.
 const MAX_IDLE_PER_SERVER: usize = 32;
-/// How long the end of a response is doubted while its request is being written: a round trip between
-/// zones. A server that has closed the connection resets it when the next bytes arrive.
+/// How long the end of a response waits for a reset while its request is being written: a round trip
+/// between zones. A server that has closed the connection resets it when the next bytes arrive.
 const RESET_TIMEOUT: Duration = Duration::from_millis(100);
 /// Requests of a connection whose late responses are told from content.
 const MAX_EARLIER_REQUESTS: usize = 8;
