Wait for the end of requests in a test of the fakes

Its assertion: every recorded request is complete.

Cause: the stand-in records how a request ended after it has written the response, so a client may have it before. The product has no part in it.

--- a/crates/fakes/tests/fakes.rs
+++ b/crates/fakes/tests/fakes.rs
@@ -6,7 +6,8 @@
     env, fs,
     net::{Ipv4Addr, TcpListener, UdpSocket},
     process::Command,
-    time::Duration,
+    thread,
+    time::{Duration, Instant},
 };
 
 use config::InstanceList;
@@ -31,6 +32,20 @@
     Engine::start_warm(EngineBehavior::default().tokens_per_s(1_000.0).resumes()).unwrap()
 }
 
+/// Waits until no request runs, and returns the record. A client has its response before the server
+/// records how it ended.
+fn ended_record(engine: &Engine) -> Vec<RecordedRequest> {
+    let until = Instant::now() + Duration::from_secs(5);
+    loop {
+        let record = engine.record();
+        if record.iter().all(|it| it.finish != Finish::Running) {
+            return record;
+        }
+        assert!(Instant::now() < until, "requests still run: {record:?}");
+        thread::sleep(Duration::from_millis(1));
+    }
+}
+
 #[test]
 fn complete_and_streamed_responses_are_reported_as_complete() {
     let engine = warm_engine();
@@ -42,7 +57,7 @@
     assert_eq!(complete.end, End::Complete);
     assert_eq!(streamed.end, End::Complete);
     assert_eq!(streamed.events, 20);
-    let record = engine.record();
+    let record = ended_record(&engine);
     assert!(record.iter().all(|it| it.finish == Finish::Complete && it.tokens == 20));
     assert_eq!(record[1].nonce(), "2");
 }
