--- a/crates/dispatch/src/admission.rs
+++ b/crates/dispatch/src/admission.rs
@@ -10,6 +10,7 @@
     AttemptEnd, Command, Effect, LogEntry, NewRequest, RequestKey, Route, Routed,
     queue::QueueEntry,
     request::{Request, Stage},
+    route::Repeat,
     state::State,
 };
 
@@ -70,6 +71,7 @@
             pool: pool.unwrap_or(PoolId(0)),
             arrived: new.arrived,
             end_by,
+            caller_deadline: new.caller_deadline,
             prompt: new.prompt,
             stage: Stage::Idle,
             attempts: 0,
@@ -81,15 +83,32 @@
             has_reserved_retry: false,
             holds_server_error: false,
             has_partial_response: false,
+            software: None,
+            is_origin_in_doubt: false,
         };
-        if let Some(pool) = pool {
-            self.count_prompt(now, pool, &req);
-            self.record_use(now, pool, &req);
-        }
         self.requests.insert(key, req);
         let Some(pool) = pool else {
             return self.refuse(now, key, Refusal::not_run(Reason::NoServer));
         };
+        match new.taken_up.filter(|_| route.is_stream) {
+            Some(taken_up) => self.trace_origin(now, key, taken_up),
+            None => {
+                if route.repeat == Repeat::Resume {
+                    self.record_caller_time(pool, new.caller_deadline.since(new.arrived));
+                }
+                self.admit(now, key);
+            }
+        }
+    }
+
+    /// Counts a request whose pool is decided, and adds it to the queue.
+    pub(crate) fn admit(&mut self, now: Time, key: RequestKey) {
+        let Some(req) = self.requests.remove(key) else { return };
+        let (pool, end_by) = (req.pool, req.end_by);
+        let route = Arc::clone(&req.routed.route);
+        self.count_prompt(now, pool, &req);
+        self.record_use(now, pool, &req);
+        self.requests.insert(key, req);
         self.budgets.entry(pool).or_default().request(now, &self.setup.bounds);
         let wait = route.target.mul_f64(QUEUE_TARGET_SHARE).max(MIN_QUEUE_TIME);
         let wait = wait.max(self.longest_useful_wait(now, pool, &route, end_by));
@@ -156,7 +175,9 @@
                 continue;
             }
             let has_eligible_server = self.servers.in_pool(req.pool).iter().any(|key| {
-                self.servers.get(*key).is_some_and(|server| self.servers.is_eligible(server))
+                self.servers.get(*key).is_some_and(|server| {
+                    self.servers.is_eligible(server) && self.suits_stream(req, server)
+                })
             });
             let reason = if has_eligible_server { Reason::Capacity } else { Reason::NoServer };
             let refusal = req.refusal(reason);
@@ -169,7 +190,10 @@
     pub(crate) fn refuse(&mut self, now: Time, key: RequestKey, refusal: Refusal) {
         let servers = self.survey(now, key);
         let Some(req) = self.remove_request(key) else { return };
-        let is_fatal = matches!(refusal.reason, Reason::NoKey | Reason::NoRoute);
+        let is_fatal = matches!(
+            refusal.reason,
+            Reason::NoKey | Reason::NoRoute | Reason::OriginUnknown | Reason::OriginGone
+        );
         let is_retryable = refusal.execution == Execution::NotRun && !is_fatal;
         let retry_after = match refusal.retry_after {
             None if is_retryable => Some(self.retry_after(now, &req, refusal.reason)),
--- a/crates/dispatch/src/continuation.rs
+++ b/crates/dispatch/src/continuation.rs
@@ -54,14 +54,25 @@
     ) -> Option<ServerKey> {
         let is_midway = end == AttemptEnd::Broken { delivered: Delivered::Events };
         let backup = running.backup.filter(|_| is_midway)?;
-        let may_resume = self.may_resume_at(now, key, backup) && self.reserve_retry(now, key);
+        let may_resume =
+            self.may_resume_at(now, key, running, backup) && self.reserve_retry(now, key);
         may_resume.then_some(backup)
     }
 
-    /// Returns whether a generation that broke off may resume at an engine now.
-    fn may_resume_at(&self, now: Time, key: RequestKey, engine: ServerKey) -> bool {
+    /// Returns whether the generation of an attempt that broke off may resume at an engine now.
+    fn may_resume_at(
+        &self,
+        now: Time,
+        key: RequestKey,
+        running: RunningAttempt,
+        engine: ServerKey,
+    ) -> bool {
         let Some(req) = self.requests.get(key) else { return false };
         let Some(engine) = self.servers.get(engine) else { return false };
+        // The engine may have been started again with another version since it was chosen.
+        if engine.entry.software != running.software || req.is_origin_in_doubt {
+            return false;
+        }
         let pool = self.catalog.as_ref().and_then(|catalog| catalog.pools.get(&req.pool));
         let is_late = now + MIN_REMAINING >= req.end_by;
         // Its prompt may have ended the engine, and would end the next one.
@@ -107,7 +118,7 @@
             return self.ask_to_end(retry_at, key, ending);
         }
         let has_ended = verdict == Verdict::Ended;
-        let goes_on = has_ended && self.may_resume_at(now, key, ending.next);
+        let goes_on = has_ended && self.may_resume_at(now, key, ending.attempt, ending.next);
         let server = self.servers.get(ending.attempt.server);
         let server = server.map(|server| Arc::clone(&server.entry.name)).unwrap_or_default();
         let (evidence, took) = (end.name(), now.since(ending.since));
--- a/crates/dispatch/src/effect.rs
+++ b/crates/dispatch/src/effect.rs
@@ -2,7 +2,7 @@
 
 use std::{net::SocketAddrV4, sync::Arc};
 
-use gossip::{OutgoingLoadMessage, OutgoingPacket, OutgoingTreeMessage};
+use gossip::{OutgoingLoadMessage, OutgoingOriginMessage, OutgoingPacket, OutgoingTreeMessage};
 use model::prelude::*;
 
 use crate::{
@@ -28,6 +28,8 @@
     SendTree(OutgoingTreeMessage),
     /// Send a sum of loads to another instance.
     SendLoads(OutgoingLoadMessage),
+    /// Send a message about the origins of streams to another instance.
+    SendOrigins(OutgoingOriginMessage),
     /// Close the idle connections to a server that has been restarted or is gone.
     Disconnect {
         /// The server's address.
@@ -281,6 +283,17 @@
         /// Why it is not ready, or "serving".
         why: &'static str,
     },
+    /// A request takes up a stream, and it was decided whether that goes on.
+    TakenUp {
+        /// The request's id.
+        id: Arc<str>,
+        /// What shows the software version that began the stream, or why it is not known.
+        evidence: &'static str,
+        /// Whether the stream goes on: the version is known and one of its servers is usable.
+        goes_on: bool,
+        /// Time since the request's arrival.
+        took: Duration,
+    },
     /// A request goes to a server.
     Attempt {
         /// The request's id.
--- a/crates/dispatch/src/event.rs
+++ b/crates/dispatch/src/event.rs
@@ -2,12 +2,12 @@
 
 use std::{collections::BTreeSet, sync::Arc};
 
-use gossip::{LoadMessage, Packet, TreeMessage, ViewSummary};
+use gossip::{LoadMessage, OriginMessage, Packet, SoftwareTag, TreeMessage, ViewSummary};
 use model::prelude::*;
 
 use crate::{
     AttemptEnd, Bounds, Catalog, Prompt, RequestKey, RequestRate, ResponseTrace, Routed, RunEnd,
-    ServerEntry, ServerKey,
+    ServerEntry, ServerKey, TakenUp,
 };
 
 /// An event that the reducer handles.
@@ -62,6 +62,15 @@
     Tree(TreeMessage),
     /// A sum of loads of another instance arrived.
     Loads(LoadMessage),
+    /// A message of another instance about the origins of streams arrived.
+    Origins(OriginMessage),
+    /// The platform's history was read. The read of the platform that it is a part of ends after this event.
+    HistoryRead {
+        /// All servers that were listed in this time before now are known.
+        span: Duration,
+        /// The software versions of the servers that were listed then and may not be any more.
+        served: Vec<ServedVersion>,
+    },
     /// A request of a caller was read completely.
     Request {
         /// Identifies the request in later events and commands.
@@ -79,6 +88,11 @@
         /// Identifies the request, as in [`Event::Request`].
         key: RequestKey,
     },
+    /// The caller is about to get the first events of a stream.
+    StreamBegun {
+        /// Identifies the request, as in [`Event::Request`].
+        key: RequestKey,
+    },
     /// No first byte arrived by the time that [`crate::State::leave_by`] gave.
     FirstByteDue {
         /// Identifies the request, as in [`Event::Request`].
@@ -180,4 +194,17 @@
     pub caller_deadline: Time,
     /// Its prompt; empty if it is not a generation.
     pub prompt: Prompt,
+    /// The stream that it takes up; `None` if it starts anew.
+    pub taken_up: Option<TakenUp>,
+}
+
+/// A software version that servers of a pool had.
+#[derive(Clone, Copy, PartialEq, Eq, Debug)]
+pub struct ServedVersion {
+    /// The pool.
+    pub pool: PoolId,
+    /// The version.
+    pub software: SoftwareTag,
+    /// How long ago the last of these servers may have begun a stream, at the least.
+    pub ended: Duration,
 }
--- a/crates/dispatch/src/fleet.rs
+++ b/crates/dispatch/src/fleet.rs
@@ -50,6 +50,8 @@
             self.server_unlisted(now, id);
         }
         self.has_server_list = true;
+        // Servers may have come and left since the last list.
+        self.software_use.begin(now);
         self.dispatch_all(now);
     }
 
@@ -73,6 +75,11 @@
         server.expired_at = None;
         server.mark_cold(now, entry.cold);
         let is_restarted = old.incarnation != entry.incarnation || old.address != entry.address;
+        if old.software != entry.software {
+            self.software_use.left(now, old.pool, old.software);
+            self.doubt_streams_at(key);
+        }
+        let Some(server) = self.servers.get_mut(key) else { return };
         if is_restarted {
             server.restarted(now, cold_start);
             self.emit(Effect::Disconnect { address: old.address });
@@ -96,7 +103,10 @@
     }
 
     fn server_unlisted(&mut self, now: Time, id: ServerId) {
-        let Some(key) = self.servers.by_id(id) else { return };
+        let Some(key) = self.servers.by_id(id) else {
+            // It came and left between two reads, and may have been of any version.
+            return self.software_use.begin(now);
+        };
         let expired_at = self.entries_expired_at(now);
         let Some(server) = self.servers.get_mut(key) else { return };
         if let (Some(expired_at), false) = (expired_at, server.entry.is_draining) {
@@ -115,6 +125,7 @@
 
     fn remove_server(&mut self, now: Time, key: ServerKey, why: &'static str) {
         let Some(server) = self.servers.remove(key) else { return };
+        self.software_use.left(now, server.entry.pool, server.entry.software);
         self.emit(Effect::Disconnect { address: server.entry.address });
         let (unsent, view_age) = (server.unsent, self.view_age(now));
         self.log(LogEntry::ServerLost { server: server.entry.name, why, unsent, view_age });
@@ -269,13 +280,13 @@
     /// Refuses the waiting requests whose key the configuration does not contain any more.
     fn recheck_keys(&mut self, now: Time) {
         let Some(catalog) = self.catalog.clone() else { return };
-        for key in self.queue.keys() {
+        for key in self.queue.keys().into_iter().chain(self.tracing.clone()) {
             let Some(req) = self.requests.get(key) else { continue };
             let Some(hash) = &req.routed.key else { continue };
             let account = catalog.accounts.as_ref().and_then(|accounts| accounts.get(hash));
             // Another account may have got the key. A new tier of the same one revokes nothing.
             let is_revoked = account_name(account) != account_name(req.routed.account.as_ref());
-            if is_revoked && matches!(req.stage, Stage::Waiting(_)) {
+            if is_revoked && matches!(req.stage, Stage::Waiting(_) | Stage::Tracing(_)) {
                 let refusal = req.refusal(Reason::NoKey);
                 self.refuse(now, key, refusal);
             }
--- a/crates/dispatch/src/outcome.rs
+++ b/crates/dispatch/src/outcome.rs
@@ -9,7 +9,6 @@
 use crate::{
     AttemptEnd, Command, Delivered, Effect, LogEntry, RequestKey, ResponseTrace, ServerKey,
     request::{MIN_REMAINING, Request, RunningAttempt, Stage},
-    route::Repeat,
     state::State,
 };
 
@@ -229,7 +228,7 @@
             _ => {
                 let may_follow = match end.delivered() {
                     Delivered::Nothing => true,
-                    Delivered::Events => req.routed.route.repeat == Repeat::Resume,
+                    Delivered::Events => req.is_resumable() && !req.is_origin_in_doubt,
                     Delivered::Part => false,
                 };
                 // Its prompt may have ended the server, and would end the next one.
--- a/crates/dispatch/src/placement.rs
+++ b/crates/dispatch/src/placement.rs
@@ -114,7 +114,7 @@
         match req.stage {
             Stage::Waiting(entry) => self.queue.remove(req.pool, entry),
             Stage::Idle => {}
-            Stage::Running(_) | Stage::Ending(_) => return,
+            Stage::Tracing(_) | Stage::Running(_) | Stage::Ending(_) => return,
         }
         let Some(server) = self.servers.get_mut(choice.server) else { return };
         req.attempts += 1;
@@ -129,6 +129,7 @@
             server: choice.server,
             rank: req.rank(),
             incarnation: server.entry.incarnation,
+            software: server.entry.software,
             started_at: now,
             sent_at: None,
             begun_at: None,
--- a/crates/dispatch/src/reach.rs
+++ b/crates/dispatch/src/reach.rs
@@ -78,6 +78,7 @@
             server.entry.zone == self.setup.zone
                 && suits_kind(server)
                 && !req.tried.contains(key)
+                && self.suits_stream(req, server)
                 && self.may_send(now, server, pool)
         });
         let by_spread = usable.map(|(key, server)| (spread(&req.id, server), key));
--- a/crates/dispatch/src/reading.rs
+++ b/crates/dispatch/src/reading.rs
@@ -78,6 +78,9 @@
         let Some(as_of) = self.freshness.last_confirmed().filter(|_| !self.is_behind) else {
             return Time::default();
         };
+        if self.awaits_read() {
+            return Time::default();
+        }
         let rank = self.members.rank();
         if !self.members.is_large() {
             // The members that read before this one may not be known yet. An instance that has
@@ -134,6 +137,7 @@
             // Children read the changes at once instead of with their next probe.
             self.notify_children(now);
         }
+        self.eliminate_versions(now, as_of);
     }
 
     /// Handles a part of the platform's changes. The platform is there, but the view may lack changes
--- a/crates/dispatch/src/request.rs
+++ b/crates/dispatch/src/request.rs
@@ -2,12 +2,12 @@
 
 use std::sync::Arc;
 
-use gossip::TotalLoad;
+use gossip::{SoftwareTag, TotalLoad};
 use model::prelude::*;
 
 use crate::{
     Prompt, Rank, Routed, ServerKey, choice::FIRST_CHOICE_UNCACHED, continuation::EndingRun,
-    queue::QueueEntry, route::Repeat,
+    queue::QueueEntry, route::Repeat, taken_up::Tracing,
 };
 
 slotmap::new_key_type! {
@@ -24,6 +24,8 @@
     pub(crate) arrived: Time,
     /// When it ends at the latest: the earlier of the route's timeout and the caller's deadline.
     pub(crate) end_by: Time,
+    /// When its caller gives up.
+    pub(crate) caller_deadline: Time,
     pub(crate) prompt: Prompt,
     pub(crate) stage: Stage,
     /// The number of attempts that were started.
@@ -45,6 +47,12 @@
     pub(crate) holds_server_error: bool,
     /// Whether the caller has got a part of a response. No other response may follow it.
     pub(crate) has_partial_response: bool,
+    /// The software version that began its stream, at whose servers alone it may run; `None` before the
+    /// first event, unless the caller takes a stream up.
+    pub(crate) software: Option<SoftwareTag>,
+    /// Whether the stream may have begun at another version than `software`, so that no server can go on
+    /// with it.
+    pub(crate) is_origin_in_doubt: bool,
 }
 
 /// A request is not retried when less than this is left until its end: a round trip and the
@@ -62,6 +70,8 @@
 /// The stage of a request.
 #[derive(Clone, Copy, Debug)]
 pub(crate) enum Stage {
+    /// It takes up a stream whose software version is not known yet.
+    Tracing(Tracing),
     /// It waits in the queue for a server.
     Waiting(QueueEntry),
     /// An attempt was started and has not ended.
@@ -80,6 +90,8 @@
     pub(crate) rank: Rank,
     /// The incarnation of the server that was chosen.
     pub(crate) incarnation: u64,
+    /// The software version of that server.
+    pub(crate) software: SoftwareTag,
     /// When the server was chosen.
     pub(crate) started_at: Time,
     /// When its first byte was sent to the server; `None` before.
@@ -150,6 +162,11 @@
         self.routed.route.repeat != Repeat::Never
     }
 
+    /// Returns whether a caller that has a part of its stream may take it up again.
+    pub(crate) fn is_resumable(&self) -> bool {
+        self.routed.route.repeat == Repeat::Resume
+    }
+
     /// Returns whether the route and the remaining time allow one more run after `runs` runs. The
     /// retry budget is not considered.
     pub(crate) fn may_run_again(&self, now: Time, runs: u32) -> bool {
--- a/crates/dispatch/src/selection.rs
+++ b/crates/dispatch/src/selection.rs
@@ -95,13 +95,15 @@
         let sampled_mixed = sampled_share(mixed.len());
         let shared_part = req.prompt.last_shared_part();
         let mut best: Option<Choice> = None;
-        let mut second: Option<Choice> = None;
+        // Choices other than the best one, where one of them gets a copy of the KV cache.
+        let mut others = Vec::new();
         for &key in servers {
             let Some(server) = self.servers.get(key) else { continue };
             let is_untried = !req.tried.contains(&key);
             if !is_untried
                 || server.attempts() >= max_connections
                 || !reach.contains(server)
+                || !self.suits_stream(req, server)
                 || awaited.is_awaited_above(key, rank)
                 || !self.may_send(now, server, pool)
             {
@@ -147,13 +149,19 @@
                 backup: None,
                 fetch_source,
             };
-            if best.as_ref().is_none_or(|best| choice.is_better(best)) {
-                second = best.replace(choice);
-            } else if second.as_ref().is_none_or(|second| choice.is_better(second)) {
-                second = Some(choice);
-            }
+            let worse = if best.as_ref().is_none_or(|best| choice.is_better(best)) {
+                best.replace(choice)
+            } else {
+                Some(choice)
+            };
+            others.extend(worse.filter(|_| is_backed_up));
         }
-        let backup = second.filter(|_| is_backed_up).map(|second| second.server);
+        let software = |key| self.servers.get(key).map(|it| it.entry.software);
+        let best_software = best.as_ref().and_then(|best| software(best.server));
+        // A generation can resume only at the software version that began it.
+        let same = others.into_iter().filter(|other| software(other.server) == best_software);
+        let second = same.reduce(|a, b| if b.is_better(&a) { b } else { a });
+        let backup = second.map(|second| second.server);
         let backup =
             backup.filter(|key| self.servers.get(*key).is_some_and(|it| !self.has_limit(it)));
         Found { best: best.map(|best| Choice { backup, ..best }), full }
@@ -195,7 +203,10 @@
         let Some(pool) = pool else { return survey };
         for key in self.servers.in_pool(req.pool) {
             let Some(server) = self.servers.get(*key) else { continue };
-            if req.tried.contains(key) || !self.may_send(now, server, pool) {
+            if req.tried.contains(key)
+                || !self.suits_stream(req, server)
+                || !self.may_send(now, server, pool)
+            {
                 continue;
             }
             survey.usable += 1;
--- a/crates/dispatch/src/server.rs
+++ b/crates/dispatch/src/server.rs
@@ -2,7 +2,7 @@
 
 use std::{net::SocketAddrV4, sync::Arc};
 
-use gossip::LoadByRank;
+use gossip::{LoadByRank, SoftwareTag};
 use model::prelude::*;
 
 use crate::{PrefixCache, RequestWindow, health::Health};
@@ -31,6 +31,8 @@
     pub cold: Duration,
     /// Distinguishes its starts under the same name.
     pub incarnation: u64,
+    /// The version of its software.
+    pub software: SoftwareTag,
 }
 
 impl ServerEntry {
--- a/crates/dispatch/src/server_notices.rs
+++ b/crates/dispatch/src/server_notices.rs
@@ -91,7 +91,7 @@
     fn server_of(&self, key: RequestKey) -> Option<(ServerKey, u64)> {
         match self.requests.get(key)?.stage {
             Stage::Running(running) => Some((running.server, running.incarnation)),
-            Stage::Waiting(_) | Stage::Ending(_) | Stage::Idle => None,
+            Stage::Waiting(_) | Stage::Ending(_) | Stage::Tracing(_) | Stage::Idle => None,
         }
     }
 
@@ -133,7 +133,8 @@
         let req = self.requests.get(key)?;
         let keys = self.servers.in_pool(req.pool).iter().filter(|it| !req.tried.contains(it));
         let servers = keys.filter_map(|it| self.servers.get(*it));
-        let eligible = servers.filter(|server| self.servers.is_eligible(server));
+        let eligible = servers
+            .filter(|server| self.servers.is_eligible(server) && self.suits_stream(req, server));
         eligible.map(|server| server.paused_until).min().filter(|until| *until > now)
     }
 }
--- a/crates/dispatch/src/state.rs
+++ b/crates/dispatch/src/state.rs
@@ -12,6 +12,7 @@
     Catalog, Effect, EngineDemand, Event, Freshness, HeldPart, LiveEngines, LogEntry, Quarantine,
     RequestKey, RetryBudget, ServerKey, Setup, Share,
     account_shares::AccountShares,
+    origins::Origins,
     queue::Queue,
     reading_speed::ReadingSpeeds,
     request::{Request, Stage},
@@ -19,6 +20,7 @@
     server_limits::ServerLimits,
     servers::Servers,
     service_times::ServiceTimes,
+    software_use::SoftwareUse,
     zone_plans::ZonePlans,
 };
 
@@ -86,6 +88,12 @@
     pub(crate) requests: SecondaryMap<RequestKey, Request>,
     pub(crate) queue: Queue,
     pub(crate) service_times: ServiceTimes,
+    pub(crate) origins: Origins,
+    pub(crate) software_use: SoftwareUse,
+    /// The requests that take up a stream whose software version is not known yet. Some may have ended.
+    pub(crate) tracing: Vec<RequestKey>,
+    /// How long callers wait for streams that they may take up again, by pool: the longest time seen.
+    pub(crate) caller_times: HashMap<PoolId, Duration>,
     is_ready: bool,
     next_tick: Time,
     /// When the use of the retry budgets is logged next.
@@ -145,6 +153,10 @@
             requests: SecondaryMap::new(),
             queue: Queue::default(),
             service_times: ServiceTimes::default(),
+            origins: Origins::default(),
+            software_use: SoftwareUse::default(),
+            tracing: Vec::new(),
+            caller_times: HashMap::new(),
             is_ready: false,
             next_tick: now,
             next_retry_report: now,
@@ -184,9 +196,12 @@
             Event::Packet(packet) => self.packet(now, packet),
             Event::Tree(message) => self.tree_message(now, message),
             Event::Loads(message) => self.loads_message(now, message),
+            Event::Origins(message) => self.origin_message(now, message),
+            Event::HistoryRead { span, served } => self.history_read(now, span, served),
             Event::Request { key, new } => self.request(now, key, *new),
             Event::Sent { key } => self.sent(now, key),
             Event::FirstByte { key } => self.first_byte(now, key),
+            Event::StreamBegun { key } => self.stream_begun(key),
             Event::FirstByteDue { key } => self.first_byte_due(now, key),
             Event::ServerLeaving { key } => self.server_leaves(now, key),
             Event::ServerPaused { key, span } => self.server_pauses(now, key, span),
@@ -228,6 +243,11 @@
         self.catalog.as_ref()
     }
 
+    /// Returns the number of streams whose software version is remembered.
+    pub fn origin_count(&self) -> usize {
+        self.origins.len()
+    }
+
     /// Returns the number of requests that wait or run.
     pub fn request_count(&self) -> usize {
         self.requests.len()
@@ -325,6 +345,8 @@
         self.tell_loads(now);
         self.remove_expired_servers(now);
         self.forget_limits(now);
+        self.expire_tracing(now);
+        self.tell_origins(now);
         self.refuse_expired(now);
         self.update_late(now);
         self.record_survivals(now);
--- a/crates/dispatch/tests/decisions/main.rs
+++ b/crates/dispatch/tests/decisions/main.rs
@@ -25,4 +25,5 @@
 mod support;
 mod tiers;
 mod tree;
+mod versions;
 mod zone_plans;
--- a/crates/dispatch/tests/decisions/support.rs
+++ b/crates/dispatch/tests/decisions/support.rs
@@ -5,9 +5,9 @@
 use dispatch::{
     Account, Accounts, Attempt, AttemptEnd, Bounds, Catalog, Command, Effect, Engine, Event,
     NewRequest, Part, Pool, Prompt, Repeat, RequestKey, ResponseTrace, Route, ServerChange,
-    ServerEntry, Setup, State, Target,
+    ServerEntry, Setup, State, TakenUp, Target,
 };
-use gossip::{Member, Members, ViewStatus, ViewSummary};
+use gossip::{Member, Members, SoftwareTag, StreamTag, ViewStatus, ViewSummary};
 use model::prelude::*;
 use slotmap::SlotMap;
 
@@ -117,9 +117,15 @@
         is_draining: false,
         cold: Duration::ZERO,
         incarnation: 1,
+        software: software(pool, "v1"),
     }
 }
 
+/// Returns the tag of a software version of the servers of a pool.
+pub(crate) fn software(pool: &str, version: &str) -> SoftwareTag {
+    SoftwareTag::of(PoolId::of(pool), Some(version))
+}
+
 /// Returns a prompt of three parts: one that all prompts share, one that those with the same topic
 /// share, and its own.
 pub(crate) fn prompt(shared: u32, own: u32, topic: u64) -> Prompt {
@@ -193,6 +199,27 @@
         api_key: &[u8],
         route: &str,
         prompt: Prompt,
+    ) -> (RequestKey, Vec<Effect>) {
+        self.send(api_key, route, prompt, None)
+    }
+
+    /// Sends a request that takes up the stream of which the request with this id brought the first
+    /// event; without an id, it does not say which stream.
+    pub(crate) fn take_up(
+        &mut self,
+        route: &str,
+        first_id: Option<&str>,
+    ) -> (RequestKey, Vec<Effect>) {
+        let taken_up = TakenUp { stream: first_id.map(StreamTag::of) };
+        self.send(KEY, route, prompt(500, 500, 1), Some(taken_up))
+    }
+
+    fn send(
+        &mut self,
+        api_key: &[u8],
+        route: &str,
+        prompt: Prompt,
+        taken_up: Option<TakenUp>,
     ) -> (RequestKey, Vec<Effect>) {
         let path = format!("/{route}/x");
         let routed = self.state.route(self.now, "host.example", &path, Some(api_key)).unwrap();
@@ -204,6 +231,7 @@
             arrived: self.now,
             caller_deadline: self.now + Duration::from_secs(4),
             prompt,
+            taken_up,
         };
         let effects = self.step(Event::Request { key, new: Box::new(new) });
         (key, effects)
--- a/crates/dispatch/tests/decisions/tree.rs
+++ b/crates/dispatch/tests/decisions/tree.rs
@@ -408,6 +408,7 @@
         arrived: now,
         caller_deadline: now + Duration::from_secs(4),
         prompt: Prompt::default(),
+        taken_up: None,
     };
     let effects = state.step(now, Event::Request { key, new: Box::new(new) });
     state.step(now, Event::CallerLeft { key });
--- /dev/null
+++ b/crates/dispatch/tests/decisions/versions.rs
@@ -0,0 +1,494 @@
+//! Servers of several software versions: a stream goes on only at the version that began it.
+
+use std::collections::BTreeSet;
+
+use dispatch::{AttemptEnd, Delivered, Effect, Event, RequestKey, ServedVersion, ServerEntry};
+use gossip::{
+    Member, Members, OriginContent, OriginMessage, SoftwareTag, StreamOrigin, StreamTag,
+    ViewStatus, ViewSummary,
+};
+use model::prelude::*;
+
+use crate::support::{Bench, address, attempts, prompt, refusals, server, software};
+
+const BROKEN: AttemptEnd = AttemptEnd::Broken { delivered: Delivered::Events };
+
+/// Returns the entry of an engine, whose version is the part of its name before the dash.
+fn engine(name: &str, host: u8) -> ServerEntry {
+    let (version, _) = name.split_once('-').unwrap();
+    ServerEntry { software: software("engines", version), ..server(name, "engines", host) }
+}
+
+/// Returns an instance before engines with these names.
+fn bench(names: &[&str]) -> Bench {
+    let engines = names.iter().zip(11..).map(|(name, host)| engine(name, host));
+    Bench::new(engines.collect())
+}
+
+fn version(name: &str) -> &str {
+    name.split_once('-').unwrap().0
+}
+
+/// Starts a stream that callers may take up, of which the caller gets an event. Returns its key, its id and
+/// the name of its engine.
+fn start_stream(bench: &mut Bench, no: usize) -> (RequestKey, String, String) {
+    let (key, effects) = bench.request("short", prompt(500, 500, no as u64));
+    let attempt = attempts(&effects)[0].1.clone();
+    bench.step(Event::Sent { key });
+    bench.step(Event::FirstByte { key });
+    bench.step(Event::StreamBegun { key });
+    (key, format!("request-{no}"), attempt.name.to_string())
+}
+
+/// Lets another instance be known, which answers no question by itself.
+fn add_peer(bench: &mut Bench, host: u8) {
+    let member =
+        Member { address: address(host, 7000), incarnation: 2, heartbeat: 0, is_leaving: false };
+    let mut peer = Members::new(bench.now, member, &[address(1, 7000)], host.into());
+    let view_status = ViewStatus { view: ViewSummary::default(), staleness_ms: Some(0) };
+    for outgoing in peer.tick(bench.now, view_status, &[]).0 {
+        bench.step(Event::Packet(outgoing.packet));
+    }
+}
+
+/// Returns the messages about origins that are sent, with the last bytes of their receivers' addresses.
+fn sent(effects: &[Effect]) -> Vec<(u8, OriginContent)> {
+    let message = |effect: &Effect| match effect {
+        Effect::SendOrigins(it) => Some((it.to.ip().octets()[3], it.message.content.clone())),
+        _ => None,
+    };
+    effects.iter().filter_map(message).collect()
+}
+
+fn answer(bench: &mut Bench, host: u8, id: &str, software: Option<SoftwareTag>) -> Vec<Effect> {
+    let content = OriginContent::Answer { stream: StreamTag::of(id), software };
+    bench.step(Event::Origins(OriginMessage::new(address(host, 7000), content)))
+}
+
+fn names(effects: &[Effect]) -> Vec<String> {
+    attempts(effects).iter().map(|it| it.1.name.to_string()).collect()
+}
+
+fn reasons(effects: &[Effect]) -> Vec<(Reason, Execution, Option<Duration>)> {
+    let refusals = refusals(effects);
+    refusals.iter().map(|it| (it.1.reason, it.1.execution, it.1.retry_after)).collect()
+}
+
+/// Guards against a stream that is joined from two versions within one response.
+#[test]
+fn a_stream_that_breaks_off_goes_on_at_the_same_version() {
+    let mut bench = bench(&["v1-a", "v1-b", "v2-c", "v2-d", "v2-e", "v2-f"]);
+    for no in 1..=30 {
+        let (key, _, name) = start_stream(&mut bench, no);
+
+        let effects = bench.ended(key, BROKEN);
+
+        let next = names(&effects);
+        assert_eq!(next.len(), 1, "stream {no}");
+        assert_eq!(version(&next[0]), version(&name), "stream {no}");
+        bench.ended(key, AttemptEnd::Completed { is_success: true });
+        bench.pass(300);
+        bench.read();
+    }
+}
+
+/// Guards against the same if no other server of the version is left.
+#[test]
+fn a_stream_whose_version_has_no_other_server_breaks_off() {
+    let mut bench = bench(&["v1-a", "v2-b"]);
+    let (key, _, _) = start_stream(&mut bench, 1);
+
+    let mut effects = bench.ended(key, BROKEN);
+    effects.extend(bench.pass(1_000));
+
+    assert!(attempts(&effects).is_empty());
+    assert_eq!(refusals(&effects)[0].1.execution, Execution::Unknown);
+}
+
+/// Before the first event nothing ties a request to a version.
+#[test]
+fn a_request_without_an_event_may_go_to_another_version() {
+    let mut bench = bench(&["v1-a", "v2-b"]);
+    let (key, effects) = bench.request("short", prompt(500, 500, 1));
+    let name = names(&effects)[0].clone();
+    bench.step(Event::Sent { key });
+
+    let effects = bench.ended(key, AttemptEnd::Broken { delivered: Delivered::Nothing });
+
+    assert_ne!(version(&names(&effects)[0]), version(&name));
+}
+
+/// Guards against a generation that resumes from a copy of its KV cache at another version.
+#[test]
+fn the_copy_of_a_kv_cache_is_kept_at_the_same_version() {
+    let mut bench = bench(&["v1-a", "v2-b", "v1-c", "v2-d", "v3-e"]);
+    for no in 0..30 {
+        let mut talk = prompt(172, 543, no);
+        talk.max_output = 280;
+        let (key, effects) = bench.request("live", talk);
+        let attempt = attempts(&effects)[0].1.clone();
+        let hosts = ["v1-a", "v2-b", "v1-c", "v2-d", "v3-e"];
+        let backup = attempt.backup.map(|it| hosts[usize::from(it.ip().octets()[3] - 11)]);
+        if version(&attempt.name) == "v3" {
+            assert_eq!(backup, None);
+        } else {
+            assert_eq!(backup.map(version), Some(version(&attempt.name)));
+        }
+        bench.ended(key, AttemptEnd::Completed { is_success: true });
+    }
+}
+
+/// Guards against a generation that resumes at an engine which was started again with another version.
+#[test]
+fn a_generation_does_not_resume_at_an_engine_that_has_changed_its_version() {
+    let mut bench = bench(&["v1-a", "v1-b"]);
+    let mut talk = prompt(172, 543, 1);
+    talk.max_output = 280;
+    let (key, effects) = bench.request("live", talk);
+    let attempt = attempts(&effects)[0].1.clone();
+    bench.step(Event::Sent { key });
+    bench.step(Event::FirstByte { key });
+    bench.step(Event::StreamBegun { key });
+    let other = if &*attempt.name == "v1-a" { ("v1-b", 12) } else { ("v1-a", 11) };
+    let software = software("engines", "v2");
+    bench.list(ServerEntry { software, incarnation: 2, ..engine(other.0, other.1) });
+
+    let mut effects = bench.ended(key, BROKEN);
+    effects.extend(bench.pass(2_000));
+
+    assert!(attempts(&effects).is_empty());
+}
+
+/// Guards against a stream that is joined from two versions as its caller takes it up.
+#[test]
+fn a_stream_that_is_taken_up_goes_on_at_its_version() {
+    let mut bench = bench(&["v1-a", "v1-b", "v2-c", "v2-d", "v2-e", "v2-f"]);
+    for no in 1..=30 {
+        let (key, id, name) = start_stream(&mut bench, 2 * no - 1);
+        bench.step(Event::CallerLeft { key });
+
+        let (key, effects) = bench.take_up("short", Some(&id));
+
+        assert_eq!(
+            names(&effects).iter().map(|it| version(it)).collect::<Vec<_>>(),
+            [version(&name)]
+        );
+        bench.ended(key, AttemptEnd::Completed { is_success: true });
+        bench.pass(100);
+        bench.read();
+    }
+}
+
+/// Guards against the same where the former server has gone: the answer is true and comes at once.
+#[test]
+fn a_stream_whose_version_has_left_is_refused_as_not_run() {
+    let mut bench = bench(&["v1-a", "v2-b"]);
+    let mut id = String::new();
+    for no in 1.. {
+        let (key, it, name) = start_stream(&mut bench, no);
+        bench.step(Event::CallerLeft { key });
+        if name == "v1-a" {
+            id = it;
+            break;
+        }
+    }
+    bench.list(ServerEntry { is_draining: true, ..engine("v1-a", 11) });
+
+    let (_, effects) = bench.take_up("short", Some(&id));
+
+    assert!(attempts(&effects).is_empty());
+    assert_eq!(reasons(&effects), [(Reason::OriginGone, Execution::NotRun, None)]);
+}
+
+/// An instance that began a stream tells others of it, each stream once.
+#[test]
+fn other_instances_are_told_of_a_stream_within_a_tick() {
+    let mut bench = bench(&["v1-a"]);
+    for host in 2..=6 {
+        add_peer(&mut bench, host);
+    }
+    let (_, id, _) = start_stream(&mut bench, 1);
+
+    let told = sent(&bench.pass(150));
+    let again = sent(&bench.pass(1_000));
+
+    let hosts: BTreeSet<_> = told.iter().map(|it| it.0).collect();
+    assert_eq!((told.len(), hosts.len()), (3, 3));
+    for (_, content) in told {
+        let OriginContent::Began(origins) = content else { panic!("{content:?}") };
+        let expected = (StreamTag::of(&id), software("engines", "v1"));
+        assert_eq!([(origins[0].stream, origins[0].software)], [expected]);
+        // Four seconds until the caller's deadline, and a second beyond it.
+        assert!((4_800..=5_000).contains(&origins[0].lasts_ms), "{}", origins[0].lasts_ms);
+    }
+    assert!(again.is_empty());
+}
+
+/// Streams that callers cannot take up are not told.
+#[test]
+fn other_instances_are_not_told_of_streams_that_may_not_be_taken_up() {
+    let mut bench = bench(&["v1-a", "v1-b"]);
+    add_peer(&mut bench, 2);
+    let (key, _) = bench.request("batch", prompt(500, 500, 1));
+    bench.step(Event::Sent { key });
+    bench.step(Event::FirstByte { key });
+    bench.step(Event::StreamBegun { key });
+
+    assert!(sent(&bench.pass(500)).is_empty());
+}
+
+#[test]
+fn a_stream_that_another_instance_told_of_goes_on_at_its_version() {
+    let mut bench = bench(&["v1-a", "v2-b", "v2-c", "v2-d"]);
+    add_peer(&mut bench, 2);
+    let origin = StreamOrigin {
+        stream: StreamTag::of("elsewhere"),
+        software: software("engines", "v1"),
+        lasts_ms: 3_000,
+    };
+    let content = OriginContent::Began(vec![origin]);
+    bench.step(Event::Origins(OriginMessage::new(address(2, 7000), content)));
+
+    let (_, effects) = bench.take_up("short", Some("elsewhere"));
+
+    assert_eq!(names(&effects), ["v1-a"]);
+}
+
+/// Guards against an instance that chooses any version for a stream of which it was not told.
+#[test]
+fn an_instance_that_does_not_know_a_stream_asks_others() {
+    let mut bench = bench(&["v1-a", "v2-b", "v2-c", "v2-d"]);
+    add_peer(&mut bench, 2);
+    add_peer(&mut bench, 3);
+
+    let (_, asked) = bench.take_up("short", Some("elsewhere"));
+    let unknown = answer(&mut bench, 2, "elsewhere", None);
+    let known = answer(&mut bench, 3, "elsewhere", Some(software("engines", "v1")));
+
+    assert!(attempts(&asked).is_empty() && attempts(&unknown).is_empty());
+    let question = OriginContent::Question(StreamTag::of("elsewhere"));
+    let mut asked = sent(&asked);
+    asked.sort_by_key(|it| it.0);
+    assert_eq!(asked, [(2, question.clone()), (3, question)]);
+    assert_eq!(names(&known), ["v1-a"]);
+}
+
+#[test]
+fn questions_are_answered_by_what_is_remembered() {
+    let mut bench = bench(&["v1-a"]);
+    add_peer(&mut bench, 2);
+    let (_, id, _) = start_stream(&mut bench, 1);
+    let mut ask = |id: &str| {
+        let content = OriginContent::Question(StreamTag::of(id));
+        sent(&bench.step(Event::Origins(OriginMessage::new(address(2, 7000), content))))
+    };
+
+    let (known, unknown) = (ask(&id), ask("another"));
+
+    let answer = |id: &str, software| OriginContent::Answer { stream: StreamTag::of(id), software };
+    assert_eq!(known, [(2, answer(&id, Some(software("engines", "v1"))))]);
+    assert_eq!(unknown, [(2, answer("another", None))]);
+}
+
+/// Guards against a guess: nobody knows the stream, and two versions can have begun it.
+#[test]
+fn an_unknown_stream_is_refused_while_several_versions_serve() {
+    let mut bench = bench(&["v1-a", "v1-b", "v2-c"]);
+    add_peer(&mut bench, 2);
+    bench.take_up("short", Some("nowhere"));
+    answer(&mut bench, 2, "nowhere", None);
+
+    let effects = bench.read();
+
+    assert!(attempts(&effects).is_empty());
+    assert_eq!(reasons(&effects), [(Reason::OriginUnknown, Execution::NotRun, None)]);
+}
+
+/// The caller may take up a stream without saying which one.
+#[test]
+fn a_stream_without_a_name_goes_on_if_one_version_serves() {
+    for names in [&["v1-a", "v1-b"][..], &["v1-a", "v2-b"]] {
+        let mut bench = bench(names);
+
+        let (_, first) = bench.take_up("short", None);
+        let effects = bench.read();
+
+        assert!(attempts(&first).is_empty(), "decided without a read of the platform");
+        assert_eq!(attempts(&effects).len(), usize::from(version(names[1]) == "v1"));
+    }
+}
+
+/// Guards against a version that began to serve after the last read: another instance may know it.
+#[test]
+fn elimination_waits_for_a_read_that_began_later() {
+    let mut bench = bench(&["v1-a", "v1-b"]);
+    bench.take_up("short", None);
+    let before = bench.now - Duration::from_millis(1);
+
+    let earlier = bench.step(Event::PlatformRead { as_of: before, view: ViewSummary::default() });
+    bench.list(engine("v2-c", 13));
+    let later = bench.read();
+
+    assert!(attempts(&earlier).is_empty() && refusals(&earlier).is_empty());
+    assert_eq!(reasons(&later), [(Reason::OriginUnknown, Execution::NotRun, None)]);
+}
+
+/// Guards against a stream whose first part came from servers that have left since.
+#[test]
+fn a_version_that_left_lately_can_have_begun_a_stream() {
+    for (pause, goes_on) in [(500, false), (9_000, true)] {
+        let mut bench = bench(&["v1-a", "v2-b", "v2-c"]);
+        bench.step(Event::Server(dispatch::ServerChange::Unlisted(ServerId::of("v1-a"))));
+        for _ in 0..pause / 500 {
+            bench.pass(500);
+            bench.read();
+        }
+
+        bench.take_up("short", None);
+        let effects = bench.read();
+
+        assert_eq!(!attempts(&effects).is_empty(), goes_on, "{pause} ms");
+    }
+}
+
+/// Returns an instance that has just started, before engines with these names.
+fn just_started(names: &[&str]) -> Bench {
+    let mut bench = bench(names);
+    let engines = names.iter().zip(11..).map(|(name, host)| engine(name, host));
+    // A listing says nothing of the servers before it.
+    bench.step(Event::Listed(engines.collect()));
+    bench.read();
+    bench
+}
+
+/// Guards against a stream that goes on after all instances were killed at the only version listed now.
+#[test]
+fn a_listing_does_not_show_which_versions_served_before() {
+    let mut bench = just_started(&["v2-a", "v2-b"]);
+
+    bench.take_up("short", Some("before"));
+    let wanted = bench.state.wanted_history(bench.now);
+    let effects = bench.read();
+
+    // The caller waits for 4 s, as long as the route allows, and the deadline has a second of slack.
+    assert_eq!(wanted, Some(Duration::from_secs(1)));
+    assert_eq!(reasons(&effects), [(Reason::OriginUnknown, Execution::NotRun, None)]);
+}
+
+#[test]
+fn the_history_of_servers_shows_the_only_version() {
+    let mut bench = just_started(&["v2-a", "v2-b"]);
+    bench.take_up("short", Some("before"));
+
+    bench.step(Event::HistoryRead { span: Duration::from_secs(6), served: Vec::new() });
+    let effects = bench.read();
+
+    assert_eq!(attempts(&effects).len(), 1);
+}
+
+/// Guards against the same with a version in the history that has left.
+#[test]
+fn a_version_in_the_history_can_have_begun_a_stream() {
+    for (ended, goes_on) in [(500, false), (8_000, true)] {
+        let mut bench = just_started(&["v2-a", "v2-b"]);
+        bench.take_up("short", Some("before"));
+        let served = ServedVersion {
+            pool: PoolId::of("engines"),
+            software: software("engines", "v1"),
+            ended: Duration::from_millis(ended),
+        };
+
+        bench.step(Event::HistoryRead { span: Duration::from_secs(9), served: vec![served] });
+        let effects = bench.read();
+
+        assert_eq!(!attempts(&effects).is_empty(), goes_on, "{ended} ms");
+    }
+}
+
+/// A request must not wait for ever for a platform that cannot be read.
+#[test]
+fn a_stream_is_refused_if_the_platform_is_not_read_in_time() {
+    let mut bench = bench(&["v1-a", "v1-b"]);
+    add_peer(&mut bench, 2);
+    bench.take_up("short", Some("nowhere"));
+
+    let effects = bench.pass(1_200);
+
+    let reasons = reasons(&effects);
+    assert!(matches!(reasons[..], [(Reason::OriginUnknown, Execution::NotRun, Some(_))]));
+}
+
+/// Guards against a stream that began at a server after its start with another version, which the
+/// instance did not know yet.
+#[test]
+fn a_stream_at_a_server_that_has_changed_its_version_does_not_go_on() {
+    let mut bench = bench(&["v1-a", "v1-b", "v2-c"]);
+    let (key, id, name) = start_stream(&mut bench, 1);
+    let host = if name == "v1-a" { 11 } else { 12 };
+    if version(&name) == "v1" {
+        let software = software("engines", "v2");
+        bench.list(ServerEntry { software, incarnation: 2, ..engine(&name, host) });
+    } else {
+        let software = software("engines", "v1");
+        bench.list(ServerEntry { software, incarnation: 2, ..engine(&name, 13) });
+    }
+
+    let mut effects = bench.ended(key, BROKEN);
+    effects.extend(bench.pass(1_000));
+    let (_, taken_up) = bench.take_up("short", Some(&id));
+
+    assert!(attempts(&effects).is_empty());
+    assert_eq!(reasons(&taken_up), [(Reason::OriginUnknown, Execution::NotRun, None)]);
+}
+
+/// Guards against two streams with one id, which a caller used twice: neither version is known.
+#[test]
+fn a_stream_with_two_origins_is_refused() {
+    let mut bench = bench(&["v1-a", "v2-b"]);
+    add_peer(&mut bench, 2);
+    for version in ["v1", "v2"] {
+        let origin = StreamOrigin {
+            stream: StreamTag::of("twice"),
+            software: software("engines", version),
+            lasts_ms: 3_000,
+        };
+        let content = OriginContent::Began(vec![origin]);
+        bench.step(Event::Origins(OriginMessage::new(address(2, 7000), content)));
+    }
+
+    let (_, effects) = bench.take_up("short", Some("twice"));
+
+    assert_eq!(reasons(&effects), [(Reason::OriginUnknown, Execution::NotRun, None)]);
+}
+
+/// Bounds the memory for streams: they are forgotten a second after their callers' deadlines.
+#[test]
+fn streams_are_forgotten_after_their_deadline() {
+    let mut bench = bench(&["v1-a"]);
+    let (key, _, _) = start_stream(&mut bench, 1);
+    bench.ended(key, AttemptEnd::Completed { is_success: true });
+
+    bench.pass(4_900);
+    let before = bench.state.origin_count();
+    bench.pass(300);
+
+    assert_eq!((before, bench.state.origin_count()), (1, 0));
+}
+
+/// Bounds the memory for streams that other instances tell of.
+#[test]
+fn an_instance_that_tells_of_many_streams_does_not_fill_the_memory() {
+    let mut bench = bench(&["v1-a"]);
+    let software = software("engines", "v1");
+    for no in 0..1_000 {
+        let origins = (0..40).map(|it| StreamOrigin {
+            stream: StreamTag(no * 40 + it),
+            software,
+            lasts_ms: u32::MAX,
+        });
+        let content = OriginContent::Began(origins.collect());
+        bench.step(Event::Origins(OriginMessage::new(address(2, 7000), content)));
+    }
+
+    assert_eq!(bench.state.origin_count(), 32_768);
+}
--- a/crates/dispatch/tests/live_engines.rs
+++ b/crates/dispatch/tests/live_engines.rs
@@ -6,6 +6,7 @@
 use std::sync::Arc;
 
 use dispatch::{FleetDemand, LiveEngines, Server, ServerEntry};
+use gossip::SoftwareTag;
 use model::prelude::*;
 
 const SLOTS: u32 = 24;
@@ -20,6 +21,7 @@
         is_draining: false,
         cold: Duration::ZERO,
         incarnation: 1,
+        software: SoftwareTag::of(PoolId::of("engines"), None),
     };
     (0..count).map(|no| Server::new(Time::default(), entry(no))).collect()
 }
--- a/crates/edge/src/exchange.rs
+++ b/crates/edge/src/exchange.rs
@@ -112,7 +112,7 @@
         let routed =
             instance.read_state(|state| state.route(now, head.host(), head.path(), fields.api_key));
         let id: Arc<str> = Arc::from(fields.id);
-        let (timeout, prompt) = (fields.timeout, fields.prompt);
+        let (timeout, prompt, taken_up) = (fields.timeout, fields.prompt, fields.taken_up);
         let routed = match routed {
             Ok(routed) => routed,
             Err(refusal) => return Err(self.reject_unrouted(&head, &id, refusal).await),
@@ -127,6 +127,7 @@
             arrived: self.arrived,
             caller_deadline,
             prompt,
+            taken_up,
         };
         Ok((Accepted { id, routed, outgoing, _memory: memory }, new))
     }
--- a/crates/edge/src/headers.rs
+++ b/crates/edge/src/headers.rs
@@ -2,7 +2,7 @@
 
 use std::net::SocketAddrV4;
 
-use dispatch::{Prompt, Rank, RequestRate, RunEnd};
+use dispatch::{Prompt, Rank, RequestRate, RunEnd, TakenUp};
 use http1::{RequestHead, ResponseHead};
 use model::prelude::*;
 use thiserror::Error;
@@ -72,6 +72,8 @@
     pub api_key: Option<&'a [u8]>,
     /// The sizes of the prompt and its parts; the default if the request is not a generation.
     pub prompt: Prompt,
+    /// The stream of which the caller has a part and asks for the rest; absent if it starts anew.
+    pub taken_up: Option<TakenUp>,
 }
 
 /// The fields of a backend server's response.
--- a/crates/edge/src/instance.rs
+++ b/crates/edge/src/instance.rs
@@ -171,7 +171,7 @@
     }
 
     /// Reads the reducer's state.
-    pub(crate) fn read_state<T>(&self, read: impl FnOnce(&State) -> T) -> T {
+    pub fn read_state<T>(&self, read: impl FnOnce(&State) -> T) -> T {
         read(&self.state.borrow())
     }
 
@@ -217,6 +217,9 @@
             Effect::SendLoads(outgoing) => {
                 self.send(Cause::Loads, outgoing.to, outgoing.message.encode());
             }
+            Effect::SendOrigins(outgoing) => {
+                self.send(Cause::Origins, outgoing.to, outgoing.message.encode());
+            }
             Effect::ReadPlatform => {
                 // A full channel means that the task that reads will wake anyway.
                 let _ = self.read_now.0.try_send(());
--- a/crates/edge/src/journal.rs
+++ b/crates/edge/src/journal.rs
@@ -52,6 +52,7 @@
             LogEntry::AccountExcess { .. } => (&mut self.excesses, MAX_EXCESS_LINES),
             LogEntry::AttemptFailed { .. }
             | LogEntry::Continued { .. }
+            | LogEntry::TakenUp { .. }
             | LogEntry::RunLeft { .. }
             | LogEntry::Refused { .. }
             | LogEntry::Malformed { .. }
@@ -203,6 +204,12 @@
         LogEntry::Continued { id, before, server } => {
             log::info!(request:% = id, before:%, server:%; "response continued at another server");
         }
+        LogEntry::TakenUp { id, evidence, goes_on, took } => {
+            log::info!(
+                request:% = id, evidence, goes_on, took_ms = millis(*took);
+                "stream taken up by its caller"
+            );
+        }
         LogEntry::RunLeft { id, server, evidence, has_ended, goes_on, took } => {
             let took_ms = millis(*took);
             log::info!(
--- a/crates/edge/src/metrics.rs
+++ b/crates/edge/src/metrics.rs
@@ -29,6 +29,7 @@
     faults: Family<FaultLabels, Counter>,
     continued: Counter,
     runs_left: Family<RunLabels, Counter>,
+    streams_taken_up: Family<TakenUpLabels, Counter>,
     callers_left: Counter,
     pub(crate) connections_opened: Counter,
     pub(crate) connections_reused: Counter,
@@ -46,6 +47,7 @@
     servers_leaving: Counter,
     server_pauses: Counter,
     limited_servers: Gauge,
+    stream_origins: Gauge,
     quarantined_parts: Gauge,
     pub(crate) traffic: Traffic,
     accounts_above_share: Gauge,
@@ -82,6 +84,12 @@
     ended: &'static str,
 }
 
+#[derive(Clone, PartialEq, Eq, Hash, Debug, EncodeLabelSet)]
+struct TakenUpLabels {
+    evidence: &'static str,
+    goes_on: &'static str,
+}
+
 #[derive(Clone, PartialEq, Eq, Hash, Debug, EncodeLabelSet)]
 struct LeavingLabels {
     pool: String,
@@ -113,6 +121,7 @@
             faults: Family::default(),
             continued: Counter::default(),
             runs_left: Family::default(),
+            streams_taken_up: Family::default(),
             callers_left: Counter::default(),
             connections_opened: Counter::default(),
             connections_reused: Counter::default(),
@@ -130,6 +139,7 @@
             servers_leaving: Counter::default(),
             server_pauses: Counter::default(),
             limited_servers: Gauge::default(),
+            stream_origins: Gauge::default(),
             quarantined_parts: Gauge::default(),
             traffic: Traffic::default(),
             accounts_above_share: Gauge::default(),
@@ -188,6 +198,11 @@
             "Runs whose response broke off midway, by what their server showed and whether that proves their end",
             self.runs_left.clone(),
         );
+        registry.register(
+            "streams_taken_up",
+            "Streams that callers took up again, by what showed the software version that began them and whether they go on",
+            self.streams_taken_up.clone(),
+        );
         registry.register(
             "callers_left",
             "Requests whose caller disconnected",
@@ -255,6 +270,11 @@
             "Pauses for which backend servers asked in rejections, extensions included",
             self.server_pauses.clone(),
         );
+        registry.register(
+            "stream_origins",
+            "Streams whose software version is remembered",
+            self.stream_origins.clone(),
+        );
         registry.register(
             "limited_servers",
             "Backend servers that name a limit on the requests of the fleet",
@@ -318,6 +338,10 @@
                 let ended = if *has_ended { "true" } else { "false" };
                 self.runs_left.get_or_create(&RunLabels { evidence, ended }).inc();
             }
+            LogEntry::TakenUp { evidence, goes_on, .. } => {
+                let goes_on = if *goes_on { "true" } else { "false" };
+                self.streams_taken_up.get_or_create(&TakenUpLabels { evidence, goes_on }).inc();
+            }
             LogEntry::Answered { route, first_byte, total, in_target, .. } => {
                 self.count_answered(route, *first_byte, *total, *in_target);
             }
@@ -387,6 +411,7 @@
         let (members, age) = state.fleet_load(now).unwrap_or_default();
         self.fleet_load_members.set(members.into());
         self.fleet_load_age.set(age.as_secs_f64());
+        self.stream_origins.set(i64::try_from(state.origin_count()).unwrap_or(i64::MAX));
         let limited = state.limited_servers(now).len();
         self.limited_servers.set(i64::try_from(limited).unwrap_or(i64::MAX));
         if let Some(age) = state.view_age(now) {
--- a/crates/edge/src/peers.rs
+++ b/crates/edge/src/peers.rs
@@ -16,6 +16,7 @@
                 Ok(Datagram::Packet(packet)) => instance.handle_event(Event::Packet(packet)),
                 Ok(Datagram::Tree(message)) => instance.handle_event(Event::Tree(message)),
                 Ok(Datagram::Loads(message)) => instance.handle_event(Event::Loads(message)),
+                Ok(Datagram::Origins(message)) => instance.handle_event(Event::Origins(message)),
                 Err(err) => log::debug!(from:%; "ignored a packet that cannot be decoded: {err}"),
             },
             // The error may concern a packet that was sent earlier and could not be delivered.
--- a/crates/edge/src/relay.rs
+++ b/crates/edge/src/relay.rs
@@ -311,6 +311,9 @@
         if bytes.is_empty() {
             continue;
         }
+        if !running.response.has_started() {
+            running.instance.handle_event(Event::StreamBegun { key: running.key });
+        }
         running.response.send_events(&started.head, &bytes, point).await?;
         memory.resize(running.instance.clock.now(), splitter.pending());
     }
--- a/crates/edge/src/status.rs
+++ b/crates/edge/src/status.rs
@@ -131,6 +131,7 @@
             "instances": state.alive(),
             "limitDivisor": state.limit_divisor(),
             "limitedServers": limited,
+            "streamOrigins": state.origin_count(),
         })
         .to_string()
     })
--- a/crates/edge/src/traffic.rs
+++ b/crates/edge/src/traffic.rs
@@ -19,6 +19,8 @@
     Tree,
     /// Sums of loads that were sent.
     Loads,
+    /// Origins of streams that were sent.
+    Origins,
     /// Bodies of requests, sent to backend servers.
     Requests,
     /// Bodies of responses, received from backend servers.
--- a/crates/gossip/src/lib.rs
+++ b/crates/gossip/src/lib.rs
@@ -17,6 +17,7 @@
 //! * [`Demand`]: what members tell up the tree of their work,
 //! * [`PeerLoads`]: the load that peers put on backend servers, as packets tell it,
 //! * [`FleetLoads`]: the same in a large fleet, added up along the tree,
+//! * [`OriginMessage`]: which software version began a stream,
 //! * [`Packet`]: the message and its codec.
 
 mod account;
@@ -33,6 +34,7 @@
 mod member;
 mod members;
 mod notice;
+mod origin;
 mod packet;
 mod peer;
 mod peer_update;
@@ -56,6 +58,9 @@
 pub use member::Member;
 pub use members::Members;
 pub use notice::IncarnationTag;
+pub use origin::{
+    OriginContent, OriginMessage, OutgoingOriginMessage, SoftwareTag, StreamOrigin, StreamTag,
+};
 pub use packet::{DecodeError, MAX_PACKET_BYTES, OutgoingPacket, Packet, ViewStatus, ViewSummary};
 pub use peer_update::PeerUpdate;
 pub use pool_use::PoolUse;
--- a/crates/gossip/src/members.rs
+++ b/crates/gossip/src/members.rs
@@ -11,9 +11,11 @@
     seq::{IndexedRandom as _, IteratorRandom as _},
 };
 use rand_chacha::ChaCha8Rng;
+use xxhash_rust::xxh3::xxh3_64_with_seed;
 
 use crate::{
-    Candidates, Load, Member, OutgoingPacket, Packet, PeerUpdate, ViewStatus, ZoneMembers, ZoneTag,
+    Candidates, Load, Member, OutgoingPacket, Packet, PeerUpdate, StreamTag, ViewStatus,
+    ZoneMembers, ZoneTag,
     peer::{Peer, available, order_hash},
     recipients::{self, FULL_MESH_PEERS},
 };
@@ -150,6 +152,20 @@
         available(peers).choose(rng)
     }
 
+    /// Returns the alive members that keep the origin of a stream beside the instance where it began,
+    /// by rendezvous hashing: all instances that know the same members choose the same ones. At most
+    /// `count`, the first choice first.
+    pub fn holders(&self, stream: StreamTag, count: usize) -> Vec<SocketAddrV4> {
+        let rank = |it: &SocketAddrV4| {
+            let [a, b, c, d] = it.ip().octets();
+            let [high, low] = it.port().to_be_bytes();
+            xxh3_64_with_seed(&[a, b, c, d, high, low], stream.0)
+        };
+        let mut ranked: Vec<_> = available(&self.peers).map(|it| (rank(&it), it)).collect();
+        ranked.sort_unstable_by(|a, b| b.cmp(a));
+        ranked.into_iter().take(count).map(|it| it.1).collect()
+    }
+
     /// Returns when [`Members::tick`] is due.
     pub fn next_wake(&self) -> Time {
         self.next_tick
--- a/crates/gossip/src/packet.rs
+++ b/crates/gossip/src/packet.rs
@@ -104,6 +104,9 @@
         "the evidence against prompt parts, the notices of servers, the zones or the limits are damaged"
     )]
     DamagedList,
+    /// The origins of streams do not match their checksum.
+    #[error("the origins of streams are damaged")]
+    DamagedOrigins,
     /// The sum of loads does not match its checksum.
     #[error("the sum of loads is damaged")]
     DamagedLoads,
--- a/crates/gossip/src/tree.rs
+++ b/crates/gossip/src/tree.rs
@@ -4,7 +4,9 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::{DecodeError, Demand, LoadMessage, Packet, ViewStatus, load_message};
+use crate::{
+    DecodeError, Demand, LoadMessage, OriginMessage, Packet, ViewStatus, load_message, origin,
+};
 
 /// The version of the format of tree messages, and the first byte of each. A [`Packet`] begins with
 /// another one, and instances that know only packets ignore these messages.
@@ -83,6 +85,8 @@
     Tree(TreeMessage),
     /// A sum of loads, along the same tree.
     Loads(LoadMessage),
+    /// Origins of streams.
+    Origins(OriginMessage),
 }
 
 impl Datagram {
@@ -91,6 +95,7 @@
         match bytes.first() {
             Some(&FORMAT_VERSION) => Ok(Self::Tree(postcard::from_bytes(bytes)?)),
             Some(&load_message::FORMAT_VERSION) => LoadMessage::decode(bytes).map(Self::Loads),
+            Some(&origin::FORMAT_VERSION) => OriginMessage::decode(bytes).map(Self::Origins),
             _ => Packet::decode(bytes).map(Self::Packet),
         }
     }
--- a/crates/model/src/outcome.rs
+++ b/crates/model/src/outcome.rs
@@ -35,6 +35,10 @@
     Capacity,
     /// The pool has no usable backend server.
     NoServer,
+    /// Which software version began the stream that the request takes up is not known.
+    OriginUnknown,
+    /// No usable backend server has the software version that began the stream.
+    OriginGone,
     /// The instance is starting or shutting down.
     NotReady,
     /// The owner of an account share or a cell that the request needs cannot be reached.
