--- a/crates/dispatch/src/event.rs
+++ b/crates/dispatch/src/event.rs
@@ -66,8 +66,8 @@
     Origins(OriginMessage),
     /// The platform's history was read. The read of the platform that it is a part of ends after this event.
     HistoryRead {
-        /// All servers that were listed in this time before now are known.
-        span: Duration,
+        /// All servers that were listed since then are known.
+        since: Time,
         /// The software versions of the servers that were listed then and may not be any more.
         served: Vec<ServedVersion>,
     },
@@ -205,6 +205,6 @@
     pub pool: PoolId,
     /// The version.
     pub software: SoftwareTag,
-    /// How long ago the last of these servers may have begun a stream, at the least.
-    pub ended: Duration,
+    /// Until when a server of this version may have been listed.
+    pub until: Time,
 }
--- a/crates/dispatch/src/state.rs
+++ b/crates/dispatch/src/state.rs
@@ -197,7 +197,7 @@
             Event::Tree(message) => self.tree_message(now, message),
             Event::Loads(message) => self.loads_message(now, message),
             Event::Origins(message) => self.origin_message(now, message),
-            Event::HistoryRead { span, served } => self.history_read(now, span, served),
+            Event::HistoryRead { since, served } => self.history_read(since, served),
             Event::Request { key, new } => self.request(now, key, *new),
             Event::Sent { key } => self.sent(now, key),
             Event::FirstByte { key } => self.first_byte(now, key),
--- a/crates/dispatch/src/taken_up.rs
+++ b/crates/dispatch/src/taken_up.rs
@@ -139,9 +139,9 @@
         }
     }
 
-    /// Returns how far back the history of the servers has to be read from the platform, so that a request
-    /// that waits for it can be decided; `None` if no history is needed.
-    pub fn wanted_history(&self, now: Time) -> Option<Duration> {
+    /// Returns the time since which the servers that were listed have to be read from the platform's history,
+    /// so that a request that waits for it can be decided; `None` if no history is needed.
+    pub fn wanted_history(&self, now: Time) -> Option<Time> {
         let reading = self.tracing.iter().filter_map(|key| {
             let req = self.requests.get(*key)?;
             let is_reading =
@@ -150,15 +150,15 @@
             let is_open = is_reading
                 && !self.software_use.is_known_since(begun_after)
                 && self.possible_versions(begun_after, req).len() == 1;
-            is_open.then(|| now.since(begun_after))
+            is_open.then_some(begun_after)
         });
-        reading.max()
+        reading.min()
     }
 
-    /// Handles what the platform's history shows of the servers in the time before now.
-    pub(crate) fn history_read(&mut self, now: Time, span: Duration, served: Vec<ServedVersion>) {
-        let left = served.into_iter().map(|it| (it.pool, it.software, now - it.ended));
-        self.software_use.extend(now - span, left);
+    /// Handles what the platform's history shows of the servers since some time.
+    pub(crate) fn history_read(&mut self, since: Time, served: Vec<ServedVersion>) {
+        let left = served.into_iter().map(|it| (it.pool, it.software, it.until));
+        self.software_use.extend(since, left);
     }
 
     /// Returns whether the platform must be read for a request that takes up a stream.
--- a/crates/dispatch/tests/decisions/versions.rs
+++ b/crates/dispatch/tests/decisions/versions.rs
@@ -371,7 +371,7 @@
     let effects = bench.read();
 
     // The caller waits for 4 s, as long as the route allows, and the deadline has a second of slack.
-    assert_eq!(wanted, Some(Duration::from_secs(1)));
+    assert_eq!(wanted, Some(bench.now - Duration::from_secs(1)));
     assert_eq!(reasons(&effects), [(Reason::OriginUnknown, Execution::NotRun, None)]);
 }
 
@@ -380,7 +380,8 @@
     let mut bench = just_started(&["v2-a", "v2-b"]);
     bench.take_up("short", Some("before"));
 
-    bench.step(Event::HistoryRead { span: Duration::from_secs(6), served: Vec::new() });
+    let since = bench.state.wanted_history(bench.now).unwrap();
+    bench.step(Event::HistoryRead { since, served: Vec::new() });
     let effects = bench.read();
 
     assert_eq!(attempts(&effects).len(), 1);
@@ -395,10 +396,11 @@
         let served = ServedVersion {
             pool: PoolId::of("engines"),
             software: software("engines", "v1"),
-            ended: Duration::from_millis(ended),
+            until: bench.now - Duration::from_millis(ended),
         };
 
-        bench.step(Event::HistoryRead { span: Duration::from_secs(9), served: vec![served] });
+        let since = bench.now - Duration::from_secs(9);
+        bench.step(Event::HistoryRead { since, served: vec![served] });
         let effects = bench.read();
 
         assert_eq!(!attempts(&effects).is_empty(), goes_on, "{ended} ms");
