Tell other instances of a stream with its first event

A server whose entry changes its version counts as started again, also where the entry does not say when it started.

--- a/crates/dispatch/src/fleet.rs
+++ b/crates/dispatch/src/fleet.rs
@@ -74,8 +74,11 @@
         let entry = server.entry.clone();
         server.expired_at = None;
         server.mark_cold(now, entry.cold);
-        let is_restarted = old.incarnation != entry.incarnation || old.address != entry.address;
-        if old.software != entry.software {
+        let is_other_version = old.software != entry.software;
+        let is_restarted = old.incarnation != entry.incarnation
+            || old.address != entry.address
+            || is_other_version;
+        if is_other_version {
             self.software_use.left(now, old.pool, old.software);
             self.doubt_streams_at(key);
         }
--- a/crates/dispatch/src/origins.rs
+++ b/crates/dispatch/src/origins.rs
@@ -17,8 +17,6 @@
     streams: HashMap<StreamTag, Entry>,
     /// The same by the end of the time for which they are remembered.
     by_end: BTreeSet<(Time, StreamTag)>,
-    /// Streams that began here and of which no other instance was told.
-    untold: Vec<StreamTag>,
 }
 
 /// The software version that began a stream.
@@ -40,7 +38,6 @@
     /// Records that a stream began here, which its caller may take up again until `until`.
     pub(crate) fn began(&mut self, stream: StreamTag, software: SoftwareTag, until: Time) {
         self.record(stream, Origin::Known(software), until);
-        self.untold.push(stream);
     }
 
     /// Records what another instance told of a stream.
@@ -64,18 +61,6 @@
         self.streams.len()
     }
 
-    /// Takes the streams of which other instances have to be told.
-    pub(crate) fn take_untold(&mut self, now: Time) -> Vec<StreamOrigin> {
-        let untold = std::mem::take(&mut self.untold);
-        let origins = untold.into_iter().filter_map(|stream| {
-            let entry = self.streams.get(&stream)?;
-            let Origin::Known(software) = entry.origin else { return None };
-            let lasts_ms = u32::try_from(now.until(entry.until).as_millis()).unwrap_or(u32::MAX);
-            Some(StreamOrigin { stream, software, lasts_ms })
-        });
-        origins.collect()
-    }
-
     /// Forgets the streams that cannot be taken up any more.
     pub(crate) fn expire(&mut self, now: Time) {
         while let Some((until, stream)) = self.by_end.first().copied()
--- a/crates/dispatch/src/placement.rs
+++ b/crates/dispatch/src/placement.rs
@@ -60,6 +60,7 @@
                     && !server.is_paused(now)
                     && self.is_within_limit(now, server, 0)
                     && server.entry.incarnation == running.incarnation
+                    && server.entry.software == running.software
             })
     }
 
--- a/crates/dispatch/src/state.rs
+++ b/crates/dispatch/src/state.rs
@@ -201,7 +201,7 @@
             Event::Request { key, new } => self.request(now, key, *new),
             Event::Sent { key } => self.sent(now, key),
             Event::FirstByte { key } => self.first_byte(now, key),
-            Event::StreamBegun { key } => self.stream_begun(key),
+            Event::StreamBegun { key } => self.stream_begun(now, key),
             Event::FirstByteDue { key } => self.first_byte_due(now, key),
             Event::ServerLeaving { key } => self.server_leaves(now, key),
             Event::ServerPaused { key, span } => self.server_pauses(now, key, span),
@@ -346,7 +346,6 @@
         self.remove_expired_servers(now);
         self.forget_limits(now);
         self.expire_tracing(now);
-        self.tell_origins(now);
         self.refuse_expired(now);
         self.update_late(now);
         self.record_survivals(now);
--- a/crates/dispatch/src/stream_origins.rs
+++ b/crates/dispatch/src/stream_origins.rs
@@ -1,6 +1,6 @@
 //! What this instance records of the origins of streams, and tells and asks others.
 
-use std::{collections::BTreeMap, net::SocketAddrV4};
+use std::net::SocketAddrV4;
 
 use gossip::{OriginContent, OriginMessage, OutgoingOriginMessage, StreamOrigin, StreamTag};
 use model::prelude::*;
@@ -20,12 +20,14 @@
 
 impl State {
     /// Records that the caller is about to get the first event of a stream.
-    pub(crate) fn stream_begun(&mut self, key: RequestKey) {
+    pub(crate) fn stream_begun(&mut self, now: Time, key: RequestKey) {
         let Some(req) = self.requests.get_mut(key) else { return };
         let Stage::Running(running) = req.stage else { return };
         let software = running.software;
         let server = self.servers.get(running.server);
-        let is_same_start = server.is_none_or(|it| it.entry.incarnation == running.incarnation);
+        let is_same_start = server.is_none_or(|it| {
+            it.entry.incarnation == running.incarnation && it.entry.software == software
+        });
         let stream = StreamTag::of(&req.id);
         let until = req.caller_deadline + DEADLINE_SLACK;
         if is_same_start {
@@ -36,11 +38,12 @@
         if !req.is_resumable() {
             return;
         }
-        if is_same_start {
-            self.origins.began(stream, software, until);
-        } else {
-            self.origins.doubt(stream, until);
+        if !is_same_start {
+            return self.origins.doubt(stream, until);
         }
+        self.origins.began(stream, software, until);
+        let lasts_ms = u32::try_from(now.until(until).as_millis()).unwrap_or(u32::MAX);
+        self.tell_origin(StreamOrigin { stream, software, lasts_ms });
     }
 
     /// Doubts the origins of the streams that run at a server which was started again with another
@@ -55,18 +58,10 @@
         }
     }
 
-    /// Tells other instances of the streams that have begun here.
-    pub(crate) fn tell_origins(&mut self, now: Time) {
-        let mut by_holder: BTreeMap<_, Vec<StreamOrigin>> = BTreeMap::new();
-        for origin in self.origins.take_untold(now) {
-            for holder in self.members.holders(origin.stream, HOLDERS) {
-                by_holder.entry(holder).or_default().push(origin);
-            }
-        }
-        for (to, origins) in by_holder {
-            for message in OriginMessage::began(self.setup.address, &origins) {
-                self.emit(Effect::SendOrigins(OutgoingOriginMessage { to, message }));
-            }
+    /// Tells other instances of a stream that begins here, at once: this one may end at any time.
+    fn tell_origin(&mut self, origin: StreamOrigin) {
+        for to in self.members.holders(origin.stream, HOLDERS) {
+            self.send_origins(to, OriginContent::Began(vec![origin]));
         }
     }
 
--- a/crates/gossip/src/origin.rs
+++ b/crates/gossip/src/origin.rs
@@ -6,17 +6,11 @@
 use serde::{Deserialize, Serialize};
 use xxhash_rust::xxh3::{Xxh3, xxh3_64};
 
-use crate::{DecodeError, MAX_PACKET_BYTES, checked};
+use crate::{DecodeError, checked};
 
 /// The version of the format, and the first byte of each message. Instances that do not know it
 /// ignore these messages.
 pub(crate) const FORMAT_VERSION: u8 = 4;
-/// Upper bound on the bytes of all fields of a message but the streams.
-const MAX_HEADER_BYTES: usize = 40;
-/// Upper bound on the bytes of a [`StreamOrigin`].
-const MAX_ORIGIN_BYTES: usize = 26;
-/// Streams in a message.
-const MAX_ORIGINS: usize = (MAX_PACKET_BYTES - MAX_HEADER_BYTES) / MAX_ORIGIN_BYTES;
 
 /// Identifies a stream: a hash of the id of the caller's request that brought its first event.
 #[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Debug, Serialize, Deserialize)]
@@ -97,13 +91,6 @@
         Self { format: FORMAT_VERSION, sender, content }
     }
 
-    /// Creates the messages that tell of streams that began at the sender: as many as it takes for each
-    /// to fit into a datagram.
-    pub fn began(sender: SocketAddrV4, origins: &[StreamOrigin]) -> Vec<Self> {
-        let parts = origins.chunks(MAX_ORIGINS);
-        parts.map(|it| Self::new(sender, OriginContent::Began(it.to_vec()))).collect()
-    }
-
     /// Encodes the message, with a checksum.
     pub fn encode(&self) -> Result<Vec<u8>, postcard::Error> {
         checked::encode_value(self)
