Doubt origins of streams everywhere, bound the reads for them, and search each by its own window

A server that starts again under its name with another version may send first events that are taken for its former run's: such streams were doubted only while they ran, only if the entry changed in place, and only here. Now also if it left and came back, and after the streams have ended, and the instances that were told are told of the doubt. A request without a deadline had a window of one second. A witness of a past revision must be a whole entry. One early search spoiled later ones, as all were decided by the longest history. Reads for searches pause 400 ms, so that callers who name unknown streams cannot make all instances read without a pause. A view that a peer passed on hides servers that came and went.

--- a/crates/dispatch/src/admission.rs
+++ b/crates/dispatch/src/admission.rs
@@ -10,7 +10,6 @@
     AttemptEnd, Command, Effect, LogEntry, NewRequest, RequestKey, Route, Routed,
     queue::QueueEntry,
     request::{Request, Stage},
-    route::Repeat,
     state::State,
 };
 
@@ -72,6 +71,7 @@
             arrived: new.arrived,
             end_by,
             caller_deadline: new.caller_deadline,
+            states_deadline: new.states_deadline,
             prompt: new.prompt,
             stage: Stage::Idle,
             attempts: 0,
@@ -86,18 +86,17 @@
             software: None,
             is_origin_in_doubt: false,
         };
+        let is_new_stream = new.taken_up.is_none() && req.is_resumable() && req.states_deadline;
+        if is_new_stream {
+            self.record_caller_time(now, &req);
+        }
         self.requests.insert(key, req);
-        let Some(pool) = pool else {
+        if pool.is_none() {
             return self.refuse(now, key, Refusal::not_run(Reason::NoServer));
-        };
+        }
         match new.taken_up.filter(|_| route.is_stream) {
-            Some(taken_up) => self.trace_origin(now, key, taken_up),
-            None => {
-                if route.repeat == Repeat::Resume {
-                    self.record_caller_time(pool, new.caller_deadline.since(new.arrived));
-                }
-                self.admit(now, key);
-            }
+            Some(taken_up) => self.search_origin(now, key, taken_up),
+            None => self.admit(now, key),
         }
     }
 
--- a/crates/dispatch/src/event.rs
+++ b/crates/dispatch/src/event.rs
@@ -66,10 +66,11 @@
     Origins(OriginMessage),
     /// The platform's history was read. The read of the platform that it is a part of ends after this event.
     HistoryRead {
-        /// All servers that were listed since then are known.
+        /// From when on.
         since: Time,
-        /// The software versions of the servers that were listed then and may not be any more.
-        served: Vec<ServedVersion>,
+        /// The software versions of the servers that were listed then and may not be any more; `None` if the
+        /// history does not show them.
+        served: Option<Vec<ServedVersion>>,
     },
     /// A request of a caller was read completely.
     Request {
@@ -192,6 +193,8 @@
     pub arrived: Time,
     /// The time at which the caller gives up.
     pub caller_deadline: Time,
+    /// Whether the caller said so; otherwise it is the time at which the route ends the request.
+    pub states_deadline: bool,
     /// Its prompt; empty if it is not a generation.
     pub prompt: Prompt,
     /// The stream that it takes up; `None` if it starts anew.
@@ -205,6 +208,4 @@
     pub pool: PoolId,
     /// The version.
     pub software: SoftwareTag,
-    /// Until when a server of this version may have been listed.
-    pub until: Time,
 }
--- a/crates/dispatch/src/fleet.rs
+++ b/crates/dispatch/src/fleet.rs
@@ -51,7 +51,7 @@
         }
         self.has_server_list = true;
         // Servers may have come and left since the last list.
-        self.software_use.begin(now);
+        self.software_use.known_from(now);
         self.dispatch_all(now);
     }
 
@@ -79,8 +79,8 @@
             || old.address != entry.address
             || is_other_version;
         if is_other_version {
-            self.software_use.left(now, old.pool, old.software);
-            self.doubt_streams_at(key);
+            self.version_left(now, old.id(), old.pool, old.software);
+            self.doubt_streams_at(now, old.id());
         }
         let Some(server) = self.servers.get_mut(key) else { return };
         if is_restarted {
@@ -101,6 +101,10 @@
 
     fn server_added(&mut self, now: Time, entry: ServerEntry) {
         let (server, cold) = (Arc::clone(&entry.name), entry.cold);
+        let former = self.software_use.former(entry.id());
+        if former.is_some_and(|it| it != entry.software) {
+            self.doubt_streams_at(now, entry.id());
+        }
         self.servers.insert(now, entry);
         self.log(LogEntry::ServerFound { server, cold });
     }
@@ -108,7 +112,7 @@
     fn server_unlisted(&mut self, now: Time, id: ServerId) {
         let Some(key) = self.servers.by_id(id) else {
             // It came and left between two reads, and may have been of any version.
-            return self.software_use.begin(now);
+            return self.software_use.known_from(now);
         };
         let expired_at = self.entries_expired_at(now);
         let Some(server) = self.servers.get_mut(key) else { return };
@@ -128,7 +132,7 @@
 
     fn remove_server(&mut self, now: Time, key: ServerKey, why: &'static str) {
         let Some(server) = self.servers.remove(key) else { return };
-        self.software_use.left(now, server.entry.pool, server.entry.software);
+        self.version_left(now, server.id, server.entry.pool, server.entry.software);
         self.emit(Effect::Disconnect { address: server.entry.address });
         let (unsent, view_age) = (server.unsent, self.view_age(now));
         self.log(LogEntry::ServerLost { server: server.entry.name, why, unsent, view_age });
@@ -184,7 +188,7 @@
             let alive = self.members.alive_count();
             self.log(LogEntry::MemberFound { address: update.sender.address, alive });
         }
-        self.peer_view(update.sender.address, update.view_status.view, update.as_of);
+        self.peer_view(now, update.sender.address, update.view_status.view, update.as_of);
         let from = update.sender.address;
         self.loads.update(now, from, &update.loads, &update.ranked_loads);
         if !update.evidence.is_empty() {
@@ -283,13 +287,13 @@
     /// Refuses the waiting requests whose key the configuration does not contain any more.
     fn recheck_keys(&mut self, now: Time) {
         let Some(catalog) = self.catalog.clone() else { return };
-        for key in self.queue.keys().into_iter().chain(self.tracing.clone()) {
+        for key in self.queue.keys().into_iter().chain(self.searching.clone()) {
             let Some(req) = self.requests.get(key) else { continue };
             let Some(hash) = &req.routed.key else { continue };
             let account = catalog.accounts.as_ref().and_then(|accounts| accounts.get(hash));
             // Another account may have got the key. A new tier of the same one revokes nothing.
             let is_revoked = account_name(account) != account_name(req.routed.account.as_ref());
-            if is_revoked && matches!(req.stage, Stage::Waiting(_) | Stage::Tracing(_)) {
+            if is_revoked && matches!(req.stage, Stage::Waiting(_) | Stage::Searching(_)) {
                 let refusal = req.refusal(Reason::NoKey);
                 self.refuse(now, key, refusal);
             }
--- a/crates/dispatch/src/origins.rs
+++ b/crates/dispatch/src/origins.rs
@@ -2,14 +2,14 @@
 
 use std::collections::{BTreeSet, HashMap};
 
-use gossip::{SoftwareTag, StreamOrigin, StreamTag};
+use gossip::{KnownOrigin, SoftwareTag, StreamOrigin, StreamTag};
 use model::prelude::*;
 
-/// Upper bound on the streams that are remembered, some 100 bytes each. Beyond it, those that can be
+/// Upper bound on the streams that are remembered, some 130 bytes each. Beyond it, those that can be
 /// taken up for the least time are forgotten.
 const MAX_STREAMS: usize = 32_768;
-/// The longest time for which another instance can make this one remember a stream.
-const MAX_TOLD_TIME: Duration = Duration::from_secs(600);
+/// The longest time for which a stream is remembered.
+const MAX_TIME: Duration = Duration::from_secs(120);
 
 /// The software versions that began streams: of this instance, and those that others told.
 #[derive(Debug, Default)]
@@ -19,41 +19,64 @@
     by_end: BTreeSet<(Time, StreamTag)>,
 }
 
-/// The software version that began a stream.
-#[derive(Clone, Copy, PartialEq, Eq, Debug)]
-pub(crate) enum Origin {
-    /// This one.
-    Known(SoftwareTag),
-    /// Several are possible: its server was replaced meanwhile, or two streams have the same tag.
-    InDoubt,
+/// A stream that begins at this instance.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct NewStream {
+    pub(crate) stream: StreamTag,
+    /// The version of its server.
+    pub(crate) software: SoftwareTag,
+    /// The server that sent its first event.
+    pub(crate) server: ServerId,
+    /// Until when its caller may take it up again.
+    pub(crate) until: Time,
 }
 
 #[derive(Clone, Copy, Debug)]
 struct Entry {
-    origin: Origin,
+    /// `None` if several versions can have begun it: its server was replaced meanwhile, or two streams have
+    /// the same tag.
+    software: Option<SoftwareTag>,
     until: Time,
+    /// The server that sent its first event to this instance, and when; `None` if another instance told of
+    /// the stream.
+    began: Option<(ServerId, Time)>,
 }
 
 impl Origins {
-    /// Records that a stream began here, which its caller may take up again until `until`.
-    pub(crate) fn began(&mut self, stream: StreamTag, software: SoftwareTag, until: Time) {
-        self.record(stream, Origin::Known(software), until);
+    /// Records that a stream begins here.
+    pub(crate) fn began(&mut self, now: Time, new: NewStream) {
+        let NewStream { stream, software, server, until } = new;
+        let until = until.min(now + MAX_TIME);
+        self.record(stream, Entry { software: Some(software), until, began: Some((server, now)) });
     }
 
     /// Records what another instance told of a stream.
     pub(crate) fn told(&mut self, now: Time, told: StreamOrigin) {
-        let lasts = Duration::from_millis(told.lasts_ms.into()).min(MAX_TOLD_TIME);
-        self.record(told.stream, Origin::Known(told.software), now + lasts);
+        let until = now + Duration::from_millis(told.lasts_ms.into()).min(MAX_TIME);
+        self.record(told.stream, Entry { software: told.software, until, began: None });
+    }
+
+    /// Records that the version of a stream is in doubt.
+    pub(crate) fn doubt(&mut self, now: Time, stream: StreamTag, until: Time) {
+        let until = until.min(now + MAX_TIME);
+        self.record(stream, Entry { software: None, until, began: None });
     }
 
-    /// Records that the version of a stream that began here is in doubt.
-    pub(crate) fn doubt(&mut self, stream: StreamTag, until: Time) {
-        self.record(stream, Origin::InDoubt, until);
+    /// Returns the streams that began here at a server since some time, with the end of the time for which
+    /// they are remembered.
+    pub(crate) fn begun_at(&self, server: ServerId, since: Time) -> Vec<(StreamTag, Time)> {
+        let is_begun =
+            |entry: &Entry| entry.began.is_some_and(|(it, at)| it == server && at >= since);
+        let begun = self.streams.iter().filter(|it| is_begun(it.1));
+        begun.map(|(stream, entry)| (*stream, entry.until)).collect()
     }
 
-    /// Returns the version that began a stream; `None` if nothing is known of it.
-    pub(crate) fn get(&self, now: Time, stream: StreamTag) -> Option<Origin> {
-        self.streams.get(&stream).filter(|it| now < it.until).map(|it| it.origin)
+    /// Returns what is known of the origin of a stream.
+    pub(crate) fn get(&self, now: Time, stream: StreamTag) -> KnownOrigin {
+        match self.streams.get(&stream).filter(|it| now < it.until) {
+            None => KnownOrigin::Unknown,
+            Some(entry) => entry.software.map_or(KnownOrigin::InDoubt, KnownOrigin::Software),
+        }
     }
 
     /// Returns how many streams are remembered.
@@ -71,17 +94,14 @@
         }
     }
 
-    fn record(&mut self, stream: StreamTag, origin: Origin, until: Time) {
-        let former = self.streams.get(&stream).copied();
-        let (origin, until) = match former {
-            Some(former) if former.origin != origin => (Origin::InDoubt, former.until.max(until)),
-            Some(former) => (origin, former.until.max(until)),
-            None => (origin, until),
-        };
-        if let Some(former) = former {
+    fn record(&mut self, stream: StreamTag, mut entry: Entry) {
+        if let Some(former) = self.streams.get(&stream) {
             self.by_end.remove(&(former.until, stream));
+            entry.software = entry.software.filter(|it| former.software == Some(*it));
+            entry.until = entry.until.max(former.until);
+            entry.began = former.began.or(entry.began);
         }
-        self.streams.insert(stream, Entry { origin, until });
-        self.by_end.insert((until, stream));
+        self.by_end.insert((entry.until, stream));
+        self.streams.insert(stream, entry);
     }
 }
--- a/crates/dispatch/src/placement.rs
+++ b/crates/dispatch/src/placement.rs
@@ -115,7 +115,7 @@
         match req.stage {
             Stage::Waiting(entry) => self.queue.remove(req.pool, entry),
             Stage::Idle => {}
-            Stage::Tracing(_) | Stage::Running(_) | Stage::Ending(_) => return,
+            Stage::Searching(_) | Stage::Running(_) | Stage::Ending(_) => return,
         }
         let Some(server) = self.servers.get_mut(choice.server) else { return };
         req.attempts += 1;
@@ -128,6 +128,7 @@
         let leave_by = is_retryable.then(|| now + first_byte_timeout);
         let running = RunningAttempt {
             server: choice.server,
+            server_id: server.id,
             rank: req.rank(),
             incarnation: server.entry.incarnation,
             software: server.entry.software,
--- a/crates/dispatch/src/reading.rs
+++ b/crates/dispatch/src/reading.rs
@@ -75,12 +75,14 @@
     /// change, or when their view gets older than the reads of the first member should allow. In a
     /// large fleet the same holds for the roots of the tree and for the others.
     pub fn next_read(&self) -> Time {
+        let due = self.next_regular_read();
+        self.next_origin_read().map_or(due, |it| it.min(due))
+    }
+
+    fn next_regular_read(&self) -> Time {
         let Some(as_of) = self.freshness.last_confirmed().filter(|_| !self.is_behind) else {
             return Time::default();
         };
-        if self.awaits_read() {
-            return Time::default();
-        }
         let rank = self.members.rank();
         if !self.members.is_large() {
             // The members that read before this one may not be known yet. An instance that has
@@ -153,7 +155,13 @@
     }
 
     /// Processes the view of a peer, which was up to date at `as_of` if that is known.
-    pub(crate) fn peer_view(&mut self, peer: SocketAddrV4, view: ViewSummary, as_of: Option<Time>) {
+    pub(crate) fn peer_view(
+        &mut self,
+        now: Time,
+        peer: SocketAddrV4,
+        view: ViewSummary,
+        as_of: Option<Time>,
+    ) {
         let Some(as_of) = as_of else { return };
         self.platform_seen(as_of);
         let own = self.freshness.view();
@@ -162,6 +170,9 @@
             self.log(LogEntry::ViewsDiffer { peer, peer_version, version });
         }
         self.freshness.record_peer_view(view, as_of);
+        if let Some(confirmed) = self.freshness.last_confirmed() {
+            self.eliminate_versions(now, confirmed);
+        }
         // An instance that can read neither the platform nor the peer that it asked asks the next.
         let may_ask = !self.is_behind || self.newer_peer.is_none() && self.failing_since.is_some();
         if self.freshness.is_behind(view) && may_ask {
@@ -202,7 +213,7 @@
             TreeContent::Answer(answer) => {
                 let view = answer.view_status.view;
                 let as_of = self.upstream.answered(now, sender, answer);
-                self.peer_view(sender, view, as_of);
+                self.peer_view(now, sender, view, as_of);
             }
         }
     }
--- a/crates/dispatch/src/request.rs
+++ b/crates/dispatch/src/request.rs
@@ -7,7 +7,7 @@
 
 use crate::{
     Prompt, Rank, Routed, ServerKey, choice::FIRST_CHOICE_UNCACHED, continuation::EndingRun,
-    queue::QueueEntry, route::Repeat, taken_up::Tracing,
+    queue::QueueEntry, route::Repeat, taken_up::OriginSearch,
 };
 
 slotmap::new_key_type! {
@@ -26,6 +26,8 @@
     pub(crate) end_by: Time,
     /// When its caller gives up.
     pub(crate) caller_deadline: Time,
+    /// Whether the caller said when it gives up.
+    pub(crate) states_deadline: bool,
     pub(crate) prompt: Prompt,
     pub(crate) stage: Stage,
     /// The number of attempts that were started.
@@ -71,7 +73,7 @@
 #[derive(Clone, Copy, Debug)]
 pub(crate) enum Stage {
     /// It takes up a stream whose software version is not known yet.
-    Tracing(Tracing),
+    Searching(OriginSearch),
     /// It waits in the queue for a server.
     Waiting(QueueEntry),
     /// An attempt was started and has not ended.
@@ -86,6 +88,7 @@
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct RunningAttempt {
     pub(crate) server: ServerKey,
+    pub(crate) server_id: ServerId,
     /// The rank with which it was sent.
     pub(crate) rank: Rank,
     /// The incarnation of the server that was chosen.
--- a/crates/dispatch/src/server_notices.rs
+++ b/crates/dispatch/src/server_notices.rs
@@ -91,7 +91,7 @@
     fn server_of(&self, key: RequestKey) -> Option<(ServerKey, u64)> {
         match self.requests.get(key)?.stage {
             Stage::Running(running) => Some((running.server, running.incarnation)),
-            Stage::Waiting(_) | Stage::Ending(_) | Stage::Tracing(_) | Stage::Idle => None,
+            Stage::Waiting(_) | Stage::Ending(_) | Stage::Searching(_) | Stage::Idle => None,
         }
     }
 
--- a/crates/dispatch/src/software_use.rs
+++ b/crates/dispatch/src/software_use.rs
@@ -5,9 +5,6 @@
 use gossip::SoftwareTag;
 use model::prelude::*;
 
-/// An instance may begin a stream at a server for this time after another one has seen that the server
-/// left: changes are followed within two seconds.
-const LATE_BEGIN: Duration = Duration::from_millis(2_500);
 /// How long it is kept which versions have left.
 const RETENTION: Duration = Duration::from_secs(120);
 
@@ -19,31 +16,39 @@
     known_since: Option<Time>,
     /// Until when servers that are not listed any more may have begun streams, by version.
     left: HashMap<PoolId, BTreeMap<SoftwareTag, Time>>,
+    /// The versions of the servers that are not listed any more, and when they left.
+    former: HashMap<ServerId, (SoftwareTag, Time)>,
 }
 
 impl SoftwareUse {
-    /// Records that a version is known of all servers that serve from `since` on, and that others may have
-    /// served before.
-    pub(crate) fn begin(&mut self, since: Time) {
+    /// Records that servers may have come and left unnoticed before this time.
+    pub(crate) fn known_from(&mut self, since: Time) {
         self.known_since = Some(since);
     }
 
-    /// Records what the platform's history shows: since when all versions that served are known, and until
-    /// when those served that are not listed any more.
-    pub(crate) fn extend(
+    /// Records that all versions are known that served since this time.
+    pub(crate) fn add_history(&mut self, since: Time) {
+        self.known_since = self.known_since.map(|it| it.min(since));
+    }
+
+    /// Records that a server of this version is not listed any more, and may have begun streams until
+    /// `until`.
+    pub(crate) fn left(
         &mut self,
-        since: Time,
-        left: impl IntoIterator<Item = (PoolId, SoftwareTag, Time)>,
+        now: Time,
+        server: ServerId,
+        pool: PoolId,
+        software: SoftwareTag,
+        until: Time,
     ) {
-        for (pool, software, until) in left {
-            self.record(pool, software, until + LATE_BEGIN);
-        }
-        self.known_since = self.known_since.map(|it| it.min(since));
+        self.former.insert(server, (software, now));
+        let last = self.left.entry(pool).or_default().entry(software).or_insert(until);
+        *last = until.max(*last);
     }
 
-    /// Records that a server of this version is not listed any more.
-    pub(crate) fn left(&mut self, now: Time, pool: PoolId, software: SoftwareTag) {
-        self.record(pool, software, now + LATE_BEGIN);
+    /// Returns the version of a server when it was listed before; `None` if it was not.
+    pub(crate) fn former(&self, server: ServerId) -> Option<SoftwareTag> {
+        self.former.get(&server).map(|it| it.0)
     }
 
     /// Returns whether all versions are known that served since this time.
@@ -53,7 +58,7 @@
 
     /// Returns the versions that can have begun a stream since this time in a pool whose listed servers
     /// have the versions `listed`.
-    pub(crate) fn since(
+    pub(crate) fn possible_since(
         &self,
         since: Time,
         pool: PoolId,
@@ -70,11 +75,7 @@
             versions.retain(|_, until| now.since(*until) < RETENTION);
         }
         self.left.retain(|_, versions| !versions.is_empty());
+        self.former.retain(|_, it| now.since(it.1) < RETENTION);
         self.known_since = self.known_since.map(|it| it.max(now - RETENTION));
     }
-
-    fn record(&mut self, pool: PoolId, software: SoftwareTag, until: Time) {
-        let last = self.left.entry(pool).or_default().entry(software).or_insert(until);
-        *last = until.max(*last);
-    }
 }
--- a/crates/dispatch/src/state.rs
+++ b/crates/dispatch/src/state.rs
@@ -12,6 +12,7 @@
     Catalog, Effect, EngineDemand, Event, Freshness, HeldPart, LiveEngines, LogEntry, Quarantine,
     RequestKey, RetryBudget, ServerKey, Setup, Share,
     account_shares::AccountShares,
+    caller_times::CallerTimes,
     origins::Origins,
     queue::Queue,
     reading_speed::ReadingSpeeds,
@@ -91,9 +92,11 @@
     pub(crate) origins: Origins,
     pub(crate) software_use: SoftwareUse,
     /// The requests that take up a stream whose software version is not known yet. Some may have ended.
-    pub(crate) tracing: Vec<RequestKey>,
-    /// How long callers wait for streams that they may take up again, by pool: the longest time seen.
-    pub(crate) caller_times: HashMap<PoolId, Duration>,
+    pub(crate) searching: Vec<RequestKey>,
+    /// When the platform was last read, or tried to be, for these.
+    pub(crate) last_origin_read: Option<Time>,
+    /// How long callers wait for streams that they may take up again, by pool.
+    pub(crate) caller_times: HashMap<PoolId, CallerTimes>,
     is_ready: bool,
     next_tick: Time,
     /// When the use of the retry budgets is logged next.
@@ -155,7 +158,8 @@
             service_times: ServiceTimes::default(),
             origins: Origins::default(),
             software_use: SoftwareUse::default(),
-            tracing: Vec::new(),
+            searching: Vec::new(),
+            last_origin_read: None,
             caller_times: HashMap::new(),
             is_ready: false,
             next_tick: now,
@@ -181,6 +185,7 @@
             Event::Server(change) => self.server_changed(now, change),
             Event::EvacuatedZones(zones) => self.evacuated_zones(now, zones),
             Event::PlatformRead { as_of, view } => {
+                self.platform_tried(now);
                 self.view_read(now, as_of, view);
                 self.failing_since = None;
             }
@@ -188,8 +193,13 @@
                 self.view_part_read(seen_at, view);
                 self.failing_since = None;
             }
-            Event::PeerRead { as_of, view } => self.view_read(now, as_of, view),
+            Event::PeerRead { as_of, view } => {
+                // A peer tells the latest state of each server, so one that came and left is not seen.
+                self.software_use.known_from(now);
+                self.view_read(now, as_of, view);
+            }
             Event::PlatformReadFailed => {
+                self.platform_tried(now);
                 self.failing_since.get_or_insert(now);
             }
             Event::PeerReadFailed => self.peer_read_failed(),
@@ -197,7 +207,9 @@
             Event::Tree(message) => self.tree_message(now, message),
             Event::Loads(message) => self.loads_message(now, message),
             Event::Origins(message) => self.origin_message(now, message),
-            Event::HistoryRead { since, served } => self.history_read(since, served),
+            Event::HistoryRead { since, served } => {
+                self.history_read(now, since, served.as_deref());
+            }
             Event::Request { key, new } => self.request(now, key, *new),
             Event::Sent { key } => self.sent(now, key),
             Event::FirstByte { key } => self.first_byte(now, key),
@@ -345,7 +357,7 @@
         self.tell_loads(now);
         self.remove_expired_servers(now);
         self.forget_limits(now);
-        self.expire_tracing(now);
+        self.expire_searches(now);
         self.refuse_expired(now);
         self.update_late(now);
         self.record_survivals(now);
--- a/crates/dispatch/src/stream_origins.rs
+++ b/crates/dispatch/src/stream_origins.rs
@@ -2,10 +2,17 @@
 
 use std::net::SocketAddrV4;
 
-use gossip::{OriginContent, OriginMessage, OutgoingOriginMessage, StreamOrigin, StreamTag};
+use gossip::{
+    OriginContent, OriginMessage, OutgoingOriginMessage, SoftwareTag, StreamOrigin, StreamTag,
+};
 use model::prelude::*;
 
-use crate::{Effect, RequestKey, ServerKey, origins::Origin, request::Stage, state::State};
+use crate::{
+    Effect, RequestKey,
+    origins::NewStream,
+    request::{Request, Stage},
+    state::State,
+};
 
 /// Instances that are told of a stream, beside the one where it began: some survive when a third of
 /// the fleet is lost at once.
@@ -15,21 +22,24 @@
 const ASKED_HOLDERS: usize = 5;
 /// How long a stream is remembered after its caller's deadline.
 pub(crate) const DEADLINE_SLACK: Duration = Duration::from_secs(1);
-/// The longest time that a caller is taken to wait for a stream.
-const MAX_CALLER_TIME: Duration = Duration::from_secs(60);
+/// A server may have started again under its name this long before its new entry is seen, at the most, and
+/// have sent the first events of streams that were taken for its former run's.
+const MAX_ENTRY_DELAY: Duration = Duration::from_secs(5);
+/// An instance that cannot read the platform begins streams at a server that has left for this long, if no
+/// bound on keys ends that sooner.
+const MAX_LATE_BEGIN: Duration = Duration::from_secs(10);
 
 impl State {
-    /// Records that the caller is about to get the first event of a stream.
+    /// Records that the caller is about to get the first event of a stream, and tells other instances at
+    /// once: this one may end at any time.
     pub(crate) fn stream_begun(&mut self, now: Time, key: RequestKey) {
         let Some(req) = self.requests.get_mut(key) else { return };
         let Stage::Running(running) = req.stage else { return };
         let software = running.software;
         let server = self.servers.get(running.server);
-        let is_same_start = server.is_none_or(|it| {
+        let is_same_start = server.is_some_and(|it| {
             it.entry.incarnation == running.incarnation && it.entry.software == software
         });
-        let stream = StreamTag::of(&req.id);
-        let until = req.caller_deadline + DEADLINE_SLACK;
         if is_same_start {
             req.software = Some(software);
         } else {
@@ -38,37 +48,50 @@
         if !req.is_resumable() {
             return;
         }
+        let (stream, until) = (StreamTag::of(&req.id), req.taken_up_until());
         if !is_same_start {
-            return self.origins.doubt(stream, until);
+            return self.doubt_stream(now, stream, until);
         }
-        self.origins.began(stream, software, until);
-        let lasts_ms = u32::try_from(now.until(until).as_millis()).unwrap_or(u32::MAX);
-        self.tell_origin(StreamOrigin { stream, software, lasts_ms });
+        let server = running.server_id;
+        self.origins.began(now, NewStream { stream, software, server, until });
+        self.tell_origin(now, stream, Some(software), until);
     }
 
-    /// Doubts the origins of the streams that run at a server which was started again with another
-    /// software version: they may have begun after that.
-    pub(crate) fn doubt_streams_at(&mut self, server: ServerKey) {
+    /// Doubts the origins of the streams at a server whose entry has another software version than before:
+    /// it was started again, and they may have begun after that.
+    pub(crate) fn doubt_streams_at(&mut self, now: Time, server: ServerId) {
+        let mut doubted = self.origins.begun_at(server, now - MAX_ENTRY_DELAY);
         for req in self.requests.values_mut() {
             let Stage::Running(running) = req.stage else { continue };
-            if running.server == server && req.software.is_some() {
+            if running.server_id == server && req.software.is_some() {
                 req.is_origin_in_doubt = true;
-                self.origins.doubt(StreamTag::of(&req.id), req.caller_deadline + DEADLINE_SLACK);
+                if req.is_resumable() {
+                    doubted.push((StreamTag::of(&req.id), req.taken_up_until()));
+                }
             }
         }
+        for (stream, until) in doubted {
+            self.doubt_stream(now, stream, until);
+        }
     }
 
-    /// Tells other instances of a stream that begins here, at once: this one may end at any time.
-    fn tell_origin(&mut self, origin: StreamOrigin) {
-        for to in self.members.holders(origin.stream, HOLDERS) {
-            self.send_origins(to, OriginContent::Began(vec![origin]));
-        }
+    fn doubt_stream(&mut self, now: Time, stream: StreamTag, until: Time) {
+        self.origins.doubt(now, stream, until);
+        self.tell_origin(now, stream, None, until);
     }
 
-    /// Records how long callers wait for the streams of a route.
-    pub(crate) fn record_caller_time(&mut self, pool: PoolId, time: Duration) {
-        let longest = self.caller_times.entry(pool).or_default();
-        *longest = time.min(MAX_CALLER_TIME).max(*longest);
+    fn tell_origin(
+        &mut self,
+        now: Time,
+        stream: StreamTag,
+        software: Option<SoftwareTag>,
+        until: Time,
+    ) {
+        let lasts_ms = u32::try_from(now.until(until).as_millis()).unwrap_or(u32::MAX);
+        for to in self.members.holders(stream, HOLDERS) {
+            let origin = StreamOrigin { stream, software, lasts_ms };
+            self.send_origins(to, OriginContent::Began(vec![origin]));
+        }
     }
 
     /// Handles a message about the origins of streams.
@@ -81,16 +104,10 @@
                 self.origins.expire(now);
             }
             OriginContent::Question(stream) => {
-                let software = match self.origins.get(now, stream) {
-                    Some(Origin::Known(software)) => Some(software),
-                    Some(Origin::InDoubt) | None => None,
-                };
-                let content = OriginContent::Answer { stream, software };
-                self.send_origins(message.sender, content);
-            }
-            OriginContent::Answer { stream, software } => {
-                self.origin_answered(now, stream, software);
+                let origin = self.origins.get(now, stream);
+                self.send_origins(message.sender, OriginContent::Answer { stream, origin });
             }
+            OriginContent::Answer { stream, origin } => self.origin_answered(now, stream, origin),
         }
     }
 
@@ -104,8 +121,29 @@
         holders.len()
     }
 
+    /// Records that a server is not listed any more, or with another version than this one.
+    pub(crate) fn version_left(
+        &mut self,
+        now: Time,
+        server: ServerId,
+        pool: PoolId,
+        software: SoftwareTag,
+    ) {
+        let late_begin = self.setup.bounds.revoke.unwrap_or(MAX_LATE_BEGIN);
+        self.software_use.left(now, server, pool, software, now + late_begin);
+    }
+
     fn send_origins(&mut self, to: SocketAddrV4, content: OriginContent) {
         let message = OriginMessage::new(self.setup.address, content);
         self.emit(Effect::SendOrigins(OutgoingOriginMessage { to, message }));
     }
 }
+
+impl Request {
+    /// Returns until when the caller may take the stream of this request up again.
+    fn taken_up_until(&self) -> Time {
+        let unstated =
+            if self.states_deadline { Duration::ZERO } else { self.routed.route.timeout };
+        self.caller_deadline + unstated + DEADLINE_SLACK
+    }
+}
--- a/crates/dispatch/tests/decisions/support.rs
+++ b/crates/dispatch/tests/decisions/support.rs
@@ -200,7 +200,7 @@
         route: &str,
         prompt: Prompt,
     ) -> (RequestKey, Vec<Effect>) {
-        self.send(api_key, route, prompt, None)
+        self.send(api_key, route, prompt, None, true)
     }
 
     /// Sends a request that takes up the stream of which the request with this id brought the first
@@ -211,7 +211,13 @@
         first_id: Option<&str>,
     ) -> (RequestKey, Vec<Effect>) {
         let taken_up = TakenUp { stream: first_id.map(StreamTag::of) };
-        self.send(KEY, route, prompt(500, 500, 1), Some(taken_up))
+        self.send(KEY, route, prompt(500, 500, 1), Some(taken_up), true)
+    }
+
+    /// Does the same without saying when the caller gives up.
+    pub(crate) fn take_up_without_deadline(&mut self, route: &str, first_id: &str) -> RequestKey {
+        let taken_up = TakenUp { stream: Some(StreamTag::of(first_id)) };
+        self.send(KEY, route, prompt(500, 500, 1), Some(taken_up), false).0
     }
 
     fn send(
@@ -220,6 +226,7 @@
         route: &str,
         prompt: Prompt,
         taken_up: Option<TakenUp>,
+        states_deadline: bool,
     ) -> (RequestKey, Vec<Effect>) {
         let path = format!("/{route}/x");
         let routed = self.state.route(self.now, "host.example", &path, Some(api_key)).unwrap();
@@ -230,6 +237,7 @@
             routed,
             arrived: self.now,
             caller_deadline: self.now + Duration::from_secs(4),
+            states_deadline,
             prompt,
             taken_up,
         };
--- a/crates/dispatch/tests/decisions/tree.rs
+++ b/crates/dispatch/tests/decisions/tree.rs
@@ -407,6 +407,7 @@
         routed,
         arrived: now,
         caller_deadline: now + Duration::from_secs(4),
+        states_deadline: true,
         prompt: Prompt::default(),
         taken_up: None,
     };
--- a/crates/dispatch/tests/decisions/versions.rs
+++ b/crates/dispatch/tests/decisions/versions.rs
@@ -4,7 +4,7 @@
 
 use dispatch::{AttemptEnd, Delivered, Effect, Event, RequestKey, ServedVersion, ServerEntry};
 use gossip::{
-    Member, Members, OriginContent, OriginMessage, SoftwareTag, StreamOrigin, StreamTag,
+    KnownOrigin, Member, Members, OriginContent, OriginMessage, StreamOrigin, StreamTag,
     ViewStatus, ViewSummary,
 };
 use model::prelude::*;
@@ -65,8 +65,8 @@
     effects.iter().filter_map(message).collect()
 }
 
-fn answer(bench: &mut Bench, host: u8, id: &str, software: Option<SoftwareTag>) -> Vec<Effect> {
-    let content = OriginContent::Answer { stream: StreamTag::of(id), software };
+fn answer(bench: &mut Bench, host: u8, id: &str, origin: KnownOrigin) -> Vec<Effect> {
+    let content = OriginContent::Answer { stream: StreamTag::of(id), origin };
     bench.step(Event::Origins(OriginMessage::new(address(host, 7000), content)))
 }
 
@@ -220,7 +220,7 @@
     // Four seconds until the caller's deadline, and a second beyond it.
     let origin = StreamOrigin {
         stream: StreamTag::of("request-1"),
-        software: software("engines", "v1"),
+        software: Some(software("engines", "v1")),
         lasts_ms: 5_000,
     };
     assert!(told.iter().all(|it| it.1 == OriginContent::Began(vec![origin])), "{told:?}");
@@ -245,7 +245,7 @@
     add_peer(&mut bench, 2);
     let origin = StreamOrigin {
         stream: StreamTag::of("elsewhere"),
-        software: software("engines", "v1"),
+        software: Some(software("engines", "v1")),
         lasts_ms: 3_000,
     };
     let content = OriginContent::Began(vec![origin]);
@@ -264,8 +264,9 @@
     add_peer(&mut bench, 3);
 
     let (_, asked) = bench.take_up("short", Some("elsewhere"));
-    let unknown = answer(&mut bench, 2, "elsewhere", None);
-    let known = answer(&mut bench, 3, "elsewhere", Some(software("engines", "v1")));
+    let unknown = answer(&mut bench, 2, "elsewhere", KnownOrigin::Unknown);
+    let known =
+        answer(&mut bench, 3, "elsewhere", KnownOrigin::Software(software("engines", "v1")));
 
     assert!(attempts(&asked).is_empty() && attempts(&unknown).is_empty());
     let question = OriginContent::Question(StreamTag::of("elsewhere"));
@@ -287,9 +288,10 @@
 
     let (known, unknown) = (ask(&id), ask("another"));
 
-    let answer = |id: &str, software| OriginContent::Answer { stream: StreamTag::of(id), software };
-    assert_eq!(known, [(2, answer(&id, Some(software("engines", "v1"))))]);
-    assert_eq!(unknown, [(2, answer("another", None))]);
+    let answer = |id: &str, origin| OriginContent::Answer { stream: StreamTag::of(id), origin };
+    let v1 = KnownOrigin::Software(software("engines", "v1"));
+    assert_eq!(known, [(2, answer(&id, v1))]);
+    assert_eq!(unknown, [(2, answer("another", KnownOrigin::Unknown))]);
 }
 
 /// Guards against a guess: nobody knows the stream, and two versions can have begun it.
@@ -298,7 +300,7 @@
     let mut bench = bench(&["v1-a", "v1-b", "v2-c"]);
     add_peer(&mut bench, 2);
     bench.take_up("short", Some("nowhere"));
-    answer(&mut bench, 2, "nowhere", None);
+    answer(&mut bench, 2, "nowhere", KnownOrigin::Unknown);
 
     let effects = bench.read();
 
@@ -370,11 +372,15 @@
 
     bench.take_up("short", Some("before"));
     let wanted = bench.state.wanted_history(bench.now);
-    let effects = bench.read();
+    let mut effects = bench.read();
+    // The history is not read in time.
+    effects.extend(bench.pass(1_000));
 
     // The caller waits for 4 s, as long as the route allows, and the deadline has a second of slack.
-    assert_eq!(wanted, Some(bench.now - Duration::from_secs(1)));
-    assert_eq!(reasons(&effects), [(Reason::OriginUnknown, Execution::NotRun, None)]);
+    assert_eq!(wanted, Some(bench.now - Duration::from_secs(2)));
+    assert!(attempts(&effects).is_empty());
+    let reasons = reasons(&effects);
+    assert!(matches!(reasons[..], [(Reason::OriginUnknown, Execution::NotRun, Some(_))]));
 }
 
 #[test]
@@ -383,7 +389,7 @@
     bench.take_up("short", Some("before"));
 
     let since = bench.state.wanted_history(bench.now).unwrap();
-    bench.step(Event::HistoryRead { since, served: Vec::new() });
+    bench.step(Event::HistoryRead { since, served: Some(Vec::new()) });
     let effects = bench.read();
 
     assert_eq!(attempts(&effects).len(), 1);
@@ -392,21 +398,99 @@
 /// Guards against the same with a version in the history that has left.
 #[test]
 fn a_version_in_the_history_can_have_begun_a_stream() {
-    for (ended, goes_on) in [(500, false), (8_000, true)] {
-        let mut bench = just_started(&["v2-a", "v2-b"]);
-        bench.take_up("short", Some("before"));
-        let served = ServedVersion {
-            pool: PoolId::of("engines"),
-            software: software("engines", "v1"),
-            until: bench.now - Duration::from_millis(ended),
-        };
+    let mut bench = just_started(&["v2-a", "v2-b"]);
+    bench.take_up("short", Some("before"));
+    let served = ServedVersion { pool: PoolId::of("engines"), software: software("engines", "v1") };
 
-        let since = bench.now - Duration::from_secs(9);
-        bench.step(Event::HistoryRead { since, served: vec![served] });
-        let effects = bench.read();
+    let since = bench.state.wanted_history(bench.now).unwrap();
+    bench.step(Event::HistoryRead { since, served: Some(vec![served]) });
+    let effects = bench.read();
 
-        assert_eq!(!attempts(&effects).is_empty(), goes_on, "{ended} ms");
+    assert_eq!(reasons(&effects), [(Reason::OriginUnknown, Execution::NotRun, None)]);
+}
+
+/// Guards against a search that is decided before the history was read for it.
+#[test]
+fn a_search_waits_for_the_history_that_it_needs() {
+    let mut bench = just_started(&["v2-a", "v2-b"]);
+    bench.take_up("short", Some("before"));
+
+    let without = bench.read();
+    let since = bench.state.wanted_history(bench.now).unwrap();
+    bench.step(Event::HistoryRead { since, served: None });
+    let with = bench.read();
+
+    assert!(attempts(&without).is_empty() && refusals(&without).is_empty());
+    assert_eq!(reasons(&with), [(Reason::OriginUnknown, Execution::NotRun, None)]);
+}
+
+/// Guards against a stream that another one spoils, which began earlier and at a former version.
+#[test]
+fn a_search_needs_no_more_of_the_history_than_its_own_time() {
+    let mut bench = just_started(&["v2-a", "v2-b"]);
+    let (_, _) = bench.take_up("short", Some("early"));
+    bench.now = bench.now + Duration::from_millis(700);
+    let (late, _) = bench.take_up("short", Some("late"));
+    let served = ServedVersion { pool: PoolId::of("engines"), software: software("engines", "v1") };
+
+    let early = bench.state.wanted_history(bench.now).unwrap();
+    bench.step(Event::HistoryRead { since: early, served: Some(vec![served]) });
+    let first = bench.read();
+    let later = bench.state.wanted_history(bench.now).unwrap();
+    bench.step(Event::HistoryRead { since: later, served: Some(Vec::new()) });
+    let second = bench.read();
+
+    assert!(later > early);
+    assert_eq!(reasons(&first), [(Reason::OriginUnknown, Execution::NotRun, None)]);
+    assert_eq!(attempts(&second).iter().map(|it| it.0).collect::<Vec<_>>(), [late]);
+}
+
+/// Bounds the reads of the platform that callers cause who name unknown streams.
+#[test]
+fn unknown_streams_do_not_make_the_platform_be_read_without_a_pause() {
+    let mut bench = bench(&["v1-a", "v2-b"]);
+    let mut reads = 0;
+    for no in 0..1_000 {
+        bench.take_up("short", Some(&format!("random {no}")));
+        if bench.state.next_read() <= bench.now {
+            bench.read();
+            reads += 1;
+        }
+        bench.pass(2);
     }
+
+    // Two seconds, with 400 ms between two reads.
+    assert!(reads <= 6, "{reads} reads");
+}
+
+/// Guards against a window that is too short, if the caller does not say when it gives up.
+#[test]
+fn a_request_without_a_deadline_may_take_up_a_stream_as_old_as_any() {
+    let mut bench = just_started(&["v2-a", "v2-b"]);
+    bench.take_up_without_deadline("short", "before");
+
+    let wanted = bench.state.wanted_history(bench.now);
+
+    // The route's timeout and a second.
+    assert_eq!(wanted, Some(bench.now - Duration::from_secs(5)));
+}
+
+/// Guards against a stream that is refused though a server of its version is listed: another instance saw
+/// the version first.
+#[test]
+fn a_stream_of_a_version_that_is_not_listed_yet_waits_for_a_read() {
+    let mut bench = bench(&["v1-a", "v1-b"]);
+    add_peer(&mut bench, 2);
+    bench.pass(5);
+    bench.take_up("short", Some("elsewhere"));
+
+    let known = KnownOrigin::Software(software("engines", "v2"));
+    let told = answer(&mut bench, 2, "elsewhere", known);
+    bench.list(engine("v2-c", 13));
+    let read = bench.read();
+
+    assert!(attempts(&told).is_empty() && refusals(&told).is_empty());
+    assert_eq!(names(&read), ["v2-c"]);
 }
 
 /// A request must not wait for ever for a platform that cannot be read.
@@ -445,6 +529,42 @@
     assert_eq!(reasons(&taken_up), [(Reason::OriginUnknown, Execution::NotRun, None)]);
 }
 
+/// Guards against the same where the restart is seen as the end of one server and the beginning of another, and
+/// the stream has ended before. Instances that were told are told of the doubt.
+#[test]
+fn a_stream_of_a_server_that_came_back_with_another_version_is_in_doubt_everywhere() {
+    let mut bench = bench(&["v1-a", "v1-b"]);
+    add_peer(&mut bench, 2);
+    let (key, id, name) = start_stream(&mut bench, 1);
+    bench.ended(key, AttemptEnd::Broken { delivered: Delivered::Nothing });
+    let host = if name == "v1-a" { 11 } else { 12 };
+
+    bench.step(Event::Server(dispatch::ServerChange::Unlisted(ServerId::of(&name))));
+    let software = software("engines", "v2");
+    let effects = bench.list(ServerEntry { software, incarnation: 2, ..engine(&name, host) });
+    let content = OriginContent::Question(StreamTag::of(&id));
+    let asked = bench.step(Event::Origins(OriginMessage::new(address(2, 7000), content)));
+    let (_, taken_up) = bench.take_up("short", Some(&id));
+
+    let told = sent(&effects);
+    assert!(matches!(&told[..], [(2, OriginContent::Began(it))] if it[0].software.is_none()));
+    let answer = OriginContent::Answer { stream: StreamTag::of(&id), origin: KnownOrigin::InDoubt };
+    assert_eq!(sent(&asked), [(2, answer)]);
+    assert_eq!(reasons(&taken_up), [(Reason::OriginUnknown, Execution::NotRun, None)]);
+}
+
+/// Guards against a doubt that is taken for not knowing.
+#[test]
+fn a_stream_of_which_another_instance_is_in_doubt_is_refused() {
+    let mut bench = bench(&["v1-a", "v1-b"]);
+    add_peer(&mut bench, 2);
+    bench.take_up("short", Some("elsewhere"));
+
+    let effects = answer(&mut bench, 2, "elsewhere", KnownOrigin::InDoubt);
+
+    assert_eq!(reasons(&effects), [(Reason::OriginUnknown, Execution::NotRun, None)]);
+}
+
 /// Guards against two streams with one id, which a caller used twice: neither version is known.
 #[test]
 fn a_stream_with_two_origins_is_refused() {
@@ -453,7 +573,7 @@
     for version in ["v1", "v2"] {
         let origin = StreamOrigin {
             stream: StreamTag::of("twice"),
-            software: software("engines", version),
+            software: Some(software("engines", version)),
             lasts_ms: 3_000,
         };
         let content = OriginContent::Began(vec![origin]);
@@ -483,7 +603,7 @@
 #[test]
 fn an_instance_that_tells_of_many_streams_does_not_fill_the_memory() {
     let mut bench = bench(&["v1-a"]);
-    let software = software("engines", "v1");
+    let software = Some(software("engines", "v1"));
     for no in 0..1_000 {
         let origins = (0..40).map(|it| StreamOrigin {
             stream: StreamTag(no * 40 + it),
--- a/crates/edge/src/exchange.rs
+++ b/crates/edge/src/exchange.rs
@@ -126,6 +126,7 @@
             routed: routed.clone(),
             arrived: self.arrived,
             caller_deadline,
+            states_deadline: timeout.is_some(),
             prompt,
             taken_up,
         };
--- a/crates/gossip/src/lib.rs
+++ b/crates/gossip/src/lib.rs
@@ -59,7 +59,8 @@
 pub use members::Members;
 pub use notice::IncarnationTag;
 pub use origin::{
-    OriginContent, OriginMessage, OutgoingOriginMessage, SoftwareTag, StreamOrigin, StreamTag,
+    KnownOrigin, OriginContent, OriginMessage, OutgoingOriginMessage, SoftwareTag, StreamOrigin,
+    StreamTag,
 };
 pub use packet::{DecodeError, MAX_PACKET_BYTES, OutgoingPacket, Packet, ViewStatus, ViewSummary};
 pub use peer_update::PeerUpdate;
--- a/crates/gossip/src/origin.rs
+++ b/crates/gossip/src/origin.rs
@@ -43,8 +43,8 @@
 pub struct StreamOrigin {
     /// The stream.
     pub stream: StreamTag,
-    /// The version whose server sent its first event.
-    pub software: SoftwareTag,
+    /// The version whose server sent its first event; `None` if that is in doubt.
+    pub software: Option<SoftwareTag>,
     /// For how long its caller may take it up again, in milliseconds.
     pub lasts_ms: u32,
 }
@@ -63,7 +63,7 @@
 /// The content of an [`OriginMessage`].
 #[derive(Clone, PartialEq, Eq, Debug, Serialize, Deserialize)]
 pub enum OriginContent {
-    /// These streams began at the sender.
+    /// These streams began at the sender, or their origins have come into doubt.
     Began(Vec<StreamOrigin>),
     /// Asks for the origin of a stream. It is answered at once.
     Question(StreamTag),
@@ -71,11 +71,22 @@
     Answer {
         /// The stream.
         stream: StreamTag,
-        /// Its origin; `None` if the sender does not know it.
-        software: Option<SoftwareTag>,
+        /// Its origin, as far as the sender knows it.
+        origin: KnownOrigin,
     },
 }
 
+/// What an instance knows of the origin of a stream.
+#[derive(Clone, Copy, PartialEq, Eq, Debug, Serialize, Deserialize)]
+pub enum KnownOrigin {
+    /// Nothing.
+    Unknown,
+    /// This version began it.
+    Software(SoftwareTag),
+    /// Several versions can have begun it.
+    InDoubt,
+}
+
 /// A message about origins to be sent.
 #[derive(Clone, PartialEq, Eq, Debug)]
 pub struct OutgoingOriginMessage {
--- a/crates/gossip/tests/origins.rs
+++ b/crates/gossip/tests/origins.rs
@@ -7,8 +7,8 @@
 use std::collections::BTreeMap;
 
 use gossip::{
-    Datagram, DecodeError, OriginContent, OriginMessage, Packet, SoftwareTag, StreamOrigin,
-    StreamTag,
+    Datagram, DecodeError, KnownOrigin, OriginContent, OriginMessage, Packet, SoftwareTag,
+    StreamOrigin, StreamTag,
 };
 use model::prelude::*;
 
@@ -22,7 +22,7 @@
 fn origin(no: u64) -> StreamOrigin {
     StreamOrigin {
         stream: StreamTag(u64::MAX - no),
-        software: SoftwareTag(u64::MAX - 2 * no),
+        software: Some(SoftwareTag(u64::MAX - 2 * no)),
         lasts_ms: u32::MAX,
     }
 }
@@ -33,8 +33,9 @@
     let contents = [
         OriginContent::Began(vec![origin(1), origin(2)]),
         OriginContent::Question(stream),
-        OriginContent::Answer { stream, software: Some(SoftwareTag(7)) },
-        OriginContent::Answer { stream, software: None },
+        OriginContent::Answer { stream, origin: KnownOrigin::Software(SoftwareTag(7)) },
+        OriginContent::Answer { stream, origin: KnownOrigin::Unknown },
+        OriginContent::Answer { stream, origin: KnownOrigin::InDoubt },
     ];
     for content in contents {
         let message = OriginMessage::new(address(1), content);
