--- a/crates/dispatch/src/admission.rs
+++ b/crates/dispatch/src/admission.rs
@@ -183,6 +183,8 @@
             after: now.since(req.arrived),
             view_age: self.view_age(now),
             servers,
+            version: req.routed.version,
+            timeout: req.routed.route.timeout,
         });
         self.emit(Effect::Command { key, command: Command::Refuse(refusal) });
     }
--- a/crates/dispatch/src/catalog.rs
+++ b/crates/dispatch/src/catalog.rs
@@ -8,7 +8,7 @@
 use gossip::AccountTag;
 use model::prelude::*;
 
-use crate::Route;
+use crate::{Route, ViewSource};
 
 /// The configuration of the fleet as operators published it, indexed for lookups. A new version
 /// replaces it as a whole.
@@ -16,6 +16,8 @@
 pub struct Catalog {
     /// Set by operators. A configuration replaces only one with a lower version.
     pub version: Version,
+    /// Where it was read.
+    pub origin: ConfigOrigin,
     /// The pools of backend servers.
     pub pools: HashMap<PoolId, Pool>,
     /// The accounts by API key; `None` if no request needs a key.
@@ -28,6 +30,15 @@
     tiers: HashMap<PoolId, BTreeMap<Tier, Duration>>,
 }
 
+/// Where a configuration was read; only for log lines.
+#[derive(Clone, Copy, PartialEq, Eq, Debug, Default)]
+pub struct ConfigOrigin {
+    /// The platform's revision at which it was written.
+    pub revision: u64,
+    /// From whom it was read.
+    pub source: ViewSource,
+}
+
 impl Catalog {
     /// Adds routes to the index.
     pub fn with_routes(mut self, routes: impl IntoIterator<Item = Route>) -> Self {
--- a/crates/dispatch/src/effect.rs
+++ b/crates/dispatch/src/effect.rs
@@ -6,8 +6,8 @@
 use model::prelude::*;
 
 use crate::{
-    Attempt, AttemptEnd, FleetDemand, LeftRun, QuarantineChange, RequestKey, RequestRate,
-    ResponseTrace, RetryUse, ServerKey,
+    Attempt, AttemptEnd, ConfigOrigin, FleetDemand, LeftRun, QuarantineChange, RequestKey,
+    RequestRate, ResponseTrace, RetryUse, ServerKey, ViewSource,
 };
 
 /// An effect of a decision, which the instance carries out.
@@ -88,6 +88,8 @@
         routes: usize,
         /// Time since the view before this change was confirmed; `None` before the first read.
         view_age: Option<Duration>,
+        /// Where it was read.
+        origin: ConfigOrigin,
     },
     /// Another instance has the same view of the platform by its digest, and yet another
     /// configuration.
@@ -368,6 +370,10 @@
         view_age: Option<Duration>,
         /// The servers that it could have gone to.
         servers: ServerSurvey,
+        /// The version of the configuration that routed it.
+        version: Version,
+        /// The timeout of its route by that version.
+        timeout: Duration,
     },
     /// A request was rejected because of a header field.
     Malformed {
@@ -395,6 +401,10 @@
         version: Option<Version>,
         /// Time since the view of the platform was last confirmed; `None` before the first read.
         view_age: Option<Duration>,
+        /// The revision up to which the platform was read.
+        revision: u64,
+        /// Who confirmed the view last; `None` before the first read.
+        confirmed_by: Option<ViewSource>,
     },
     /// A request had not ended within its time.
     EndedLate {
@@ -402,6 +412,8 @@
         id: Arc<str>,
         /// Time since the earlier of its route's timeout and its caller's deadline.
         late: Duration,
+        /// The version of the configuration that routed it.
+        version: Version,
     },
     /// The caller of a request closed the connection or took no more bytes.
     CallerLeft {
--- a/crates/dispatch/src/event.rs
+++ b/crates/dispatch/src/event.rs
@@ -1,6 +1,6 @@
 //! The events that the reducer handles.
 
-use std::{collections::BTreeSet, sync::Arc};
+use std::{collections::BTreeSet, net::SocketAddrV4, sync::Arc};
 
 use gossip::{LoadMessage, Packet, TreeMessage, ViewSummary};
 use model::prelude::*;
@@ -53,6 +53,8 @@
         as_of: Time,
         /// The view that was read.
         view: ViewSummary,
+        /// The address at which that instance receives packets.
+        peer: SocketAddrV4,
     },
     /// Another instance, from which changes were to be read, did not deliver them.
     PeerReadFailed,
--- a/crates/dispatch/src/fleet.rs
+++ b/crates/dispatch/src/fleet.rs
@@ -31,9 +31,9 @@
             return;
         }
         let (version, routes) = (catalog.version, catalog.route_count());
-        let view_age = self.view_age(now);
+        let (view_age, origin) = (self.view_age(now), catalog.origin);
         self.catalog = Some(catalog);
-        self.log(LogEntry::Config { version, routes, view_age });
+        self.log(LogEntry::Config { version, routes, view_age, origin });
         self.recheck_keys(now);
         self.dispatch_all(now);
     }
--- a/crates/dispatch/src/freshness.rs
+++ b/crates/dispatch/src/freshness.rs
@@ -1,5 +1,7 @@
 //! The view of the platform and the time at which it was last confirmed.
 
+use std::{fmt, net::SocketAddrV4};
+
 use gossip::{ViewStatus, ViewSummary};
 use model::prelude::*;
 
@@ -8,6 +10,25 @@
 /// request takes some time from the check of its key to the server.
 const REVOKE_MARGIN: Duration = Duration::from_millis(1_300);
 
+/// From whom a view of the platform was learned.
+#[derive(Clone, Copy, PartialEq, Eq, Debug, Default)]
+pub enum ViewSource {
+    /// The platform itself.
+    #[default]
+    Platform,
+    /// The instance that receives packets at this address.
+    Peer(SocketAddrV4),
+}
+
+impl fmt::Display for ViewSource {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Platform => f.write_str("platform"),
+            Self::Peer(address) => address.fmt(f),
+        }
+    }
+}
+
 /// The view of the platform and the time at which it was last confirmed, by a read of this instance
 /// or of another one that read the same view.
 #[derive(Clone, Copy, Debug, Default)]
@@ -15,17 +36,19 @@
     view: ViewSummary,
     /// `None` before the first read.
     last_confirmed: Option<Time>,
+    /// Who confirmed it then.
+    confirmed_by: ViewSource,
 }
 
 impl Freshness {
-    /// Records that `view`, which was up to date at `as_of`, was read from the platform or from
-    /// another instance. A view of a later revision holds everything that an earlier one did, so
+    /// Records that `view`, which was up to date at `as_of`, was read from `source`. A view of a later revision holds everything that an earlier one did, so
     /// it is at least as recent.
-    pub fn record_read(&mut self, as_of: Time, view: ViewSummary) {
+    pub fn record_read(&mut self, as_of: Time, view: ViewSummary, source: ViewSource) {
         if view.digest == self.view.digest || view.revision >= self.view.revision {
-            self.last_confirmed = self.last_confirmed.max(Some(as_of));
+            self.confirm(as_of, source);
         } else {
             self.last_confirmed = Some(as_of);
+            self.confirmed_by = source;
         }
         self.view = view;
     }
@@ -36,11 +59,18 @@
         self.view = view;
     }
 
-    /// Records that another instance confirmed `view` at `as_of`. A view that differs from this
+    /// Records that the instance at `peer` confirmed `view` at `as_of`. A view that differs from this
     /// instance's confirms nothing.
-    pub fn record_peer_view(&mut self, view: ViewSummary, as_of: Time) {
+    pub fn record_peer_view(&mut self, view: ViewSummary, as_of: Time, peer: SocketAddrV4) {
         if self.last_confirmed.is_some() && view.digest == self.view.digest {
-            self.last_confirmed = self.last_confirmed.max(Some(as_of));
+            self.confirm(as_of, ViewSource::Peer(peer));
+        }
+    }
+
+    fn confirm(&mut self, as_of: Time, source: ViewSource) {
+        if self.last_confirmed < Some(as_of) {
+            self.last_confirmed = Some(as_of);
+            self.confirmed_by = source;
         }
     }
 
@@ -60,6 +90,11 @@
         self.last_confirmed
     }
 
+    /// Returns who confirmed the view at that time; `None` before the first read.
+    pub fn confirmed_by(&self) -> Option<ViewSource> {
+        self.last_confirmed.map(|_| self.confirmed_by)
+    }
+
     /// Returns until when keys may be accepted so that a revoked key works no longer than `revoke`
     /// after its revocation: forever without a bound; `None` if there is one and the platform has
     /// not been read.
--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -60,14 +60,14 @@
 
 pub use attempt::{Attempt, AttemptEnd, Delivered, KvCopy};
 pub use budget::RetryBudget;
-pub use catalog::{Account, Accounts, CallerLimits, Catalog, Engine, Pool};
+pub use catalog::{Account, Accounts, CallerLimits, Catalog, ConfigOrigin, Engine, Pool};
 pub use choice::{Affinity, Candidate, Demand, Estimate, Room, SeenLoad};
 pub use cold::RequestWindow;
 pub use demand::EngineDemand;
 pub use effect::{Command, Effect, LogEntry, ServerSurvey};
 pub use event::{Event, NewRequest, ServerChange};
 pub use fleet_knowledge::FleetKnowledge;
-pub use freshness::Freshness;
+pub use freshness::{Freshness, ViewSource};
 pub use left_run::{LeftRun, RunEnd};
 pub use limited_server::LimitedServer;
 pub use live_engines::{FleetDemand, LiveEngines};
--- a/crates/dispatch/src/reading.rs
+++ b/crates/dispatch/src/reading.rs
@@ -10,7 +10,7 @@
 use gossip::{TreeContent, TreeMessage, ViewSummary};
 use model::prelude::*;
 
-use crate::{Effect, LogEntry, state::State};
+use crate::{Effect, LogEntry, ViewSource, state::State};
 
 /// The age of the view at which the first member of the fleet reads the platform again. A draining
 /// server must get no requests after two seconds, and a configuration must be in force after two,
@@ -124,10 +124,16 @@
     }
 
     /// Handles a successful read, of the platform or of a peer.
-    pub(crate) fn view_read(&mut self, now: Time, as_of: Time, view: ViewSummary) {
+    pub(crate) fn view_read(
+        &mut self,
+        now: Time,
+        as_of: Time,
+        view: ViewSummary,
+        source: ViewSource,
+    ) {
         let is_changed = view.digest != self.freshness.view().digest;
         self.platform_seen(as_of);
-        self.freshness.record_read(as_of, view);
+        self.freshness.record_read(as_of, view, source);
         self.is_behind = false;
         self.newer_peer = None;
         if is_changed {
@@ -157,7 +163,7 @@
             let (peer_version, version) = (view.version, own.version);
             self.log(LogEntry::ViewsDiffer { peer, peer_version, version });
         }
-        self.freshness.record_peer_view(view, as_of);
+        self.freshness.record_peer_view(view, as_of, peer);
         // An instance that can read neither the platform nor the peer that it asked asks the next.
         let may_ask = !self.is_behind || self.newer_peer.is_none() && self.failing_since.is_some();
         if self.freshness.is_behind(view) && may_ask {
--- a/crates/dispatch/src/state.rs
+++ b/crates/dispatch/src/state.rs
@@ -10,7 +10,7 @@
 
 use crate::{
     Catalog, Effect, EngineDemand, Event, Freshness, HeldPart, LiveEngines, LogEntry, Quarantine,
-    RequestKey, RetryBudget, ServerKey, Setup, Share,
+    RequestKey, RetryBudget, ServerKey, Setup, Share, ViewSource,
     account_shares::AccountShares,
     queue::Queue,
     reading_speed::ReadingSpeeds,
@@ -169,14 +169,16 @@
             Event::Server(change) => self.server_changed(now, change),
             Event::EvacuatedZones(zones) => self.evacuated_zones(now, zones),
             Event::PlatformRead { as_of, view } => {
-                self.view_read(now, as_of, view);
+                self.view_read(now, as_of, view, ViewSource::Platform);
                 self.failing_since = None;
             }
             Event::PlatformPartRead { seen_at, view } => {
                 self.view_part_read(seen_at, view);
                 self.failing_since = None;
             }
-            Event::PeerRead { as_of, view } => self.view_read(now, as_of, view),
+            Event::PeerRead { as_of, view, peer } => {
+                self.view_read(now, as_of, view, ViewSource::Peer(peer));
+            }
             Event::PlatformReadFailed => {
                 self.failing_since.get_or_insert(now);
             }
@@ -302,6 +304,11 @@
         self.freshness.last_confirmed().map(|time| now.since(time))
     }
 
+    /// Returns who confirmed the view of the platform last; `None` before the first read.
+    pub fn confirmed_by(&self) -> Option<ViewSource> {
+        self.freshness.confirmed_by()
+    }
+
     /// Returns how many connections this instance may have to each server of a pool, at least 1.
     pub fn max_connections(&self, pool: PoolId) -> u32 {
         let pool = self.catalog.as_ref().and_then(|catalog| catalog.pools.get(&pool));
--- a/crates/dispatch/tests/decisions/tree.rs
+++ b/crates/dispatch/tests/decisions/tree.rs
@@ -201,9 +201,9 @@
                 Some(_) if self.undelivering.contains(&self.by_address[&peer]) => {
                     Event::PeerReadFailed
                 }
-                Some(peer) => {
-                    let age = peer.view_age(self.now).unwrap_or_default();
-                    Event::PeerRead { as_of: self.now - age, view: peer.view() }
+                Some(member) => {
+                    let age = member.view_age(self.now).unwrap_or_default();
+                    Event::PeerRead { as_of: self.now - age, view: member.view(), peer }
                 }
                 None => Event::PeerReadFailed,
             },
--- a/crates/edge/src/exchange.rs
+++ b/crates/edge/src/exchange.rs
@@ -139,17 +139,16 @@
         refusal: Refusal,
     ) -> Rejection {
         let now = self.instance.clock.now();
-        let (version, view_age) = self.instance.read_state(|state| {
-            (state.catalog().map(|catalog| catalog.version), state.view_age(now))
-        });
-        let entry = LogEntry::Rejected {
+        let entry = self.instance.read_state(|state| LogEntry::Rejected {
             id: Arc::clone(id),
             host: head.host().to_owned(),
             path: head.path().to_owned(),
             refusal,
-            version,
-            view_age,
-        };
+            version: state.catalog().map(|catalog| catalog.version),
+            view_age: state.view_age(now),
+            revision: state.view().revision,
+            confirmed_by: state.confirmed_by(),
+        });
         self.instance.record(now, &entry);
         self.discard_body(head, refusal.into()).await
     }
@@ -240,7 +239,7 @@
     async fn serve(mut self, accepted: Accepted, new: NewRequest) -> Disposition {
         let instance = Rc::clone(&self.instance);
         let end_by = new.caller_deadline.min(new.arrived + new.routed.route.timeout);
-        let id = Arc::clone(&new.id);
+        let (id, version) = (Arc::clone(&new.id), new.routed.version);
         let (tx, commands) = async_channel::bounded(2);
         let key = instance.add_task(tx);
         instance.handle_event(Event::Request { key, new: Box::new(new) });
@@ -263,7 +262,7 @@
         let now = instance.clock.now();
         let late = now.since(end_by);
         if late >= LATE_END {
-            instance.record(now, &LogEntry::EndedLate { id, late });
+            instance.record(now, &LogEntry::EndedLate { id, late, version });
         }
         match disposition {
             Disposition::KeepOpen if self.response.closes_connection => Disposition::Close,
--- a/crates/edge/src/journal.rs
+++ b/crates/edge/src/journal.rs
@@ -86,9 +86,12 @@
 
 fn write(entry: &LogEntry) {
     match entry {
-        LogEntry::Config { version, routes, view_age } => {
+        LogEntry::Config { version, routes, view_age, origin } => {
             let view_age_ms = view_age.map(millis);
-            log::info!(version:%, routes, view_age_ms:?; "configuration applied");
+            log::info!(
+                version:%, routes, view_age_ms:?, revision = origin.revision, source:% = origin.source;
+                "configuration applied"
+            );
         }
         LogEntry::ViewsDiffer { peer, peer_version, version } => {
             log::warn!(
@@ -226,20 +229,31 @@
                 "request sent late"
             );
         }
-        LogEntry::Refused { id, route, refusal, after, view_age, servers } => {
+        LogEntry::Refused { id, route, refusal, after, view_age, servers, version, timeout } => {
             let least_expected_ms = servers.least_expected.map(millis);
             log::info!(
                 request:% = id, route:%, reason:? = refusal.reason, execution:? = refusal.execution,
                 retry_after_ms:? = refusal.retry_after.map(millis), after_ms = millis(*after),
                 view_age_ms:? = view_age.map(millis), usable = servers.usable, full = servers.full,
-                least_expected_ms:?;
+                least_expected_ms:?, config:% = version, timeout_ms = millis(*timeout);
                 "request refused"
             );
         }
-        LogEntry::Rejected { id, host, path, refusal, version, view_age } => {
+        LogEntry::Rejected {
+            id,
+            host,
+            path,
+            refusal,
+            version,
+            view_age,
+            revision,
+            confirmed_by,
+        } => {
+            let confirmed_by = confirmed_by.map(|it| it.to_string()).unwrap_or_default();
             log::info!(
                 request:% = id, host, path, reason:? = refusal.reason,
-                config:? = version.map(|version| version.0), view_age_ms:? = view_age.map(millis);
+                config:? = version.map(|version| version.0), view_age_ms:? = view_age.map(millis),
+                revision, confirmed_by;
                 "request rejected"
             );
         }
@@ -247,8 +261,11 @@
             let request = id.as_deref().unwrap_or_default();
             log::info!(request, host, path, error; "malformed request rejected");
         }
-        LogEntry::EndedLate { id, late } => {
-            log::warn!(request:% = id, late_ms = millis(*late); "request ended late");
+        LogEntry::EndedLate { id, late, version } => {
+            log::warn!(
+                request:% = id, late_ms = millis(*late), config:% = version;
+                "request ended late"
+            );
         }
         LogEntry::CallerLeft { id, after } => {
             log::info!(request:% = id, after_ms = millis(*after); "caller left");
