--- a/crates/dispatch/src/state.rs
+++ b/crates/dispatch/src/state.rs
@@ -10,7 +10,7 @@
 
 use crate::{
     Catalog, Effect, EngineDemand, Event, Freshness, HeldPart, LiveEngines, LogEntry, Quarantine,
-    RequestKey, RetryBudget, ServerKey, Setup, Share,
+    RequestKey, RetryBudget, ServerKey, Setup, Share, ViewSource,
     account_shares::AccountShares,
     caller_times::CallerTimes,
     origins::Origins,
@@ -186,17 +186,17 @@
             Event::EvacuatedZones(zones) => self.evacuated_zones(now, zones),
             Event::PlatformRead { as_of, view } => {
                 self.platform_tried(now);
-                self.view_read(now, as_of, view);
+                self.view_read(now, as_of, view, ViewSource::Platform);
                 self.failing_since = None;
             }
             Event::PlatformPartRead { seen_at, view } => {
                 self.view_part_read(seen_at, view);
                 self.failing_since = None;
             }
-            Event::PeerRead { as_of, view } => {
+            Event::PeerRead { as_of, view, peer } => {
                 // A peer tells the latest state of each server, so one that came and left is not seen.
                 self.software_use.known_from(now);
-                self.view_read(now, as_of, view);
+                self.view_read(now, as_of, view, ViewSource::Peer(peer));
             }
             Event::PlatformReadFailed => {
                 self.platform_tried(now);
@@ -334,6 +334,11 @@
         self.freshness.last_confirmed().map(|time| now.since(time))
     }
 
+    /// Returns who confirmed the view of the platform last; `None` before the first read.
+    pub fn confirmed_by(&self) -> Option<ViewSource> {
+        self.freshness.confirmed_by()
+    }
+
     /// Returns how many connections this instance may have to each server of a pool, at least 1.
     pub fn max_connections(&self, pool: PoolId) -> u32 {
         let pool = self.catalog.as_ref().and_then(|catalog| catalog.pools.get(&pool));
