Keep a stream at the same instances whoever tells, and ask others that are found after a start

An instance that has just started knows no other one for some packets, asked none and refused streams that the others knew: now it asks the seeds, and whom it finds, for half a second. Two instances that began streams with one id told different ones, as each chose among the others; now the choice is among all, and who keeps a stream tells both of a doubt. A caller that states more time than any known one may have waited for any time.

--- a/crates/dispatch/src/elimination.rs
+++ b/crates/dispatch/src/elimination.rs
@@ -17,6 +17,8 @@
 /// The least time between two reads of the platform for streams that are taken up: callers that name unknown
 /// streams must not make all instances read without a pause.
 const READ_INTERVAL: Duration = Duration::from_millis(400);
+/// The time that a caller may wait of which nothing else is known.
+const MAX_WAIT: Duration = Duration::from_secs(600);
 
 impl State {
     /// Decides by elimination for the searches that waited for a view that was up to date at `as_of` or
@@ -127,7 +129,9 @@
         if !req.states_deadline {
             return now - (longest + DEADLINE_SLACK);
         }
-        let whole = longest.max(req.caller_deadline.since(req.arrived));
+        // A caller that still has more time than that may have had any.
+        let whole =
+            if req.caller_deadline.since(req.arrived) > longest { MAX_WAIT } else { longest };
         now - (whole.saturating_sub(now.until(req.caller_deadline)) + DEADLINE_SLACK)
     }
 
--- a/crates/dispatch/src/fleet.rs
+++ b/crates/dispatch/src/fleet.rs
@@ -187,6 +187,7 @@
         if update.is_new {
             let alive = self.members.alive_count();
             self.log(LogEntry::MemberFound { address: update.sender.address, alive });
+            self.ask_new_member(update.sender.address);
         }
         self.peer_view(now, update.sender.address, update.view_status.view, update.as_of);
         let from = update.sender.address;
--- a/crates/dispatch/src/origins.rs
+++ b/crates/dispatch/src/origins.rs
@@ -1,6 +1,9 @@
 //! The software versions that began streams which callers may take up again.
 
-use std::collections::{BTreeSet, HashMap};
+use std::{
+    collections::{BTreeSet, HashMap},
+    net::SocketAddrV4,
+};
 
 use gossip::{KnownOrigin, SoftwareTag, StreamOrigin, StreamTag};
 use model::prelude::*;
@@ -37,29 +40,40 @@
     /// the same tag.
     software: Option<SoftwareTag>,
     until: Time,
-    /// The server that sent its first event to this instance, and when; `None` if another instance told of
-    /// the stream.
+    /// The server that sent its first event to this instance, and when; `None` if it began elsewhere.
     began: Option<(ServerId, Time)>,
+    /// The instance that told of it; `None` if none did.
+    told_by: Option<SocketAddrV4>,
 }
 
 impl Origins {
-    /// Records that a stream begins here.
-    pub(crate) fn began(&mut self, now: Time, new: NewStream) {
+    /// Records that a stream begins here. Returns whether it comes into doubt: its id began another one.
+    pub(crate) fn began(&mut self, now: Time, new: NewStream) -> bool {
         let NewStream { stream, software, server, until } = new;
         let until = until.min(now + MAX_TIME);
-        self.record(stream, Entry { software: Some(software), until, began: Some((server, now)) });
+        let began = Some((server, now));
+        self.record(stream, Entry { software: Some(software), until, began, told_by: None })
     }
 
-    /// Records what another instance told of a stream.
-    pub(crate) fn told(&mut self, now: Time, told: StreamOrigin) {
+    /// Records what another instance told of a stream. Returns whether the stream comes into doubt, and who
+    /// told of it before.
+    pub(crate) fn told(
+        &mut self,
+        now: Time,
+        sender: SocketAddrV4,
+        told: StreamOrigin,
+    ) -> (bool, Option<SocketAddrV4>) {
         let until = now + Duration::from_millis(told.lasts_ms.into()).min(MAX_TIME);
-        self.record(told.stream, Entry { software: told.software, until, began: None });
+        let former = self.streams.get(&told.stream).and_then(|it| it.told_by);
+        let told_by = Some(sender);
+        let entry = Entry { software: told.software, until, began: None, told_by };
+        (self.record(told.stream, entry), former)
     }
 
     /// Records that the version of a stream is in doubt.
     pub(crate) fn doubt(&mut self, now: Time, stream: StreamTag, until: Time) {
         let until = until.min(now + MAX_TIME);
-        self.record(stream, Entry { software: None, until, began: None });
+        self.record(stream, Entry { software: None, until, began: None, told_by: None });
     }
 
     /// Returns the streams that began here at a server since some time, with the end of the time for which
@@ -94,14 +108,18 @@
         }
     }
 
-    fn record(&mut self, stream: StreamTag, mut entry: Entry) {
-        if let Some(former) = self.streams.get(&stream) {
+    /// Returns whether the version of the stream comes into doubt, which was known.
+    fn record(&mut self, stream: StreamTag, mut entry: Entry) -> bool {
+        let former = self.streams.get(&stream).copied();
+        if let Some(former) = former {
             self.by_end.remove(&(former.until, stream));
             entry.software = entry.software.filter(|it| former.software == Some(*it));
             entry.until = entry.until.max(former.until);
             entry.began = former.began.or(entry.began);
+            entry.told_by = entry.told_by.or(former.told_by);
         }
         self.by_end.insert((entry.until, stream));
         self.streams.insert(stream, entry);
+        entry.software.is_none() && former.is_some_and(|it| it.software.is_some())
     }
 }
--- a/crates/dispatch/src/stream_origins.rs
+++ b/crates/dispatch/src/stream_origins.rs
@@ -14,17 +14,16 @@
     state::State,
 };
 
-/// Instances that are told of a stream, beside the one where it began: some survive when a third of
-/// the fleet is lost at once.
-const HOLDERS: usize = 3;
+/// Instances that keep a stream: some survive when a third of the fleet is lost at once.
+const HOLDERS: usize = 4;
 /// Instances that are asked in a large fleet: more than were told, as the instance that tells and the one
 /// that asks may know different members.
-const ASKED_HOLDERS: usize = 5;
+const ASKED_HOLDERS: usize = 6;
 /// How long a stream is remembered after its caller's deadline.
 pub(crate) const DEADLINE_SLACK: Duration = Duration::from_secs(1);
-/// A server may have started again under its name this long before its new entry is seen, at the most, and
-/// have sent the first events of streams that were taken for its former run's.
-const MAX_ENTRY_DELAY: Duration = Duration::from_secs(5);
+/// A server that starts again under its name writes its entry within this time. Until the entry is seen, the
+/// streams that it begins are taken for its former run's.
+const MAX_ENTRY_DELAY: Duration = Duration::from_secs(2);
 /// An instance that cannot read the platform begins streams at a server that has left for this long, if no
 /// bound on keys ends that sooner.
 const MAX_LATE_BEGIN: Duration = Duration::from_secs(10);
@@ -53,14 +52,15 @@
             return self.doubt_stream(now, stream, until);
         }
         let server = running.server_id;
-        self.origins.began(now, NewStream { stream, software, server, until });
-        self.tell_origin(now, stream, Some(software), until);
+        let is_doubted = self.origins.began(now, NewStream { stream, software, server, until });
+        self.tell_origin(now, stream, Some(software).filter(|_| !is_doubted), until);
     }
 
     /// Doubts the origins of the streams at a server whose entry has another software version than before:
     /// it was started again, and they may have begun after that.
     pub(crate) fn doubt_streams_at(&mut self, now: Time, server: ServerId) {
-        let mut doubted = self.origins.begun_at(server, now - MAX_ENTRY_DELAY);
+        let seen_at = self.freshness.last_confirmed().unwrap_or_default();
+        let mut doubted = self.origins.begun_at(server, seen_at - MAX_ENTRY_DELAY);
         for req in self.requests.values_mut() {
             let Stage::Running(running) = req.stage else { continue };
             if running.server_id == server && req.software.is_some() {
@@ -99,7 +99,7 @@
         match message.content {
             OriginContent::Began(origins) => {
                 for origin in origins {
-                    self.origins.told(now, origin);
+                    self.origin_told(now, message.sender, origin);
                 }
                 self.origins.expire(now);
             }
@@ -111,14 +111,44 @@
         }
     }
 
-    /// Sends a question for the origin of a stream and returns how many instances were asked.
-    pub(crate) fn ask_for_origin(&mut self, stream: StreamTag) -> usize {
-        let count = if self.members.is_large() { ASKED_HOLDERS } else { usize::MAX };
-        let holders = self.members.holders(stream, count);
-        for to in &holders {
+    /// Records what another instance told. If two tell of two versions, both have to know.
+    fn origin_told(&mut self, now: Time, sender: SocketAddrV4, told: StreamOrigin) {
+        let (is_doubted, former) = self.origins.told(now, sender, told);
+        if !is_doubted {
+            return;
+        }
+        let doubt = StreamOrigin { software: None, ..told };
+        for to in [Some(sender), former].into_iter().flatten() {
+            self.send_origins(to, OriginContent::Began(vec![doubt]));
+        }
+    }
+
+    /// Sends a question for the origin of a stream and returns how many instances were asked. While this
+    /// one may not know those that keep the stream, the seeds are asked, too.
+    pub(crate) fn ask_for_origin(&mut self, stream: StreamTag, is_joining: bool) -> usize {
+        let mut asked = self.members.holders(stream, self.asked_holders());
+        if is_joining {
+            asked.extend(self.members.seeds());
+            asked.sort_unstable();
+            asked.dedup();
+        }
+        for to in &asked {
             self.send_origins(*to, OriginContent::Question(stream));
         }
-        holders.len()
+        asked.len()
+    }
+
+    /// Asks an instance that has just been found for the streams that are searched, if it may keep them.
+    pub(crate) fn ask_new_member(&mut self, address: SocketAddrV4) {
+        for stream in self.asked_streams() {
+            if self.members.holders(stream, self.asked_holders()).contains(&address) {
+                self.send_origins(address, OriginContent::Question(stream));
+            }
+        }
+    }
+
+    fn asked_holders(&self) -> usize {
+        if self.members.is_large() { ASKED_HOLDERS } else { usize::MAX }
     }
 
     /// Records that a server is not listed any more, or with another version than this one.
--- a/crates/dispatch/src/taken_up.rs
+++ b/crates/dispatch/src/taken_up.rs
@@ -11,6 +11,10 @@
 
 /// Time for other instances to answer. Some of those that are asked may have ended.
 const ANSWER_TIME: Duration = Duration::from_millis(150);
+/// The same in the time after the start in which other instances are found.
+const JOINING_ANSWER_TIME: Duration = Duration::from_millis(500);
+/// The time after the start in which gossip finds the other instances of a small fleet.
+const JOIN_TIME: Duration = Duration::from_millis(1_000);
 /// Time for the platform to be read.
 const READ_TIME: Duration = Duration::from_millis(800);
 
@@ -32,8 +36,8 @@
 
 #[derive(Clone, Copy, Debug)]
 pub(crate) enum Step {
-    /// Other instances were asked; this many have not answered.
-    Asking { unanswered: usize },
+    /// Other instances were asked; this many have not answered. `None` while more may be found.
+    Asking { unanswered: Option<usize> },
     /// The platform must be read.
     Reading(Reading),
 }
@@ -61,13 +65,15 @@
             KnownOrigin::InDoubt => return self.origin_unknown(now, key, "in doubt", None),
             KnownOrigin::Unknown => {}
         }
-        let unanswered = self.ask_for_origin(stream);
-        if unanswered == 0 {
+        let is_joining = now.since(self.started_at) < JOIN_TIME && self.members.has_seeds();
+        let asked = self.ask_for_origin(stream, is_joining);
+        if asked == 0 {
             return self.read_for_origin(now, key, Some(stream));
         }
+        let unanswered = (!is_joining).then_some(asked);
         let step = Step::Asking { unanswered };
-        let search = OriginSearch { stream: Some(stream), step, until: now + ANSWER_TIME };
-        self.set_search(key, search);
+        let time = if is_joining { JOINING_ANSWER_TIME } else { ANSWER_TIME };
+        self.set_search(key, OriginSearch { stream: Some(stream), step, until: now + time });
     }
 
     /// Handles what another instance answered about a stream.
@@ -81,14 +87,14 @@
                     self.origin_found(now, key, software, "told by another instance");
                 }
                 (KnownOrigin::InDoubt, _) => self.origin_unknown(now, key, "in doubt", None),
-                (KnownOrigin::Unknown, Step::Asking { unanswered }) if unanswered > 1 => {
-                    let step = Step::Asking { unanswered: unanswered - 1 };
-                    self.set_search(key, OriginSearch { step, ..search });
-                }
-                (KnownOrigin::Unknown, Step::Asking { .. }) => {
+                (KnownOrigin::Unknown, Step::Asking { unanswered: Some(1) }) => {
                     self.read_for_origin(now, key, Some(stream));
                 }
-                (KnownOrigin::Unknown, Step::Reading(_)) => {}
+                (KnownOrigin::Unknown, Step::Asking { unanswered: Some(count) }) => {
+                    let step = Step::Asking { unanswered: Some(count.saturating_sub(1)) };
+                    self.set_search(key, OriginSearch { step, ..search });
+                }
+                (KnownOrigin::Unknown, Step::Asking { unanswered: None } | Step::Reading(_)) => {}
             }
         }
     }
@@ -115,6 +121,15 @@
         }
     }
 
+    /// Returns the streams for which other instances are asked.
+    pub(crate) fn asked_streams(&mut self) -> Vec<StreamTag> {
+        let asking = self.searches().into_iter().map(|it| it.1);
+        asking
+            .filter(|it| matches!(it.step, Step::Asking { .. }))
+            .filter_map(|it| it.stream)
+            .collect()
+    }
+
     /// Returns whether a server may get a request: if the request goes on with a stream, only servers of
     /// the version that began it.
     pub(crate) fn suits_stream(&self, req: &Request, server: &Server) -> bool {
--- a/crates/gossip/src/members.rs
+++ b/crates/gossip/src/members.rs
@@ -152,18 +152,26 @@
         available(peers).choose(rng)
     }
 
-    /// Returns the alive members that keep the origin of a stream beside the instance where it began,
-    /// by rendezvous hashing: all instances that know the same members choose the same ones. At most
-    /// `count`, the first choice first.
+    /// Returns the other alive members that keep the origin of a stream. By rendezvous hashing, instances that
+    /// know the same members choose the same `count` ones, of which this one may be one. The first choice
+    /// is the first.
     pub fn holders(&self, stream: StreamTag, count: usize) -> Vec<SocketAddrV4> {
         let rank = |it: &SocketAddrV4| {
             let [a, b, c, d] = it.ip().octets();
             let [high, low] = it.port().to_be_bytes();
             xxh3_64_with_seed(&[a, b, c, d, high, low], stream.0)
         };
-        let mut ranked: Vec<_> = available(&self.peers).map(|it| (rank(&it), it)).collect();
+        let own = self.own.address;
+        let members = available(&self.peers).chain([own]);
+        let mut ranked: Vec<_> = members.map(|it| (rank(&it), it)).collect();
         ranked.sort_unstable_by(|a, b| b.cmp(a));
-        ranked.into_iter().take(count).map(|it| it.1).collect()
+        let first = ranked.into_iter().take(count).map(|it| it.1);
+        first.filter(|it| *it != own).collect()
+    }
+
+    /// Returns the addresses of the seeds, without this instance's.
+    pub fn seeds(&self) -> &[SocketAddrV4] {
+        &self.seeds
     }
 
     /// Returns when [`Members::tick`] is due.
