Read the store anew when it has gone back to an older copy

Callers were refused as only an older configuration allows (CONFIG), by instances whose views were fresh and whose logs held no warning. In a drill the store may come back from a copy some seconds old and give revisions out again. An instance that it had turned away until the new revisions passed the old ones went on from its old revision, took what followed for everything, and confirmed its view and its peers' by it; all of them did if the revisions had been passed between two reads. Digests are made of keys and revisions, so nothing showed it.

Of all causes that were played this one alone looks like the users' record: fresh views (65 to 531 ms), no warning, requests that end at the former timeout.

--- a/crates/dispatch/src/event.rs
+++ b/crates/dispatch/src/event.rs
@@ -45,6 +45,8 @@
         /// The view with this part, which may lack later changes.
         view: ViewSummary,
     },
+    /// The platform went back to an older copy of its content, which is listed next.
+    PlatformRestored,
     /// A read of the platform failed.
     PlatformReadFailed,
     /// Changes were read from another instance. All were passed on in events before this one.
--- a/crates/dispatch/src/state.rs
+++ b/crates/dispatch/src/state.rs
@@ -179,6 +179,8 @@
             Event::PeerRead { as_of, view, peer } => {
                 self.view_read(now, as_of, view, ViewSource::Peer(peer));
             }
+            // Servers that were listed since the copy was made list themselves again.
+            Event::PlatformRestored => self.platform_back_at = Some(now),
             Event::PlatformReadFailed => {
                 self.failing_since.get_or_insert(now);
             }
