Answer 503 for unknown routes while the view is too old for keys

Callers got 404 for added routes from an instance that the store had turned away for so long that it refused all known routes with 503: the missing route was looked for before the age of the view. Where no route needs a key there is no bound on the age, as before. The new test fails without the change: NoRoute instead of NotReady.

--- a/crates/dispatch/src/admission.rs
+++ b/crates/dispatch/src/admission.rs
@@ -38,7 +38,11 @@
     ) -> Result<Routed, Refusal> {
         let not_ready = Refusal::not_run(Reason::NotReady).retry_after(NOT_READY_RETRY_AFTER);
         let catalog = self.catalog.as_ref().ok_or(not_ready)?;
-        let route = catalog.route(host, path).ok_or(Refusal::not_run(Reason::NoRoute))?;
+        let Some(route) = catalog.route(host, path) else {
+            // A view that is too old for keys may lack the route as well.
+            let is_old = catalog.accounts.is_some() && !self.accepts_keys(now);
+            return Err(if is_old { not_ready } else { Refusal::not_run(Reason::NoRoute) });
+        };
         let mut routed =
             Routed { route: Arc::clone(route), account: None, key: None, version: catalog.version };
         if let (Some(accounts), false) = (&catalog.accounts, route.is_public) {
--- a/crates/dispatch/tests/decisions/keys.rs
+++ b/crates/dispatch/tests/decisions/keys.rs
@@ -40,6 +40,22 @@
     assert!(accepted >= REVOKE * 3 / 5, "keys were refused with a view older than {accepted:?}");
 }
 
+/// Guards against a route that was added and gets 404 from an instance whose view is so old that it serves no
+/// request with a key.
+#[test]
+fn an_unknown_route_is_rejected_only_while_keys_are_accepted() {
+    let mut bench = bench();
+    let reason = |bench: &Bench| {
+        let routed = bench.state.route(bench.now, "host.example", "/added/x", Some(KEY));
+        routed.map(|_| ()).unwrap_err().reason
+    };
+
+    let fresh = reason(&bench);
+    bench.pass(4_000);
+
+    assert_eq!((fresh, reason(&bench)), (Reason::NoRoute, Reason::NotReady));
+}
+
 #[test]
 fn after_a_suspension_longer_than_the_bound_no_request_with_a_key_is_sent() {
     let mut bench = bench();
