--- a/crates/dispatch/src/state.rs
+++ b/crates/dispatch/src/state.rs
@@ -198,6 +198,8 @@
                 self.software_use.known_from(now);
                 self.view_read(now, as_of, view, ViewSource::Peer(peer));
             }
+            // Servers that were listed since the copy was made list themselves again.
+            Event::PlatformRestored => self.platform_back_at = Some(now),
             Event::PlatformReadFailed => {
                 self.platform_tried(now);
                 self.failing_since.get_or_insert(now);
