--- a/crates/dispatch/src/fleet.rs
+++ b/crates/dispatch/src/fleet.rs
@@ -50,6 +50,8 @@
             self.server_unlisted(now, id);
         }
         self.has_server_list = true;
+        // Servers may have come and left since the last list.
+        self.software_use.known_from(now);
         self.dispatch_all(now);
     }
 
@@ -72,7 +74,15 @@
         let entry = server.entry.clone();
         server.expired_at = None;
         server.mark_cold(now, entry.cold);
-        let is_restarted = old.incarnation != entry.incarnation || old.address != entry.address;
+        let is_other_version = old.software != entry.software;
+        let is_restarted = old.incarnation != entry.incarnation
+            || old.address != entry.address
+            || is_other_version;
+        if is_other_version {
+            self.version_left(now, old.id(), old.pool, old.software);
+            self.doubt_streams_at(now, old.id());
+        }
+        let Some(server) = self.servers.get_mut(key) else { return };
         if is_restarted {
             server.restarted(now, cold_start);
             self.emit(Effect::Disconnect { address: old.address });
@@ -91,12 +101,19 @@
 
     fn server_added(&mut self, now: Time, entry: ServerEntry) {
         let (server, cold) = (Arc::clone(&entry.name), entry.cold);
+        let former = self.software_use.former(entry.id());
+        if former.is_some_and(|it| it != entry.software) {
+            self.doubt_streams_at(now, entry.id());
+        }
         self.servers.insert(now, entry);
         self.log(LogEntry::ServerFound { server, cold });
     }
 
     fn server_unlisted(&mut self, now: Time, id: ServerId) {
-        let Some(key) = self.servers.by_id(id) else { return };
+        let Some(key) = self.servers.by_id(id) else {
+            // It came and left between two reads, and may have been of any version.
+            return self.software_use.known_from(now);
+        };
         let expired_at = self.entries_expired_at(now);
         let Some(server) = self.servers.get_mut(key) else { return };
         if let (Some(expired_at), false) = (expired_at, server.entry.is_draining) {
@@ -115,6 +132,7 @@
 
     fn remove_server(&mut self, now: Time, key: ServerKey, why: &'static str) {
         let Some(server) = self.servers.remove(key) else { return };
+        self.version_left(now, server.id, server.entry.pool, server.entry.software);
         self.emit(Effect::Disconnect { address: server.entry.address });
         let (unsent, view_age) = (server.unsent, self.view_age(now));
         self.log(LogEntry::ServerLost { server: server.entry.name, why, unsent, view_age });
@@ -169,8 +187,9 @@
         if update.is_new {
             let alive = self.members.alive_count();
             self.log(LogEntry::MemberFound { address: update.sender.address, alive });
+            self.ask_new_member(update.sender.address);
         }
-        self.peer_view(update.sender.address, update.view_status.view, update.as_of);
+        self.peer_view(now, update.sender.address, update.view_status.view, update.as_of);
         let from = update.sender.address;
         self.loads.update(now, from, &update.loads, &update.ranked_loads);
         if !update.evidence.is_empty() {
@@ -269,13 +288,13 @@
     /// Refuses the waiting requests whose key the configuration does not contain any more.
     fn recheck_keys(&mut self, now: Time) {
         let Some(catalog) = self.catalog.clone() else { return };
-        for key in self.queue.keys() {
+        for key in self.queue.keys().into_iter().chain(self.searching.clone()) {
             let Some(req) = self.requests.get(key) else { continue };
             let Some(hash) = &req.routed.key else { continue };
             let account = catalog.accounts.as_ref().and_then(|accounts| accounts.get(hash));
             // Another account may have got the key. A new tier of the same one revokes nothing.
             let is_revoked = account_name(account) != account_name(req.routed.account.as_ref());
-            if is_revoked && matches!(req.stage, Stage::Waiting(_)) {
+            if is_revoked && matches!(req.stage, Stage::Waiting(_) | Stage::Searching(_)) {
                 let refusal = req.refusal(Reason::NoKey);
                 self.refuse(now, key, refusal);
             }
--- a/crates/dispatch/src/placement.rs
+++ b/crates/dispatch/src/placement.rs
@@ -60,6 +60,7 @@
                     && !server.is_paused(now)
                     && self.is_within_limit(now, server, 0)
                     && server.entry.incarnation == running.incarnation
+                    && server.entry.software == running.software
             })
     }
 
@@ -114,7 +115,7 @@
         match req.stage {
             Stage::Waiting(entry) => self.queue.remove(req.pool, entry),
             Stage::Idle => {}
-            Stage::Running(_) | Stage::Ending(_) => return,
+            Stage::Searching(_) | Stage::Running(_) | Stage::Ending(_) => return,
         }
         let Some(server) = self.servers.get_mut(choice.server) else { return };
         req.attempts += 1;
@@ -127,8 +128,10 @@
         let leave_by = is_retryable.then(|| now + first_byte_timeout);
         let running = RunningAttempt {
             server: choice.server,
+            server_id: server.id,
             rank: req.rank(),
             incarnation: server.entry.incarnation,
+            software: server.entry.software,
             started_at: now,
             sent_at: None,
             begun_at: None,
--- a/crates/dispatch/src/state.rs
+++ b/crates/dispatch/src/state.rs
@@ -12,6 +12,8 @@
     Catalog, Effect, EngineDemand, Event, Freshness, HeldPart, LiveEngines, LogEntry, Quarantine,
     RequestKey, RetryBudget, ServerKey, Setup, Share, ViewSource,
     account_shares::AccountShares,
+    caller_times::CallerTimes,
+    origins::Origins,
     queue::Queue,
     reading_speed::ReadingSpeeds,
     request::{Request, Stage},
@@ -19,6 +21,7 @@
     server_limits::ServerLimits,
     servers::Servers,
     service_times::ServiceTimes,
+    software_use::SoftwareUse,
     zone_plans::ZonePlans,
 };
 
@@ -86,6 +89,14 @@
     pub(crate) requests: SecondaryMap<RequestKey, Request>,
     pub(crate) queue: Queue,
     pub(crate) service_times: ServiceTimes,
+    pub(crate) origins: Origins,
+    pub(crate) software_use: SoftwareUse,
+    /// The requests that take up a stream whose software version is not known yet. Some may have ended.
+    pub(crate) searching: Vec<RequestKey>,
+    /// When the platform was last read, or tried to be, for these.
+    pub(crate) last_origin_read: Option<Time>,
+    /// How long callers wait for streams that they may take up again, by pool.
+    pub(crate) caller_times: HashMap<PoolId, CallerTimes>,
     is_ready: bool,
     next_tick: Time,
     /// When the use of the retry budgets is logged next.
@@ -145,6 +156,11 @@
             requests: SecondaryMap::new(),
             queue: Queue::default(),
             service_times: ServiceTimes::default(),
+            origins: Origins::default(),
+            software_use: SoftwareUse::default(),
+            searching: Vec::new(),
+            last_origin_read: None,
+            caller_times: HashMap::new(),
             is_ready: false,
             next_tick: now,
             next_retry_report: now,
@@ -169,6 +185,7 @@
             Event::Server(change) => self.server_changed(now, change),
             Event::EvacuatedZones(zones) => self.evacuated_zones(now, zones),
             Event::PlatformRead { as_of, view } => {
+                self.platform_tried(now);
                 self.view_read(now, as_of, view, ViewSource::Platform);
                 self.failing_since = None;
             }
@@ -177,20 +194,28 @@
                 self.failing_since = None;
             }
             Event::PeerRead { as_of, view, peer } => {
+                // A peer tells the latest state of each server, so one that came and left is not seen.
+                self.software_use.known_from(now);
                 self.view_read(now, as_of, view, ViewSource::Peer(peer));
             }
             // Servers that were listed since the copy was made list themselves again.
             Event::PlatformRestored => self.platform_back_at = Some(now),
             Event::PlatformReadFailed => {
+                self.platform_tried(now);
                 self.failing_since.get_or_insert(now);
             }
             Event::PeerReadFailed => self.peer_read_failed(),
             Event::Packet(packet) => self.packet(now, packet),
             Event::Tree(message) => self.tree_message(now, message),
             Event::Loads(message) => self.loads_message(now, message),
+            Event::Origins(message) => self.origin_message(now, message),
+            Event::HistoryRead { since, served } => {
+                self.history_read(now, since, served.as_deref());
+            }
             Event::Request { key, new } => self.request(now, key, *new),
             Event::Sent { key } => self.sent(now, key),
             Event::FirstByte { key } => self.first_byte(now, key),
+            Event::StreamBegun { key } => self.stream_begun(now, key),
             Event::FirstByteDue { key } => self.first_byte_due(now, key),
             Event::ServerLeaving { key } => self.server_leaves(now, key),
             Event::ServerPaused { key, span } => self.server_pauses(now, key, span),
@@ -232,6 +257,11 @@
         self.catalog.as_ref()
     }
 
+    /// Returns the number of streams whose software version is remembered.
+    pub fn origin_count(&self) -> usize {
+        self.origins.len()
+    }
+
     /// Returns the number of requests that wait or run.
     pub fn request_count(&self) -> usize {
         self.requests.len()
@@ -334,6 +364,7 @@
         self.tell_loads(now);
         self.remove_expired_servers(now);
         self.forget_limits(now);
+        self.expire_searches(now);
         self.refuse_expired(now);
         self.update_late(now);
         self.record_survivals(now);
--- a/crates/edge/src/exchange.rs
+++ b/crates/edge/src/exchange.rs
@@ -112,7 +112,7 @@
         let routed =
             instance.read_state(|state| state.route(now, head.host(), head.path(), fields.api_key));
         let id: Arc<str> = Arc::from(fields.id);
-        let (timeout, prompt) = (fields.timeout, fields.prompt);
+        let (timeout, prompt, taken_up) = (fields.timeout, fields.prompt, fields.taken_up);
         let routed = match routed {
             Ok(routed) => routed,
             Err(refusal) => return Err(self.reject_unrouted(&head, &id, refusal).await),
@@ -126,7 +126,9 @@
             routed: routed.clone(),
             arrived: self.arrived,
             caller_deadline,
+            states_deadline: timeout.is_some(),
             prompt,
+            taken_up,
         };
         Ok((Accepted { id, routed, outgoing, _memory: memory }, new))
     }
