--- a/crates/daemon/src/front/problem.rs
+++ b/crates/daemon/src/front/problem.rs
@@ -82,6 +82,10 @@
                 StatusCode::Conflict,
                 "a request with this idempotency key may have been received before",
             ),
+            Reason::OriginUnknown | Reason::OriginGone => (
+                StatusCode::ServiceUnavailable,
+                "no server has the software version that began the stream, or that is not known",
+            ),
             Reason::Quarantined => {
                 (StatusCode::ServiceUnavailable, "a part of the prompt has ended servers")
             }
--- a/crates/wire/src/write.rs
+++ b/crates/wire/src/write.rs
@@ -287,7 +287,9 @@
         Reason::NoOwner => schema::Reason::NoOwner,
         Reason::Duplicate => schema::Reason::Duplicate,
         Reason::MaybeDuplicate => schema::Reason::MaybeDuplicate,
-        // Only the edge program holds back parts of prompts, and it does not speak this protocol.
+        // Only the edge program, which does not speak this protocol, follows streams over their servers'
+        // versions and holds back parts of prompts.
+        Reason::OriginUnknown | Reason::OriginGone => schema::Reason::NoServer,
         Reason::Quarantined | Reason::ServerFailed => schema::Reason::ServerFailed,
         Reason::ServerTimeout => schema::Reason::ServerTimeout,
         Reason::CallerLeft => schema::Reason::CallerLeft,
