Let no view be confirmed by another version, and ask once a second of a refuted one

After the store went back to an older copy, an instance that had missed a version had the same keys and revisions as its peers, and so their digest: they confirmed its view, and it accepted a withdrawn key until operators wrote again. Now a view with another version confirms nothing. An instance that had not followed the store back has the higher revision, and made all others read with each of its packets; in a large fleet the others' lower revisions were no reason for it to read soon. Now a view that the platform did not have is no reason to read for a second, and one that was confirmed a second later than the own and differs is, whatever its revision.

--- a/crates/dispatch/src/reading.rs
+++ b/crates/dispatch/src/reading.rs
@@ -34,6 +34,11 @@
 const TREE_READ_SPREAD: Duration = Duration::from_millis(400);
 /// The time that is left for a read until a change must be followed.
 const FOLLOW_MARGIN: Duration = Duration::from_millis(400);
+/// A peer's view that was confirmed this much later than the own one and differs from it is a reason to read,
+/// whatever its revision. Times of views are less wrong than that.
+const MIN_CURRENT_LEAD: Duration = Duration::from_millis(1_000);
+/// How long a view of a peer is no reason to read the platform again after the platform did not have it.
+const REFUTED_TIME: Duration = Duration::from_millis(1_000);
 /// The first members of a large fleet, which retry failed reads as often as those of a small one:
 /// one of them succeeds soon after the platform is back, and the others follow it.
 const EAGER_READERS: usize = 8;
@@ -139,6 +144,12 @@
         let is_changed = view.digest != self.freshness.view().digest;
         self.platform_seen(as_of);
         self.freshness.record_read(as_of, view, source);
+        if let Some(peer) = self.behind_of.take().filter(|_| source == ViewSource::Platform)
+            && view.digest != peer.digest
+            && view.revision < peer.revision
+        {
+            self.refuted_view = Some((peer.digest, now + REFUTED_TIME));
+        }
         self.is_behind = false;
         self.newer_peer = None;
         if is_changed {
@@ -174,20 +185,35 @@
         if view.digest == own.digest && view.version != own.version {
             let (peer_version, version) = (view.version, own.version);
             self.log(LogEntry::ViewsDiffer { peer, peer_version, version });
+            // Nothing shows which of the two has what operators wrote last.
+            return;
         }
         self.freshness.record_peer_view(view, as_of, peer);
         if let Some(confirmed) = self.freshness.last_confirmed() {
             self.eliminate_versions(now, confirmed);
         }
+        let is_newer = self.freshness.is_behind(view) && !self.is_refuted(now, view);
+        // After the platform went back to an older copy, current views have lower revisions.
+        let last_confirmed = self.freshness.last_confirmed();
+        let is_current = view.digest != own.digest
+            && last_confirmed.is_some_and(|it| it + MIN_CURRENT_LEAD <= as_of);
         // An instance that can read neither the platform nor the peer that it asked asks the next.
         let may_ask = !self.is_behind || self.newer_peer.is_none() && self.failing_since.is_some();
-        if self.freshness.is_behind(view) && may_ask {
+        if (is_newer || is_current) && may_ask {
             self.is_behind = true;
-            self.newer_peer = self.members.is_large().then_some(peer);
+            self.behind_of = Some(view);
+            self.newer_peer = (is_newer && self.members.is_large()).then_some(peer);
             self.emit(Effect::ReadPlatform);
         }
     }
 
+    /// Returns whether the platform was read lately because a peer had this view, and did not have its
+    /// revision: the view is of what was there before the platform went back to an older copy.
+    fn is_refuted(&self, now: Time, view: ViewSummary) -> bool {
+        let refuted = self.refuted_view;
+        refuted.is_some_and(|(digest, until)| digest == view.digest && now < until)
+    }
+
     /// Probes the parent in the tree, if the fleet is large.
     pub(crate) fn probe_parent(&mut self, now: Time) {
         if !self.members.is_large() {
--- a/crates/dispatch/src/state.rs
+++ b/crates/dispatch/src/state.rs
@@ -64,6 +64,10 @@
     /// The instance from which the changes can be read that this one lacks; `None` if they are read
     /// from the platform.
     pub(crate) newer_peer: Option<SocketAddrV4>,
+    /// The view of a peer because of which the platform is to be read.
+    pub(crate) behind_of: Option<ViewSummary>,
+    /// The digest of a peer's view that the platform did not have, and until when that counts.
+    pub(crate) refuted_view: Option<(u64, Time)>,
     /// Since when reads of the platform fail; `None` if the last one succeeded.
     pub(crate) failing_since: Option<Time>,
     /// The latest time at which any instance is known to have read the platform, whatever it read.
@@ -137,6 +141,8 @@
             freshness: Freshness::default(),
             is_behind: false,
             newer_peer: None,
+            behind_of: None,
+            refuted_view: None,
             failing_since: None,
             platform_seen_at: None,
             platform_back_at: None,
--- a/crates/dispatch/tests/decisions/reading.rs
+++ b/crates/dispatch/tests/decisions/reading.rs
@@ -131,3 +131,39 @@
         self.members.iter().map(State::next_read).min().unwrap()
     }
 }
+
+/// Guards against a view that is confirmed by an instance which knows a later configuration: after the
+/// platform went back to an older copy, one that missed the later one had the same items as it.
+#[test]
+fn a_view_with_an_older_configuration_is_not_confirmed_by_others() {
+    let mut fleet = Fleet::new(4);
+    fleet.cut_off = vec![3];
+    fleet.view.version = 2;
+
+    fleet.pass(Duration::from_secs(3));
+
+    let ages = fleet.members.iter().map(|state| state.view_age(fleet.now).unwrap());
+    let ages: Vec<_> = ages.collect();
+    assert!(ages[..3].iter().all(|age| *age < MAX_STALENESS), "{ages:?}");
+    assert!(ages[3] >= Duration::from_millis(2_900), "{ages:?}");
+}
+
+/// Guards against instances that read the platform with each packet of one that has not followed it back to an
+/// older copy: its revision is higher.
+#[test]
+fn an_instance_of_before_the_platform_went_back_makes_others_read_seldom() {
+    let mut fleet = Fleet::new(8);
+    fleet.view.revision = 1_000_000;
+    fleet.view.digest = 5;
+    fleet.pass(Duration::from_secs(3));
+    fleet.cut_off = vec![7];
+    fleet.view.revision = 1_000;
+    fleet.view.digest = 7;
+    fleet.pass(Duration::from_secs(3));
+    fleet.reads = 0;
+
+    fleet.pass(Duration::from_secs(10));
+
+    // Two reads a second are usual, and each of seven instances asks once a second whether it is behind.
+    assert!(fleet.reads <= 10 * (2 + 7), "{} reads in 10 s", fleet.reads);
+}
