--- a/crates/dispatch/src/server.rs
+++ b/crates/dispatch/src/server.rs
@@ -36,12 +36,6 @@
 }
 
 impl ServerEntry {
-    /// Returns whether another entry is of the same run of the server.
-    pub fn is_same_run(&self, other: &Self) -> bool {
-        (&self.name, self.pool, self.address, self.incarnation)
-            == (&other.name, other.pool, other.address, other.incarnation)
-    }
-
     /// Returns the server's id, which depends on its name only.
     pub fn id(&self) -> ServerId {
         ServerId::of(&self.name)
