Know the version of a stream whose server has left the list

A server that leaves finishes what it runs, and its entry may be gone before the first event arrives: such streams were in doubt, and refused when their callers took them up. The run is the one that was chosen unless the name is listed again; that puts the stream in doubt, as before.

--- a/crates/dispatch/src/stream_origins.rs
+++ b/crates/dispatch/src/stream_origins.rs
@@ -35,8 +35,10 @@
         let Some(req) = self.requests.get_mut(key) else { return };
         let Stage::Running(running) = req.stage else { return };
         let software = running.software;
-        let server = self.servers.get(running.server);
-        let is_same_start = server.is_some_and(|it| {
+        // A server that has left the list may still serve. It is the run that was chosen, unless the name is
+        // listed again.
+        let server = self.servers.by_id(running.server_id).and_then(|key| self.servers.get(key));
+        let is_same_start = server.is_none_or(|it| {
             it.entry.incarnation == running.incarnation && it.entry.software == software
         });
         if is_same_start {
--- a/crates/dispatch/tests/decisions/versions.rs
+++ b/crates/dispatch/tests/decisions/versions.rs
@@ -566,6 +566,27 @@
     assert_eq!(reasons(&effects), [(Reason::OriginUnknown, Execution::NotRun, None)]);
 }
 
+/// Servers that leave finish what they run: a stream may begin after its server has left the list.
+#[test]
+fn a_stream_of_a_server_that_has_left_the_list_goes_on_at_its_version() {
+    let mut bench = bench(&["v1-a", "v1-b", "v2-c"]);
+    let (key, effects) = bench.request("short", prompt(500, 500, 1));
+    let name = names(&effects)[0].clone();
+    bench.step(Event::Sent { key });
+    bench.step(Event::FirstByte { key });
+    bench.step(Event::Server(dispatch::ServerChange::Unlisted(ServerId::of(&name))));
+    bench.step(Event::StreamBegun { key });
+    bench.step(Event::CallerLeft { key });
+
+    let (_, effects) = bench.take_up("short", Some("request-1"));
+
+    let next = names(&effects);
+    match version(&name) {
+        "v1" => assert_eq!(version(&next[0]), "v1"),
+        _ => assert!(next.is_empty()),
+    }
+}
+
 /// Guards against two streams with one id, which a caller used twice: neither version is known.
 #[test]
 fn a_stream_with_two_origins_is_refused() {
