--- a/review/standin-3/cases.rs
+++ b/review/standin-3/cases.rs
@@ -3,6 +3,8 @@
 mod cut_second;
 mod drill_relist;
 mod late_body;
+mod partial_entry;
+mod rolled_origins;
 mod slow_poison;
 mod stop_waiting;
 
@@ -17,6 +19,8 @@
         "late-body" => late_body::play(record, has_trouble),
         "cut-second" => cut_second::play(record, has_trouble),
         "drill-relist" => drill_relist::play(record, has_trouble),
+        "rolled-origins" => rolled_origins::play(record, has_trouble),
+        "partial-entry" => partial_entry::play(record, has_trouble),
         "slow-poison" => slow_poison::play(record, has_trouble),
         "stop-waiting" => stop_waiting::play(record, has_trouble),
         _ => Err(format!("there is no case {name}")),
@@ -43,6 +47,8 @@
         r#"{{"version":{version},"routes":[
 {{"name":"charla","host":"host.example","prefix":"/charla/","routeKind":"streaming","timeoutMs":12000,"sloMs":300,
 "priority":0,"service":"modelo","maxAttempts":1,"public":false,"sticky":true,"resumable":false,"gapTargetMs":250}},
+{{"name":"sintesis","host":"host.example","prefix":"/sintesis/","routeKind":"streaming","timeoutMs":12000,"sloMs":400,
+"priority":1,"service":"modelo","maxAttempts":2,"public":false,"sticky":true,"resumable":true,"gapTargetMs":400}},
 {{"name":"abono","host":"host.example","prefix":"/abono/","routeKind":"non_idempotent","timeoutMs":2000,"sloMs":300,
 "priority":2,"service":"libro","maxAttempts":1,"public":false}},
 {{"name":"saldo","host":"host.example","prefix":"/saldo/","routeKind":"idempotent","timeoutMs":2000,"sloMs":300,
@@ -59,8 +65,13 @@
 
 /// Returns the fields of a server's entry.
 fn entry(service: &str, slots: u32, state: &str) -> String {
+    entry_of_version(service, slots, state, "v1")
+}
+
+/// Does the same for a server with this version of its software.
+fn entry_of_version(service: &str, slots: u32, state: &str, version: &str) -> String {
     format!(
-        r#""service":"{service}","zone":"zona-norte","version":"v1","slots":{slots},"state":"{state}",
+        r#""service":"{service}","zone":"zona-norte","version":"{version}","slots":{slots},"state":"{state}",
 "stage":"both","models":[{{"name":"m","version":1,"adapters":[]}}]"#
     )
 }
--- a/review/standin-3/cases/cut_second.rs
+++ b/review/standin-3/cases/cut_second.rs
@@ -46,7 +46,9 @@
         }
     }
     Ok(if wrong > 0 {
-        Verdict::Broken(format!("{wrong} of {REQUESTS} answers are complete and have foreign bytes"))
+        Verdict::Broken(format!(
+            "{wrong} of {REQUESTS} answers are complete and have foreign bytes"
+        ))
     } else {
         Verdict::Held(format!("no answer of {REQUESTS} has foreign bytes"))
     })
--- a/review/standin-3/cases/stop_waiting.rs
+++ b/review/standin-3/cases/stop_waiting.rs
@@ -69,7 +69,8 @@
         let _ = client.join();
     }
     let has_run = runner.has_got("short-waiting");
-    let seen = format!("the waiting request got status {status} after {after:.1?}; it ran: {has_run}");
+    let seen =
+        format!("the waiting request got status {status} after {after:.1?}; it ran: {has_run}");
     Ok(if status == 0 { Verdict::Broken(seen) } else { Verdict::Held(seen) })
 }
 
--- a/review/standin-3/client.rs
+++ b/review/standin-3/client.rs
@@ -14,7 +14,7 @@
 /// A client's connection.
 pub(crate) struct Connection {
     pub(crate) stream: TcpStream,
-    reader: BufReader<TcpStream>,
+    pub(crate) reader: BufReader<TcpStream>,
 }
 
 impl Connection {
--- a/review/standin-3/edge.rs
+++ b/review/standin-3/edge.rs
@@ -75,7 +75,7 @@
 ) -> Result<Vec<Edge>, String> {
     let addresses: Result<Vec<_>, _> = (0..count).map(|_| Addresses::new(network)).collect();
     let addresses = addresses?;
-    let seeds: Vec<_> = addresses.iter().take(3).map(|it| it.control).collect();
+    let seeds = seeds(addresses.iter());
     let fleet: Result<Vec<_>, _> =
         addresses.into_iter().map(|it| Edge::start(it, store, &seeds, record)).collect();
     let fleet = fleet?;
@@ -85,6 +85,11 @@
     Ok(fleet)
 }
 
+/// Returns the addresses of the machines that the settings name as seeds.
+pub(crate) fn seeds<'a>(addresses: impl Iterator<Item = &'a Addresses>) -> Vec<SocketAddr> {
+    addresses.take(3).map(|it| it.control).collect()
+}
+
 impl Edge {
     fn start(
         addresses: Addresses,
@@ -112,6 +117,19 @@
         Ok(Self { addresses, child, folder })
     }
 
+    /// Waits until the process has ended after SIGTERM, and starts it again.
+    pub(crate) fn start_again(
+        &mut self,
+        store: &Store,
+        seeds: &[SocketAddr],
+        record: &Record,
+    ) -> Result<(), String> {
+        self.child.wait().map_err(|err| err.to_string())?;
+        record.note(&format!("the instance at {} has ended", self.addresses.front));
+        *self = Self::start(self.addresses.clone(), store, seeds, record)?;
+        self.wait_ready()
+    }
+
     /// Asks the process to stop.
     pub(crate) fn terminate(&self) -> Result<(), String> {
         let status = Command::new("kill").args(["-TERM", &self.child.id().to_string()]).status();
@@ -123,8 +141,7 @@
 
     fn wait_ready(&self) -> Result<(), String> {
         let by = Instant::now() + READY_TIMEOUT;
-        let request =
-            "GET /clementinehall/readyz HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n";
+        let request = "GET /clementinehall/readyz HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n";
         while Instant::now() < by {
             let answer = client::exchange(self.addresses.ready, request.as_bytes());
             if answer.is_ok_and(|it| it.0.status() == 200) {
--- a/review/standin-3/load.rs
+++ b/review/standin-3/load.rs
@@ -15,8 +15,9 @@
     record::Record,
 };
 
-/// Pause of a client between an answer and its next request.
-const PAUSE: Duration = Duration::from_millis(20);
+/// Pauses of clients between an answer and the next request.
+const LOOK_UP_PAUSE: Duration = Duration::from_millis(20);
+const STREAM_PAUSE: Duration = Duration::from_millis(300);
 
 /// Clients that go on until they are dropped.
 pub(crate) struct Load {
@@ -33,7 +34,8 @@
         record: &Record,
     ) -> Self {
         let fields = "X-Clementinehall-Deadline-Ms: 4000\r\n";
-        Self::start_with(front, clients, record, move |id| head("GET", "/saldo/x", id, key, fields))
+        let request = move |id: &str| head("GET", "/saldo/x", id, key, fields);
+        Self::start_with(front, clients, LOOK_UP_PAUSE, record, request)
     }
 
     /// Starts clients that ask for streams. `parts` returns the parts of the prompt of a request by its id.
@@ -44,33 +46,35 @@
         record: &Record,
         parts: fn(&str) -> String,
     ) -> Self {
-        Self::start_with(front, clients, record, move |id| stream_head(id, key, &parts(id)))
+        let request = move |id: &str| stream_head(id, key, &parts(id));
+        Self::start_with(front, clients, STREAM_PAUSE, record, request)
     }
 
     fn start_with(
         front: SocketAddr,
         clients: usize,
+        pause: Duration,
         record: &Record,
         request: impl Fn(&str) -> String + Clone + Send + 'static,
     ) -> Self {
         let is_over = Arc::new(AtomicBool::new(false));
         let start = |client: usize| {
-            let (is_over, record, request) = (Arc::clone(&is_over), record.clone(), request.clone());
+            let (is_over, record, request) =
+                (Arc::clone(&is_over), record.clone(), request.clone());
             thread::spawn(move || {
                 for no in 0.. {
                     if is_over.load(Ordering::SeqCst) {
                         return;
                     }
                     let id = format!("{}-{client}-{no}", front.port());
-                    match exchange(front, request(&id).as_bytes()) {
-                        Ok((answer, true)) if answer.status() == 200 => {}
-                        Ok((answer, is_complete)) => record.note(&format!(
-                            "{id} is answered {}, complete: {is_complete}",
-                            answer.status()
-                        )),
-                        Err(err) => record.note(&format!("{id} is not answered: {err}")),
-                    }
-                    thread::sleep(PAUSE);
+                    record.note(&match exchange(front, request(&id).as_bytes()) {
+                        Ok((answer, is_complete)) => {
+                            let status = answer.status();
+                            format!("{id} is answered {status}, complete: {is_complete}")
+                        }
+                        Err(err) => format!("{id} is not answered: {err}"),
+                    });
+                    thread::sleep(pause);
                 }
             })
         };
--- a/review/standin-3/runner.rs
+++ b/review/standin-3/runner.rs
@@ -128,6 +128,9 @@
         self.is_beating.store(is_beating, Ordering::SeqCst);
     }
 
+    pub(crate) fn address(&self) -> SocketAddr {
+        self.address
+    }
 
     /// Returns whether a request with this id has reached it.
     pub(crate) fn has_got(&self, id: &str) -> bool {
