--- a/review/standin-3/cases.rs
+++ b/review/standin-3/cases.rs
@@ -6,6 +6,7 @@
 mod partial_entry;
 mod rolled_origins;
 mod slow_poison;
+mod spoiled_stream;
 mod stop_waiting;
 
 use crate::{Outcome, record::Record};
@@ -22,6 +23,7 @@
         "rolled-origins" => rolled_origins::play(record, has_trouble),
         "partial-entry" => partial_entry::play(record, has_trouble),
         "slow-poison" => slow_poison::play(record, has_trouble),
+        "spoiled-stream" => spoiled_stream::play(record, has_trouble),
         "stop-waiting" => stop_waiting::play(record, has_trouble),
         _ => Err(format!("there is no case {name}")),
     }
