--- a/review/standin-3/cases/cut_second.rs
+++ b/review/standin-3/cases/cut_second.rs
@@ -1,13 +1,18 @@
 //! A server answers without a length and then once more, and its connection ends within the second head.
 
-use std::{net::TcpStream, thread, time::Duration};
+use std::{
+    net::TcpStream,
+    sync::atomic::{AtomicUsize, Ordering},
+    thread,
+    time::{Duration, Instant},
+};
 
-use super::{config, entry};
+use super::{SERVICE_TIME, config, entry};
 use crate::{
     Outcome, Verdict,
-    client::{exchange, head},
     edge::{Network, start_fleet},
     http::Message,
+    load::Load,
     record::Record,
     runner::{Next, Runner, respond, response, write},
     store::Store,
@@ -15,55 +20,59 @@
 
 const KEY: &str = "a-key";
 const BODY: &str = "{\"saldo\":\"120.50\",\"moneda\":\"COP\"}";
-const REQUESTS: usize = 5;
+const SERVERS: usize = 3;
+const CLIENTS: usize = 10;
+/// When one of the servers begins to spoil answers, and for how long.
+const BEGIN: Duration = Duration::from_secs(6);
+const SPAN: Duration = Duration::from_secs(5);
+/// It spoils one answer of this many, fewer than 3 in 100.
+const ONE_OF: usize = 34;
 
 pub(crate) fn play(record: &Record, has_trouble: bool) -> Outcome {
     let network = Network::new();
     let store = Store::start(&network.ip())?;
     store.put("op/config", &config(7, &[("tenant-a", &[KEY])]));
-    for name in ["i-1", "i-2"] {
-        let runner = Runner::start(&network.ip(), name, record, move |request, stream| {
-            answer(request, stream, has_trouble)
-        })?;
+    let begin = Instant::now() + BEGIN;
+    for no in 0..SERVERS {
+        let (count, record_of_server) = (AtomicUsize::new(0), record.clone());
+        let spoils = has_trouble && no == 0;
+        let runner =
+            Runner::start(&network.ip(), &format!("i-{no}"), record, move |request, out| {
+                thread::sleep(SERVICE_TIME);
+                let is_time = Instant::now() >= begin && Instant::now() < begin + SPAN;
+                let is_spoiled = spoils
+                    && is_time
+                    && count.fetch_add(1, Ordering::SeqCst) % ONE_OF == ONE_OF / 2;
+                if !is_spoiled {
+                    return respond(out, request, BODY);
+                }
+                record_of_server.note(&format!("the answer to {} is spoiled", request.id()));
+                answer_twice(request, out)
+            })?;
         runner.register(&store, &entry("libro", 6, "ready"));
     }
     let fleet = start_fleet(&network, &store, 1, record)?;
-    thread::sleep(Duration::from_secs(2));
+    let load = Load::start(fleet[0].addresses.front, CLIENTS, KEY, record);
+    thread::sleep(begin.saturating_duration_since(Instant::now()) + SPAN + Duration::from_secs(1));
+    let answers = load.stop();
 
-    let mut wrong = 0;
-    for no in 0..REQUESTS {
-        let fields = "X-Clementinehall-Deadline-Ms: 4000\r\n";
-        let request = head("GET", "/saldo/x", &format!("saldo-{no}"), KEY, fields);
-        let answer = exchange(fleet[0].addresses.front, request.as_bytes());
-        let (answer, is_complete) = answer.map_err(|err| format!("client: {err}"))?;
+    let wrong: Vec<_> = answers.iter().filter(|it| it.body != BODY.as_bytes()).collect();
+    for answer in wrong.iter().take(3) {
         let body = String::from_utf8_lossy(&answer.body);
-        record.note(&format!(
-            "saldo-{no} is answered {}, complete: {is_complete}, body {body:?}",
-            answer.status()
-        ));
-        if answer.status() == 200 && is_complete && body != BODY {
-            wrong += 1;
-        }
+        record.note(&format!("{} has got {body:?}", answer.id));
     }
-    Ok(if wrong > 0 {
-        Verdict::Broken(format!(
-            "{wrong} of {REQUESTS} answers are complete and have foreign bytes"
-        ))
-    } else {
-        Verdict::Held(format!("no answer of {REQUESTS} has foreign bytes"))
-    })
+    let seen = format!(
+        "{} of {} complete answers with status 200 have foreign bytes",
+        wrong.len(),
+        answers.len()
+    );
+    Ok(if wrong.is_empty() { Verdict::Held(seen) } else { Verdict::Broken(seen) })
 }
 
-/// Answers with a body that ends with the connection. With `has_trouble`, a second answer follows and breaks
-/// off in its head.
-fn answer(request: &Message, stream: &mut TcpStream, has_trouble: bool) -> Next {
-    if !has_trouble && request.id().ends_with('0') {
-        return respond(stream, request, BODY);
-    }
+/// Answers with a body that ends with the connection, and then once more, up to the middle of the head.
+fn answer_twice(request: &Message, out: &mut TcpStream) -> Next {
     let first = response(request, 200, &format!("Content-Type: application/json\r\n\r\n{BODY}"));
     let second = response(request, 200, "Content-Type: appli");
-    let text = if has_trouble { first + &second } else { first };
-    // The connection ends here.
-    write(stream, &text);
+    write(out, &(first + &second));
     Next::Close
 }
--- a/review/standin-3/cases/slow_poison.rs
+++ b/review/standin-3/cases/slow_poison.rs
@@ -19,6 +19,7 @@
 };
 
 const KEY: &str = "a-key";
+const PATH: &str = "/charla/x";
 const INSTANCES: usize = 3;
 const SERVERS: usize = 9;
 /// Requests with the part that come at about the same time, one at each instance, and the time between.
@@ -47,13 +48,13 @@
     let fronts: Vec<_> = fleet.iter().map(|it| it.addresses.front).collect();
     let sound = |id: &str| format!("5c1e07a2:800,{}", own_parts(id));
     let loads: Vec<_> =
-        fronts.iter().map(|it| Load::start_streams(*it, 2, KEY, record, sound)).collect();
+        fronts.iter().map(|it| Load::start_streams(*it, 2, (PATH, KEY), record, sound)).collect();
     for round in 0..ROUNDS {
         thread::sleep(Duration::from_secs(1));
         let mut clients = Vec::new();
         for (no, front) in fronts.iter().copied().enumerate().filter(|_| has_trouble) {
             let id = format!("deadly-{round}-{no}");
-            let request = stream_head(&id, KEY, &format!("dead:800,{}", own_parts(&id)));
+            let request = stream_head(PATH, &id, KEY, &format!("dead:800,{}", own_parts(&id)));
             let record = record.clone();
             clients.push(thread::spawn(move || {
                 let status = exchange(front, request.as_bytes()).map_or(0, |it| it.0.status());
--- a/review/standin-3/edge.rs
+++ b/review/standin-3/edge.rs
@@ -117,7 +117,12 @@
         Ok(Self { addresses, child, folder })
     }
 
-    /// Waits until the process has ended after SIGTERM, and starts it again.
+    /// Kills the process.
+    pub(crate) fn kill(&mut self) -> Result<(), String> {
+        self.child.kill().map_err(|err| err.to_string())
+    }
+
+    /// Waits until the process has ended, and starts it again.
     pub(crate) fn start_again(
         &mut self,
         store: &Store,
