--- a/review/standin-3/cases.rs
+++ b/review/standin-3/cases.rs
@@ -4,6 +4,7 @@
 mod drill_relist;
 mod gap_restart;
 mod late_body;
+mod late_report;
 mod partial_entry;
 mod rolled_origins;
 mod slow_poison;
@@ -19,6 +20,7 @@
 pub(crate) fn play(name: &str, record: &Record, has_trouble: bool) -> Outcome {
     match name {
         "gap-restart" => gap_restart::play(record, has_trouble),
+        "late-report" => late_report::play(record, has_trouble),
         "late-body" => late_body::play(record, has_trouble),
         "cut-second" => cut_second::play(record, has_trouble),
         "drill-relist" => drill_relist::play(record, has_trouble),
--- a/review/standin-3/runner.rs
+++ b/review/standin-3/runner.rs
@@ -187,17 +187,28 @@
     }
 
     fn write_entry(&self) {
-        let Some((store, fields)) = self.entry.lock().unwrap().clone() else { return };
-        let entry = {
-            let mut start = self.start.lock().unwrap();
-            start.writes += 1;
-            let cold_left = start.cold_until.saturating_duration_since(Instant::now()).as_millis();
-            format!(
-                r#"{{{fields},"address":"{}","born":{},"coldLeftMs":{cold_left},"seq":{}}}"#,
-                self.address, start.born, start.writes
-            )
-        };
-        store.put(&format!("servers/{}", self.name), &entry);
+        let entry = self.entry.lock().unwrap().clone();
+        let Some((store, _)) = entry else { return };
+        store.put(&format!("servers/{}", self.name), &self.next_entry());
+    }
+
+    /// Returns the next entry that it would write, as a write that is under way.
+    pub(crate) fn next_entry(&self) -> String {
+        let entry = self.entry.lock().unwrap();
+        let fields = entry.as_ref().map_or("", |it| it.1.as_str());
+        let mut start = self.start.lock().unwrap();
+        start.writes += 1;
+        let cold_left = start.cold_until.saturating_duration_since(Instant::now()).as_millis();
+        format!(
+            r#"{{{fields},"address":"{}","born":{},"coldLeftMs":{cold_left},"seq":{}}}"#,
+            self.address, start.born, start.writes
+        )
+    }
+
+    /// Writes its entry with other fields from now on.
+    pub(crate) fn report(&self, store: &Store, fields: &str) {
+        *self.entry.lock().unwrap() = Some((store.clone(), fields.to_owned()));
+        self.write_entry();
     }
 
     fn serve(&self, mut stream: TcpStream) {
