--- a/review/standin-3/cases/gap_restart.rs
+++ b/review/standin-3/cases/gap_restart.rs
@@ -18,7 +18,8 @@
 
 const REVOKED_KEY: &str = "revoked-key";
 const KEY: &str = "a-key";
-const INSTANCES: usize = 3;
+/// As many as in the deployment, so that one killed process stays inside the share of its disruption.
+const INSTANCES: usize = 7;
 /// `revokeMs` of the deployment.
 const REVOKE: Duration = Duration::from_secs(5);
 /// Time from the acknowledgement of the revocation to the drill, for which the store is away then, and from its
--- a/review/standin-3/edge.rs
+++ b/review/standin-3/edge.rs
@@ -1,11 +1,15 @@
 //! Processes of the program, started by the command of the deploy file.
 
 use std::{
+    collections::BTreeSet,
     fs::{self, File},
     net::{SocketAddr, TcpListener},
     path::PathBuf,
     process::{Child, Command},
-    sync::atomic::{AtomicU32, Ordering},
+    sync::{
+        Mutex,
+        atomic::{AtomicU32, Ordering},
+    },
     thread,
     time::{Duration, Instant, SystemTime, UNIX_EPOCH},
 };
@@ -114,6 +118,8 @@
             .spawn()
             .map_err(|err| format!("cannot start clementine-edge: {err}"))?;
         record.note(&format!("started an instance at {}", addresses.front));
+        running().lock().unwrap().insert(child.id());
+        write_running();
         Ok(Self { addresses, child, folder })
     }
 
@@ -130,6 +136,8 @@
         record: &Record,
     ) -> Result<(), String> {
         self.child.wait().map_err(|err| err.to_string())?;
+        running().lock().unwrap().remove(&self.child.id());
+        write_running();
         record.note(&format!("the instance at {} has ended", self.addresses.front));
         *self = Self::start(self.addresses.clone(), store, seeds, record)?;
         self.wait_ready()
@@ -163,12 +171,29 @@
         // It may have ended already.
         let _ = self.child.kill();
         let _ = self.child.wait();
+        running().lock().unwrap().remove(&self.child.id());
+        write_running();
         if std::env::var_os("KEEP").is_none() {
             let _ = fs::remove_dir_all(&self.folder);
         }
     }
 }
 
+/// Returns the ids of the processes that were started and have not been waited for.
+fn running() -> &'static Mutex<BTreeSet<u32>> {
+    static RUNNING: Mutex<BTreeSet<u32>> = Mutex::new(BTreeSet::new());
+    &RUNNING
+}
+
+/// Writes these ids to the file that `CASE_PIDS` names, for a script that is stopped itself.
+fn write_running() {
+    let Some(path) = std::env::var_os("CASE_PIDS") else { return };
+    let ids = running().lock().unwrap();
+    let lines: String = ids.iter().map(|id| format!("{id}\n")).collect();
+    // Without the file, the processes still end with the case.
+    let _ = fs::write(path, lines);
+}
+
 /// Returns settings like those of the deployment with seven machines.
 fn settings(addresses: &Addresses, store: SocketAddr, seeds: &[SocketAddr]) -> String {
     let Addresses { ip, front, ready, control } = addresses;
